--- /dev/null
+++ b/examples/fleet.py
@@ -0,0 +1,318 @@
+"""Starts fleets of real processes on loopback addresses.
+
+Each host has an IP number of its own: 127.B.1.N for control hosts, 127.B.2.N
+for entries and 127.B.3.N for targets, where B is the fleet's number.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from geventhttpclient import HTTPClient
+
+PEERS, OPERATORS, TARGETS, CALLERS = 7000, 7001, 7002, 8080
+ADVERTISED_PEERS = 7100
+BINARIES = Path(sys.executable).parent
+TARGET_PROGRAM = Path(__file__).with_name("target.py")
+REGIONS = ("south", "north", "northwest")
+
+
+class Answer:
+    """An HTTP answer, read whole."""
+
+    def __init__(self, status: int, headers: dict[str, str], body: bytes):
+        """Take the parts."""
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def json(self) -> Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    timeout: float = 10.0,
+) -> Answer:
+    """Send one request on a connection of its own."""
+    host, _, port = address.rpartition(":")
+    client = HTTPClient(
+        host, int(port), connection_timeout=2, network_timeout=timeout
+    )
+    try:
+        response = client.request(method, path, body, headers or {})
+        content = response.read()
+        found = {k.lower(): v for k, v in response.items()}
+        return Answer(response.status_code, found, bytes(content))
+    finally:
+        client.close()
+
+
+def wait_for(
+    condition: Callable[[], Any], timeout: float, what: str = ""
+) -> Any:
+    """Poll until a condition holds; AssertionError after the timeout."""
+    deadline = time.monotonic() + timeout
+    while True:
+        try:
+            found = condition()
+        except OSError:
+            found = None
+        if found:
+            return found
+        if time.monotonic() >= deadline:
+            raise AssertionError(f"not within {timeout} s: {what}")
+        time.sleep(0.05)
+
+
+class Process:
+    """A process of the fleet or a target."""
+
+    def __init__(self, name: str, command: list[str], log: Path):
+        """Take the command line and where the output goes."""
+        self.name = name
+        self.command = command
+        self.log = log
+        self.child: subprocess.Popen | None = None
+
+    def start(self, *extra: str) -> None:
+        """Start it."""
+        with self.log.open("ab") as output:
+            self.child = subprocess.Popen(
+                [*self.command, *extra], stdout=output, stderr=output
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal."""
+        assert self.child is not None
+        self.child.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill it at once."""
+        if self.child is not None and self.child.poll() is None:
+            self.signal(signal.SIGCONT)
+            self.child.kill()
+            self.child.wait()
+
+    def stop(self, timeout: float = 30.0) -> int:
+        """Stop it gracefully and return its exit code."""
+        assert self.child is not None
+        self.signal(signal.SIGTERM)
+        return self.child.wait(timeout)
+
+
+class LocalFleet:
+    """Control hosts, entries and targets on this machine."""
+
+    def __init__(
+        self,
+        folder: Path,
+        number: int = 0,
+        controls: int = 3,
+        entries: int = 3,
+        proxied: bool = False,
+        retention_s: float = 2.0,
+    ):
+        """Write the settings of every host.
+
+        Args:
+            folder: where settings, data and logs go.
+            number: the fleet's number B in its addresses.
+            controls: number of control hosts.
+            entries: number of entries.
+            proxied: peers reach each other through ADVERTISED_PEERS.
+            retention_s: how long claims are kept.
+        """
+        self.folder = folder
+        self.number = number or 1 + os.getpid() % 250
+        self.proxied = proxied
+        self.retention_s = retention_s
+        self.control_names = [f"c{n + 1}" for n in range(controls)]
+        self.entry_names = [f"e{n + 1}" for n in range(entries)]
+        self.processes: dict[str, Process] = {}
+        self.targets: dict[str, Process] = {}
+        folder.mkdir(parents=True, exist_ok=True)
+        for name in (*self.control_names, *self.entry_names):
+            self._write_settings(name)
+        self._write_client_settings()
+
+    # Places
+
+    def ip(self, name: str) -> str:
+        """Return a host's IP number."""
+        kind = {"c": 1, "e": 2, "t": 3}[name[0]]
+        return f"127.{self.number}.{kind}.{name[1:]}"
+
+    def place(self, name: str) -> tuple[str, str]:
+        """Return a host's region and failure domain."""
+        number = int(name[1:]) - 1
+        region = REGIONS[number % len(REGIONS)]
+        domain = "ab"[number // len(REGIONS) % 2]
+        return region, f"{region}-{domain}"
+
+    def peer_address(self, name: str) -> str:
+        """Return where peers reach a host."""
+        port = ADVERTISED_PEERS if self.proxied else PEERS
+        return f"{self.ip(name)}:{port}"
+
+    def operators(self, name: str) -> str:
+        """Return a host's address for operators."""
+        return f"{self.ip(name)}:{OPERATORS}"
+
+    def callers(self, name: str) -> str:
+        """Return an entry's address for callers."""
+        return f"{self.ip(name)}:{CALLERS}"
+
+    # Settings
+
+    def settings_file(self, name: str) -> Path:
+        """Return a host's settings file."""
+        return self.folder / f"{name}.toml"
+
+    def _write_settings(self, name: str) -> None:
+        region, domain = self.place(name)
+        control = name in self.control_names
+        ip = self.ip(name)
+        lines = [
+            f'host = "{name}"',
+            f'role = "{"control" if control else "entry"}"',
+            f'region = "{region}"',
+            f'failure_domain = "{domain}"',
+        ]
+        if control:
+            lines.append(f"initial_control = {self.control_names}")
+            lines.append(f'data_folder = "{self.data_folder(name)}"')
+        if self.proxied:
+            lines.append(f'advertised_peers = "{self.peer_address(name)}"')
+        lines += [
+            "[listen]",
+            f'peers = "{ip}:{PEERS}"',
+            f'operators = "{ip}:{OPERATORS}"',
+        ]
+        if not control:
+            lines.append(f'callers = "{ip}:{CALLERS}"')
+            lines.append(f'targets = "{ip}:{TARGETS}"')
+        lines.append("[seeds]")
+        seeds = [*self.control_names, *self.entry_names[:3]]
+        lines += [f'{s} = "{self.peer_address(s)}"' for s in seeds]
+        self.settings_file(name).write_text("\n".join(lines) + "\n")
+
+    def data_folder(self, name: str) -> Path:
+        """Return a control host's data folder."""
+        return self.folder / f"{name}-data"
+
+    def _write_client_settings(self) -> None:
+        control = [self.operators(n) for n in self.control_names]
+        entries = [self.operators(n) for n in self.entry_names]
+        callers = [self.callers(n) for n in self.entry_names]
+        (self.folder / "client.toml").write_text(
+            f"control = {control}\nentries = {entries}\ncallers = {callers}\n"
+        )
+
+    def fleet_document(self, group: list[str] | None = None) -> str:
+        """Return the fleet document for the declarations folder."""
+        group = group or self.entry_names[:5]
+        lines = [
+            f"claim_groups = [{group}]",
+            f"claim_retention_s = {self.retention_s}",
+        ]
+        for name in self.entry_names:
+            region, domain = self.place(name)
+            lines += [
+                "[[entries]]",
+                f'host = "{name}"',
+                f'region = "{region}"',
+                f'failure_domain = "{domain}"',
+                f'peer_address = "{self.peer_address(name)}"',
+                f'caller_address = "{self.callers(name)}"',
+            ]
+        return "\n".join(lines) + "\n"
+
+    # Life
+
+    def start_host(self, name: str, *extra: str) -> None:
+        """Start one host."""
+        command = [
+            str(BINARIES / "wasabitrayd"),
+            "--settings",
+            str(self.settings_file(name)),
+        ]
+        process = Process(name, command, self.folder / f"{name}.log")
+        self.processes[name] = process
+        process.start(*extra)
+
+    def start(self) -> None:
+        """Start all hosts as a new fleet and wait for a leader."""
+        for name in self.control_names:
+            self.start_host(name, "--initialise")
+        for name in self.entry_names:
+            self.start_host(name)
+        wait_for(self.leader, 15, "a leader")
+        for name in self.entry_names:
+            wait_for(lambda n=name: self.status(n), 15, f"{name} up")
+
+    def start_target(
+        self, name: str, service: str, slots: int = 2, entries: int = 2
+    ) -> None:
+        """Start a target that announces itself to some entries."""
+        region, domain = self.place(name)
+        command = [sys.executable, str(TARGET_PROGRAM)]
+        command += ["--address", f"{self.ip(name)}:9000"]
+        command += ["--service", service, "--region", region]
+        command += ["--domain", domain, "--slots", str(slots)]
+        for entry in self.entry_names[:entries]:
+            command += ["--entry", f"{self.ip(entry)}:{TARGETS}"]
+        process = Process(name, command, self.folder / f"{name}.log")
+        self.targets[name] = process
+        process.start()
+
+    def control_target(self, name: str, **fields: Any) -> dict[str, Any]:
+        """Change a target's behaviour and return what it says."""
+        method = "POST" if fields else "GET"
+        body = json.dumps(fields).encode() if fields else b""
+        return call(f"{self.ip(name)}:9000", method, "/_control", body).json()
+
+    def shut_down(self) -> None:
+        """Kill everything that still runs."""
+        for process in (*self.targets.values(), *self.processes.values()):
+            process.kill()
+
+    # Asking
+
+    def status(self, name: str) -> dict[str, Any]:
+        """Return a host's state."""
+        return call(self.operators(name), "GET", "/v1/status").json()
+
+    def leader(self) -> str | None:
+        """Return the leading control host, or None."""
+        for name in self.control_names:
+            try:
+                state = self.status(name)["consensus"]
+            except OSError:
+                continue
+            if state["role"] == "leader" and state["commit"]:
+                return name
+        return None
+
+    def run_cli(self, *arguments: str) -> subprocess.CompletedProcess:
+        """Run the operators' command."""
+        settings = ["--fleet", str(self.folder / "client.toml")]
+        return subprocess.run(
+            [str(BINARIES / "wasabitray"), *arguments, *settings],
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
--- /dev/null
+++ b/examples/target.py
@@ -0,0 +1,199 @@
+"""A stand-in for a target: announces itself and answers requests.
+
+Its behaviour can be changed while it runs, by POST to /_control with any of
+the fields of `Behaviour` as JSON.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse
+import dataclasses
+import json
+import os
+import random
+import signal
+import time
+
+import gevent
+from gevent.pywsgi import WSGIServer
+from geventhttpclient import HTTPClient
+
+LEASE_S = 3.0
+ANNOUNCE_EVERY_S = 1.0
+
+
+@dataclasses.dataclass
+class Behaviour:
+    """How the target treats requests.
+
+    Attributes:
+        delay_s: time that each request takes.
+        fail_share: share of requests answered with status 500.
+        break_share: share whose connection is cut without an answer.
+        shed_share: share refused before running, said so.
+        hang: keep requests without an answer.
+        broken_data: answer without the fields that callers need.
+        cut_body: end the answer's body early.
+        answer_bytes: extra bytes in each answer.
+    """
+
+    delay_s: float = 0.0
+    fail_share: float = 0.0
+    break_share: float = 0.0
+    shed_share: float = 0.0
+    hang: bool = False
+    broken_data: bool = False
+    cut_body: bool = False
+    answer_bytes: int = 0
+
+
+class Target:
+    """One target."""
+
+    def __init__(self, arguments: argparse.Namespace) -> None:
+        """Take the command line."""
+        self.arguments = arguments
+        self.behaviour = Behaviour()
+        self.busy = 0
+        self.runs: dict[str, int] = {}
+        self.sequence = 0
+        self.generation = time.time_ns() // 1_000_000
+        self.leaving = False
+
+    # Announcing
+
+    def announce(self) -> None:
+        """Announce to every entry that was named, in turn."""
+        while True:
+            for entry in self.arguments.entry:
+                self.announce_to(entry)
+            gevent.sleep(ANNOUNCE_EVERY_S)
+
+    def announce_to(self, entry: str) -> None:
+        """Send one announcement."""
+        self.sequence += 1
+        body = {
+            "address": self.arguments.address,
+            "service": self.arguments.service,
+            "region": self.arguments.region,
+            "failure_domain": self.arguments.domain,
+            "slots": self.arguments.slots,
+            "generation": self.generation,
+            "sequence": self.sequence,
+            "lease_s": LEASE_S,
+            "leaving": self.leaving,
+        }
+        host, _, port = entry.rpartition(":")
+        client = HTTPClient(
+            host, int(port), connection_timeout=1, network_timeout=1
+        )
+        try:
+            client.post("/v1/announcements", json.dumps(body)).read()
+        except Exception:
+            pass  # the next one may get through
+        finally:
+            client.close()
+
+    def leave(self) -> None:
+        """Say that this target leaves, finish its work and end."""
+        self.leaving = True
+        for entry in self.arguments.entry:
+            self.announce_to(entry)
+        gevent.sleep(self.arguments.leave_s)
+        os._exit(0)
+
+    # Serving
+
+    def serve(self, environ, start_response):
+        """Answer one request (a WSGI application)."""
+        if environ["PATH_INFO"] == "/_control":
+            return self.control(environ, start_response)
+        behaviour = self.behaviour
+        chance = random.random()
+        if chance < behaviour.shed_share:
+            headers = [("Wasabitray-Outcome", "not-run"), *self.load()]
+            start_response("503 Busy", headers)
+            return [b""]
+        body = environ["wsgi.input"].read()
+        key = environ.get("HTTP_IDEMPOTENCY_KEY")
+        if key:
+            self.runs[key] = self.runs.get(key, 0) + 1
+        self.busy += 1
+        try:
+            gevent.sleep(behaviour.delay_s)
+            if behaviour.hang:
+                gevent.sleep(3_600)
+        finally:
+            self.busy -= 1
+        if random.random() < behaviour.break_share:
+            environ["wsgi.input"].socket.close()
+            raise ConnectionError("cut on purpose")
+        if random.random() < behaviour.fail_share:
+            start_response("500 Failed", self.load())
+            return [b"failed"]
+        return self.answer(environ, start_response, len(body))
+
+    def answer(self, environ, start_response, received):
+        """Answer with the data that the examples' template wants."""
+        document = {
+            "branch": environ["PATH_INFO"].rsplit("/", 1)[-1],
+            "monitors": ["E. Pennicott", "R. Fipple"],
+            "target": self.arguments.address,
+            "received": received,
+            "padding": "x" * self.behaviour.answer_bytes,
+        }
+        if self.behaviour.broken_data:
+            del document["monitors"]
+        body = json.dumps(document).encode()
+        length = str(len(body))
+        headers = [("Content-Type", "application/json"), *self.load()]
+        if self.behaviour.cut_body:
+            start_response("200 OK", [*headers, ("Content-Length", length)])
+            return self.cut(body)
+        start_response("200 OK", [*headers, ("Content-Length", length)])
+        return [body]
+
+    @staticmethod
+    def cut(body):
+        """Yield half a body and fail."""
+        yield body[: len(body) // 2]
+        raise ConnectionError("cut on purpose")
+
+    def load(self):
+        """Return the load header."""
+        value = f"busy={self.busy}, slots={self.arguments.slots}"
+        return [("Wasabitray-Load", value)]
+
+    def control(self, environ, start_response):
+        """Change the behaviour, or show what ran."""
+        if environ["REQUEST_METHOD"] == "POST":
+            fields = json.loads(environ["wsgi.input"].read())
+            self.behaviour = dataclasses.replace(self.behaviour, **fields)
+        start_response("200 OK", [("Content-Type", "application/json")])
+        shown = {**dataclasses.asdict(self.behaviour), "runs": self.runs}
+        return [json.dumps(shown).encode()]
+
+
+def main() -> None:
+    """Run until SIGTERM, which makes the target leave."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", required=True, help="IP:PORT")
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--region", required=True)
+    parser.add_argument("--domain", required=True)
+    parser.add_argument("--slots", type=int, default=2)
+    parser.add_argument("--leave-s", type=float, default=5.0)
+    parser.add_argument("--entry", action="append", required=True)
+    arguments = parser.parse_args()
+    target = Target(arguments)
+    host, _, port = arguments.address.rpartition(":")
+    server = WSGIServer((host, int(port)), target.serve, log=None)
+    gevent.signal_handler(signal.SIGTERM, gevent.spawn, target.leave)
+    gevent.spawn(target.announce)
+    server.serve_forever()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/cli/src/wasabitray_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command `wasabitray` for operators and callers."""
--- /dev/null
+++ b/packages/cli/src/wasabitray_cli/client.py
@@ -0,0 +1,149 @@
+"""Talks to operators' listeners."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+from wasabitray_cli.errors import (
+    ChangeConflictError,
+    CommandError,
+    InputError,
+)
+from wasabitray_cli.settings import ClientSettings
+
+TIMEOUT_S = 20.0
+CONNECT_TIMEOUT_S = 2.0
+ROUNDS = 3
+NOT_LEADER = 421
+
+
+class FleetClient:
+    """Sends requests to the fleet's hosts."""
+
+    def __init__(self, settings: ClientSettings) -> None:
+        """Take the hosts' addresses."""
+        self._settings = settings
+        self._headers = {"Content-Type": "application/json"}
+        secret = settings.secret()
+        if secret:
+            self._headers["Authorization"] = f"Bearer {secret}"
+
+    @property
+    def settings(self) -> ClientSettings:
+        """The client's settings."""
+        return self._settings
+
+    def get(self, address: str, path: str) -> dict[str, Any]:
+        """Get a document from one host.
+
+        Raises:
+            CommandError: the host does not answer with one.
+        """
+        status, document = self._request(address, "GET", path)
+        if status != 200:
+            raise CommandError(
+                f"status {status}: {_text_of(document)}",
+                step=f"get {path}",
+                peer=address,
+                response=document,
+            )
+        return document
+
+    def get_any(self, addresses: Iterable[str], path: str) -> dict[str, Any]:
+        """Get a document from the first host that answers."""
+        failure = CommandError("no address is set", step=f"get {path}")
+        for address in addresses:
+            try:
+                return self.get(address, path)
+            except CommandError as error:
+                failure = error
+        raise failure
+
+    def post(self, address: str, path: str) -> dict[str, Any]:
+        """Post an empty request to one host."""
+        status, document = self._request(address, "POST", path, {})
+        if status >= 300:
+            raise CommandError(
+                _text_of(document), step=f"post {path}", peer=address
+            )
+        return document
+
+    def newest_documents(self) -> dict[str, Any]:
+        """Return the newest documents of all control hosts that answer."""
+        found = []
+        failure = CommandError("no control host", step="get documents")
+        for address in self._settings.control:
+            try:
+                found.append(self.get(address, "/v1/documents"))
+            except CommandError as error:
+                failure = error
+        if not found:
+            raise failure
+        return max(found, key=lambda d: d["revision"])
+
+    def propose(self, change: dict[str, Any]) -> dict[str, Any]:
+        """Send a change until some leader answers it.
+
+        The change id stays the same, so sending it again is safe.
+
+        Raises:
+            ChangeConflictError: the expected revision is not the newest.
+            InputError: the change is not valid.
+            CommandError: the outcome is unknown.
+        """
+        last = "no control host answers"
+        for address in self._settings.control * ROUNDS:
+            try:
+                status, document = self._request(
+                    address, "POST", "/v1/changes", change
+                )
+            except CommandError as error:
+                last = str(error)
+                continue
+            if status == 200:
+                return document
+            last = _text_of(document)
+            if status == 409:
+                raise ChangeConflictError(last, step="apply", peer=address)
+            if status in (400, 422):
+                raise InputError(last, step="apply", peer=address)
+        raise CommandError(
+            f"{last}; run the same command again to learn the outcome",
+            step="apply",
+        )
+
+    def _request(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+    ) -> tuple[int, dict[str, Any]]:
+        host, _, port = address.rpartition(":")
+        payload = b"" if body is None else json.dumps(body).encode()
+        client = HTTPClient(
+            host,
+            int(port),
+            connection_timeout=CONNECT_TIMEOUT_S,
+            network_timeout=TIMEOUT_S,
+        )
+        try:
+            response = client.request(method, path, payload, self._headers)
+            text = response.read()
+            return response.status_code, json.loads(text or b"{}")
+        except (OSError, HTTPParseError, ValueError) as error:
+            raise CommandError(
+                str(error), step=f"{method.lower()} {path}", peer=address
+            ) from error
+        finally:
+            client.close()
+
+
+def _text_of(document: dict[str, Any]) -> str:
+    title = document.get("title", "")
+    return document.get("description") or title or "no details"
--- /dev/null
+++ b/packages/cli/src/wasabitray_cli/folder.py
@@ -0,0 +1,101 @@
+"""The operator's folder of declarations, held in version control.
+
+It holds `fleet.toml`, `templates/*.toml` and `organisations/*.toml`.
+"""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from result import Err
+
+from wasabitray_cli.errors import InputError
+from wasabitray_core.documents import (
+    FLEET_KEY,
+    ORGANISATION_PREFIX,
+    TEMPLATE_PREFIX,
+    check_documents,
+)
+
+Documents = dict[str, dict[str, Any]]
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """How a folder differs from the configuration in force."""
+
+    added: tuple[str, ...]
+    changed: tuple[str, ...]
+    removed: tuple[str, ...]
+
+    @property
+    def empty(self) -> bool:
+        """Whether there is none."""
+        return not (self.added or self.changed or self.removed)
+
+
+def read_folder(folder: Path) -> Documents:
+    """Read and check a folder.
+
+    Raises:
+        InputError: it names every fault of every file.
+    """
+    documents: Documents = {}
+    faults: list[str] = []
+    for key, path in _files(folder):
+        try:
+            documents[key] = tomllib.loads(path.read_text())
+        except (OSError, ValueError) as error:
+            faults.append(f"{path}: {error}")
+    if not documents and not faults:
+        faults.append(f"{folder}: no fleet.toml, templates or organisations")
+    if not faults:
+        texts = {k: json.dumps(v) for k, v in documents.items()}
+        checked = check_documents(texts, set(texts))
+        if isinstance(checked, Err):
+            faults = checked.err_value
+    if faults:
+        raise InputError("\n".join(faults), step="check", peer=str(folder))
+    return documents
+
+
+def _files(folder: Path) -> list[tuple[str, Path]]:
+    files = []
+    fleet = folder / "fleet.toml"
+    if fleet.exists():
+        files.append((FLEET_KEY, fleet))
+    for prefix, name in (
+        (TEMPLATE_PREFIX, "templates"),
+        (ORGANISATION_PREFIX, "organisations"),
+    ):
+        for path in sorted((folder / name).glob("*.toml")):
+            files.append((prefix + path.stem, path))
+    return files
+
+
+def compare(current: Documents, wanted: Documents) -> Difference:
+    """Return how to get from the current documents to the wanted ones."""
+    return Difference(
+        tuple(sorted(wanted.keys() - current.keys())),
+        tuple(
+            sorted(
+                key
+                for key in wanted.keys() & current.keys()
+                if wanted[key] != current[key]
+            )
+        ),
+        tuple(sorted(current.keys() - wanted.keys())),
+    )
+
+
+def to_edits(difference: Difference, wanted: Documents) -> list[dict]:
+    """Return the edits that make a difference go away."""
+    written = [
+        {"key": key, "body": wanted[key]}
+        for key in (*difference.added, *difference.changed)
+    ]
+    return written + [{"key": k, "body": None} for k in difference.removed]
--- /dev/null
+++ b/packages/core/src/wasabitray_core/__init__.py
@@ -0,0 +1,32 @@
+"""Decisions of the proxy fleet, without I/O, codecs or threads.
+
+A front end builds the controllers and the filter chain, hands in a clock, a
+random source and an outbox, delivers messages and performs effects.
+"""
+
+from wasabitray_core.controllers.controller import (
+    Context,
+    Controller,
+    Origin,
+    Outbox,
+)
+from wasabitray_core.errors import WasabitrayError
+from wasabitray_core.filters import build_chain
+from wasabitray_core.filters.chain import Filter, FilterChain, drive
+from wasabitray_core.requests import Answer, Exchange, Request, Target
+
+__all__ = [
+    "Answer",
+    "Context",
+    "Controller",
+    "Exchange",
+    "Filter",
+    "FilterChain",
+    "Origin",
+    "Outbox",
+    "Request",
+    "Target",
+    "WasabitrayError",
+    "build_chain",
+    "drive",
+]
--- /dev/null
+++ b/packages/core/src/wasabitray_core/controllers/claims.py
@@ -0,0 +1,192 @@
+"""Claims that this host wants from the claim groups."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+from typing import Any, ClassVar
+
+from wasabitray_core.controllers.controller import (
+    Context,
+    Controller,
+    Origin,
+)
+from wasabitray_core.documents import Fleet
+from wasabitray_core.ids import ClaimId, HostId, Incarnation, Seconds
+from wasabitray_core.local import (
+    AcquireClaim,
+    ClaimDecided,
+    ClaimVerdict,
+    ControllerName,
+    GetStatus,
+    InForce,
+    ServiceLimits,
+    Tick,
+    WithdrawClaim,
+)
+from wasabitray_core.messages import ClaimRelease, ClaimReply, ClaimRequest
+from wasabitray_core.states import GrantStatus
+
+RESEND_INTERVAL_S = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class _Vote:
+    status: GrantStatus
+    incarnation: Incarnation
+    known: dict[HostId, Incarnation]
+
+
+@dataclass(slots=True)
+class _Pending:
+    ask: AcquireClaim
+    origin: Origin
+    fleet: Fleet
+    deadline: Seconds
+    votes: dict[HostId, _Vote] = field(default_factory=dict)
+
+    def members(self) -> set[HostId]:
+        return {HostId(h) for g in self.fleet.claim_groups for h in g}
+
+    def granted(self) -> set[HostId]:
+        """Return the members whose grant is valid.
+
+        A grant by a run that another granting member knows as replaced is
+        forgotten by the member itself, so it does not count.
+        """
+        grants = {
+            host: vote
+            for host, vote in self.votes.items()
+            if vote.status is GrantStatus.GRANTED
+        }
+        return {
+            host
+            for host, vote in grants.items()
+            if all(
+                other.known.get(host, vote.incarnation) == vote.incarnation
+                for other in grants.values()
+            )
+        }
+
+    def verdict(self) -> ClaimVerdict | None:
+        """Return the groups' answer, or None while it is open."""
+        granted = self.granted()
+        if all(_has_majority(g, granted) for g in self.fleet.claim_groups):
+            return ClaimVerdict.GRANTED
+        refused = set(self.votes) - granted
+        if any(_is_blocked(g, refused) for g in self.fleet.claim_groups):
+            held = any(
+                v.status is GrantStatus.HELD for v in self.votes.values()
+            )
+            return ClaimVerdict.HELD if held else ClaimVerdict.UNAVAILABLE
+        return None
+
+
+class ClaimsController(Controller):
+    """Owns this host's claims until the groups have answered.
+
+    A claim that is not granted is withdrawn: its id is never used again, so
+    the members may give the key to another claim.
+    """
+
+    name: ClassVar[ControllerName] = ControllerName.CLAIMS
+    tick_interval_s = RESEND_INTERVAL_S
+
+    def __init__(self, context: Context) -> None:
+        """Start without groups."""
+        super().__init__(context)
+        self._fleet: Fleet | None = None
+        self._pending: dict[ClaimId, _Pending] = {}
+
+    @singledispatchmethod
+    def receive(self, message: Any, origin: Origin) -> None:
+        """Handle one message."""
+        raise TypeError(f"{self!r} can't take {message!r}")
+
+    @receive.register
+    def _(self, message: InForce, origin: Origin) -> None:
+        if message.fleet is not None:
+            self._fleet = message.fleet
+
+    @receive.register
+    def _(self, message: ServiceLimits, origin: Origin) -> None:
+        """Floors do not matter to claims."""
+
+    @receive.register
+    def _(self, message: AcquireClaim, origin: Origin) -> None:
+        if self._fleet is None:
+            self._answer(message, origin, ClaimVerdict.UNAVAILABLE)
+            return
+        deadline = Seconds(self._now() + message.timeout_s)
+        pending = _Pending(message, origin, self._fleet, deadline)
+        self._pending[message.claim] = pending
+        self._request(pending)
+
+    @receive.register
+    def _(self, message: ClaimReply, origin: Origin) -> None:
+        pending = self._pending.get(message.claim)
+        if pending is None:
+            return
+        assert origin.peer is not None
+        known = {m.host: m.incarnation for m in message.known}
+        vote = _Vote(message.status, message.incarnation, known)
+        pending.votes[origin.peer] = vote
+        verdict = pending.verdict()
+        if verdict is not None:
+            self._finish(pending, verdict)
+
+    @receive.register
+    def _(self, message: WithdrawClaim, origin: Origin) -> None:
+        groups = self._fleet.claim_groups if self._fleet else ()
+        members = {HostId(h) for g in groups for h in g}
+        self._withdraw(ClaimRelease(message.key, message.claim), members)
+
+    @receive.register
+    def _(self, message: Tick, origin: Origin) -> None:
+        now = self._now()
+        for pending in list(self._pending.values()):
+            if now >= pending.deadline:
+                self._finish(pending, ClaimVerdict.UNAVAILABLE)
+            else:
+                self._request(pending)
+
+    @receive.register
+    def _(self, message: GetStatus, origin: Origin) -> None:
+        self._reply(origin, {"pending": len(self._pending)})
+
+    def _request(self, pending: _Pending) -> None:
+        """Ask the members that have not answered yet."""
+        ask = pending.ask
+        epoch = pending.fleet.claim_epoch
+        request = ClaimRequest(ask.key, ask.claim, epoch, ask.ttl_s)
+        for host in sorted(pending.members() - set(pending.votes)):
+            self._outbox.send(host, request)
+
+    def _finish(self, pending: _Pending, verdict: ClaimVerdict) -> None:
+        del self._pending[pending.ask.claim]
+        if verdict is not ClaimVerdict.GRANTED:
+            release = ClaimRelease(pending.ask.key, pending.ask.claim)
+            self._withdraw(release, pending.members())
+        self._answer(pending.ask, pending.origin, verdict)
+
+    def _withdraw(self, release: ClaimRelease, members: set[HostId]) -> None:
+        for host in sorted(members):
+            self._outbox.send(host, release)
+
+    def _answer(
+        self, ask: AcquireClaim, origin: Origin, verdict: ClaimVerdict
+    ) -> None:
+        if origin.ask is not None:
+            self._outbox.reply(origin.ask, verdict)
+        else:
+            decided = ClaimDecided(ask.key, ask.claim, verdict)
+            self._outbox.tell(ControllerName.HEALTH, decided)
+
+
+def _has_majority(group: tuple[str, ...], hosts: set[HostId]) -> bool:
+    return 2 * len(hosts & set(group)) > len(group)
+
+
+def _is_blocked(group: tuple[str, ...], refused: set[HostId]) -> bool:
+    """Tell whether the rest of a group is no majority any more."""
+    return 2 * len(set(group) - refused) <= len(group)
--- /dev/null
+++ b/packages/core/src/wasabitray_core/controllers/configuration.py
@@ -0,0 +1,297 @@
+"""The configuration in force on a host."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Any, ClassVar
+
+from result import Err, Ok, Result
+
+from wasabitray_core.controllers.controller import (
+    Context,
+    Controller,
+    Origin,
+)
+from wasabitray_core.documents import (
+    FLEET_KEY,
+    ORGANISATION_PREFIX,
+    TEMPLATE_PREFIX,
+    FilledTemplate,
+    Fleet,
+    Organisation,
+    Template,
+    fill_template,
+)
+from wasabitray_core.ids import (
+    HostId,
+    OrganisationName,
+    Revision,
+    Seconds,
+    ServiceName,
+)
+from wasabitray_core.local import (
+    Committed,
+    ControllerName,
+    FleetView,
+    GetDocuments,
+    GetStatus,
+    InForce,
+    Isolation,
+    Resolve,
+    Resolved,
+    Restored,
+    ServiceLimits,
+    Tick,
+    Unresolved,
+)
+from wasabitray_core.messages import (
+    CommittedChange,
+    ConfigPull,
+    ConfigPush,
+    ConfigState,
+)
+from wasabitray_core.states import RefusalReason
+
+PUSH_FANOUT = 3
+KEPT_CHANGES = 512
+# A host that stays behind a known revision for longer stops serving.
+MAX_LAG_S = 2.0
+FILLED_CACHE_SIZE = 4_096
+
+
+@dataclass(frozen=True, slots=True)
+class _Access:
+    """Whether requests may be served now."""
+
+    isolated: bool = True
+    newest: Revision = Revision(0)
+
+
+class ConfigurationController(Controller):
+    """Owns the newest configuration this host knows to be committed.
+
+    It holds documents as text and fills an organisation's template when a
+    request first needs it. A revision is never replaced by a lower one.
+    """
+
+    name: ClassVar[ControllerName] = ControllerName.CONFIGURATION
+
+    def __init__(
+        self, context: Context, audience: tuple[ControllerName, ...]
+    ) -> None:
+        """Start without a configuration.
+
+        Args:
+            context: shared by all controllers.
+            audience: controllers told of each revision put in force.
+        """
+        super().__init__(context)
+        self._audience = audience
+        self._revision = Revision(0)
+        self._documents: dict[str, str] = {}
+        self._recent: deque[CommittedChange] = deque(maxlen=KEPT_CHANGES)
+        self._filled: OrderedDict[OrganisationName, FilledTemplate] = (
+            OrderedDict()
+        )
+        self._floors: dict[ServiceName, int] = {}
+        self._access = _Access()
+        self._caught_up_at: Seconds | None = None
+        self._peers: tuple[HostId, ...] = ()
+
+    @property
+    def revision(self) -> Revision:
+        """The revision in force, 0 if none."""
+        return self._revision
+
+    @singledispatchmethod
+    def receive(self, message: Any, origin: Origin) -> None:
+        """Handle one message."""
+        raise TypeError(f"{self!r} can't take {message!r}")
+
+    @receive.register
+    def _(self, message: Tick, origin: Origin) -> None:
+        """Nothing is due by time alone."""
+
+    @receive.register
+    def _(self, message: FleetView, origin: Origin) -> None:
+        fresh = (v.host for v in message.hosts if v.fresh)
+        self._peers = tuple(h for h in fresh if h != self.host)
+
+    @receive.register
+    def _(self, message: Isolation, origin: Origin) -> None:
+        self._access = _Access(message.isolated, message.newest)
+        if not message.isolated and self._revision >= message.newest:
+            self._caught_up_at = self._now()
+
+    @receive.register
+    def _(self, message: Committed, origin: Origin) -> None:
+        self._apply_changes(message.changes)
+
+    @receive.register
+    def _(self, message: Restored, origin: Origin) -> None:
+        snapshot = message.snapshot
+        self._replace(snapshot.revision, snapshot.documents)
+        self._recent.extend(snapshot.recent)
+
+    @receive.register
+    def _(self, message: ConfigPush, origin: Origin) -> None:
+        gap = message.changes[0].revision > self._revision + 1
+        if gap and origin.peer is not None:
+            self._outbox.send(origin.peer, ConfigPull(self._revision))
+        else:
+            self._apply_changes(message.changes)
+
+    @receive.register
+    def _(self, message: ConfigState, origin: Origin) -> None:
+        self._replace(message.revision, message.documents)
+
+    @receive.register
+    def _(self, message: ConfigPull, origin: Origin) -> None:
+        assert origin.peer is not None
+        if message.after >= self._revision:
+            return
+        missing = tuple(c for c in self._recent if c.revision > message.after)
+        if missing and missing[0].revision == message.after + 1:
+            self._outbox.send(origin.peer, ConfigPush(missing))
+        else:
+            state = ConfigState(self._revision, self._documents)
+            self._outbox.send(origin.peer, state)
+
+    @receive.register
+    def _(self, message: GetDocuments, origin: Origin) -> None:
+        state = ConfigState(self._revision, dict(self._documents))
+        self._reply(origin, state)
+
+    @receive.register
+    def _(self, message: GetStatus, origin: Origin) -> None:
+        self._reply(
+            origin,
+            {
+                "revision": self._revision,
+                "documents": len(self._documents),
+                "isolated": self._access.isolated,
+                "newest_heard": self._access.newest,
+            },
+        )
+
+    @receive.register
+    def _(self, message: Resolve, origin: Origin) -> None:
+        self._reply(origin, self._resolve(message))
+
+    # Applying
+
+    def _apply_changes(self, changes: tuple[CommittedChange, ...]) -> None:
+        fresh = []
+        for committed in changes:
+            if committed.revision == self._revision + 1:
+                self._apply(committed)
+                fresh.append(committed)
+        if fresh:
+            self._recent.extend(fresh)
+            self._put_in_force()
+            self._push(ConfigPush(tuple(fresh)))
+
+    def _apply(self, committed: CommittedChange) -> None:
+        for edit in committed.change.edits:
+            if edit.body is None:
+                self._documents.pop(edit.key, None)
+            else:
+                self._documents[edit.key] = edit.body
+        self._revision = committed.revision
+
+    def _replace(self, revision: Revision, documents: dict[str, str]) -> None:
+        if revision <= self._revision:
+            return
+        self._revision = revision
+        self._documents = dict(documents)
+        self._recent.clear()
+        self._put_in_force()
+
+    def _put_in_force(self) -> None:
+        self._filled.clear()
+        self._floors = self._collect_floors()
+        raw = self._documents.get(FLEET_KEY)
+        fleet = Fleet.model_validate_json(raw) if raw else None
+        in_force = InForce(self._revision, fleet)
+        self._outbox.tell(ControllerName.MEMBERSHIP, in_force)
+        for controller in self._audience:
+            self._outbox.tell(controller, in_force)
+            self._outbox.tell(controller, ServiceLimits(self._floors))
+        self._outbox.report("revision in force", revision=self._revision)
+
+    def _collect_floors(self) -> dict[ServiceName, int]:
+        """Return the highest floor that any template states per service."""
+        floors: dict[ServiceName, int] = {}
+        for key, body in self._documents.items():
+            if not key.startswith(TEMPLATE_PREFIX):
+                continue
+            template = Template.model_validate_json(body)
+            for name, policy in template.services.items():
+                floor = policy.get("floor", 1)
+                if isinstance(floor, int):
+                    service = ServiceName(name)
+                    floors[service] = max(floor, floors.get(service, 1))
+        return floors
+
+    def _push(self, push: ConfigPush) -> None:
+        """Pass new changes on to a few peers, which do the same."""
+        count = min(PUSH_FANOUT, len(self._peers))
+        for host in self._context.random.sample(self._peers, count):
+            self._outbox.send(host, push)
+
+    # Resolving
+
+    def _resolve(self, ask: Resolve) -> Resolved | Unresolved:
+        if self._revision == 0 or not self._is_current():
+            return Unresolved(
+                RefusalReason.NO_CONFIGURATION,
+                f"revision {self._revision} is in force here, "
+                f"{self._access.newest} is known",
+            )
+        if self._access.isolated:
+            return Unresolved(
+                RefusalReason.ISOLATED, "this entry is cut off from the fleet"
+            )
+        filled = self._fill(ask.organisation)
+        if isinstance(filled, Err):
+            return Unresolved(
+                RefusalReason.UNKNOWN_ORGANISATION, filled.err_value
+            )
+        route = filled.ok_value.find_route(ask.method, ask.path)
+        if route is None:
+            return Unresolved(
+                RefusalReason.UNKNOWN_ROUTE,
+                f"{ask.organisation} has no route {ask.method} {ask.path}",
+            )
+        return Resolved(self._revision, filled.ok_value, route)
+
+    def _is_current(self) -> bool:
+        """Tell whether this host had the newest revision a moment ago."""
+        if self._caught_up_at is None:
+            return False
+        if self._revision >= self._access.newest:
+            return True
+        return self._now() - self._caught_up_at <= MAX_LAG_S
+
+    def _fill(self, name: OrganisationName) -> Result[FilledTemplate, str]:
+        filled = self._filled.get(name)
+        if filled is not None:
+            return Ok(filled)
+        raw = self._documents.get(ORGANISATION_PREFIX + name)
+        if raw is None:
+            return Err(f"no organisation {name!r}")
+        organisation = Organisation.model_validate_json(raw)
+        body = self._documents.get(TEMPLATE_PREFIX + organisation.template)
+        if body is None:
+            return Err(f"{name!r} names a template that does not exist")
+        result = fill_template(
+            Template.model_validate_json(body), organisation
+        )
+        if isinstance(result, Err):
+            return Err("; ".join(result.err_value))
+        self._filled[name] = result.ok_value
+        if len(self._filled) > FILLED_CACHE_SIZE:
+            self._filled.popitem(last=False)
+        return result
--- /dev/null
+++ b/packages/core/src/wasabitray_core/controllers/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log of the control group."""
--- /dev/null
+++ b/packages/core/src/wasabitray_core/controllers/long_slots.py
@@ -0,0 +1,243 @@
+"""Slots for long work, shared out between all entries.
+
+Long work would hold the last slot of an instance for a long time. One entry
+for each service, chosen by rendezvous hashing, hands out its long slots, so
+that the entries together leave room for short work.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+from typing import Any, ClassVar
+
+from wasabitray_core.controllers.controller import (
+    Context,
+    Controller,
+    Origin,
+)
+from wasabitray_core.ids import (
+    HostId,
+    RequestId,
+    Seconds,
+    ServiceName,
+    TargetId,
+)
+from wasabitray_core.local import (
+    ControllerName,
+    FleetView,
+    GetStatus,
+    LongReserved,
+    Refusal,
+    ReserveLong,
+    ReturnLong,
+    Tick,
+    UsableTargets,
+)
+from wasabitray_core.messages import (
+    LongSlotRelease,
+    LongSlotReply,
+    LongSlotRequest,
+)
+from wasabitray_core.rendezvous import choose_owner
+from wasabitray_core.requests import Target
+from wasabitray_core.states import RefusalReason
+
+NO_TARGET = TargetId("")
+LEASE_GRACE_S = 2.0
+RESEND_INTERVAL_S = 0.5
+
+_Holder = tuple[HostId, RequestId]
+
+
+@dataclass(slots=True)
+class _Pending:
+    """A request of this host that waits for its coordinator."""
+
+    ask: ReserveLong
+    origin: Origin
+    coordinator: HostId
+
+
+@dataclass(frozen=True, slots=True)
+class _Lease:
+    target: TargetId
+    expires: Seconds
+
+
+@dataclass(slots=True)
+class _Service:
+    """A service whose long slots this host hands out."""
+
+    targets: tuple[Target, ...] = ()
+    leases: dict[_Holder, _Lease] = field(default_factory=dict)
+    queue: deque[tuple[_Holder, LongSlotRequest, Seconds]] = field(
+        default_factory=deque
+    )
+
+    def long_on(self, target: TargetId) -> int:
+        return sum(1 for le in self.leases.values() if le.target == target)
+
+    def has_share(self, long_share: float) -> bool:
+        slots = sum(t.slots for t in self.targets)
+        return len(self.leases) < max(1, int(slots * long_share))
+
+    def open_targets(self, request: LongSlotRequest) -> list[Target]:
+        """Return targets that keep a slot for short work."""
+        return [
+            t
+            for t in self.targets
+            if t.target not in request.excluded
+            and self.long_on(t.target) < max(1, t.slots - 1)
+        ]
+
+
+class LongSlotsController(Controller):
+    """Owns the leases on long slots, as requester and as coordinator."""
+
+    name: ClassVar[ControllerName] = ControllerName.LONG_SLOTS
+    tick_interval_s = RESEND_INTERVAL_S
+
+    def __init__(self, context: Context) -> None:
+        """Start without leases."""
+        super().__init__(context)
+        self._entries: tuple[HostId, ...] = (context.host,)
+        self._services: dict[ServiceName, _Service] = {}
+        self._pending: dict[RequestId, _Pending] = {}
+        self._owners: dict[RequestId, HostId] = {}
+        self._next = context.random.randrange(2**40)
+
+    @singledispatchmethod
+    def receive(self, message: Any, origin: Origin) -> None:
+        """Handle one message."""
+        raise TypeError(f"{self!r} can't take {message!r}")
+
+    @receive.register
+    def _(self, message: FleetView, origin: Origin) -> None:
+        self._entries = message.fresh_entries() or (self.host,)
+
+    @receive.register
+    def _(self, message: UsableTargets, origin: Origin) -> None:
+        service = self._services.setdefault(message.service, _Service())
+        service.targets = tuple(
+            u.target for u in message.usable if not u.probation
+        )
+        self._serve_queue(service)
+
+    @receive.register
+    def _(self, message: Tick, origin: Origin) -> None:
+        now = self._now()
+        for request, pending in list(self._pending.items()):
+            if now >= pending.ask.deadline:
+                self._give_up(request, pending)
+            else:
+                self._request(request, pending)
+        for service in self._services.values():
+            self._expire(service, now)
+            self._serve_queue(service)
+
+    @receive.register
+    def _(self, message: ReserveLong, origin: Origin) -> None:
+        self._next += 1
+        request = RequestId(self._next)
+        owner = choose_owner(f"long/{message.service}", self._entries)
+        pending = _Pending(message, origin, owner)
+        self._pending[request] = pending
+        self._request(request, pending)
+
+    @receive.register
+    def _(self, message: ReturnLong, origin: Origin) -> None:
+        owner = self._owners.pop(message.request, None)
+        if owner is not None:
+            self._outbox.send(owner, LongSlotRelease(message.request))
+
+    @receive.register
+    def _(self, message: LongSlotReply, origin: Origin) -> None:
+        pending = self._pending.pop(message.request, None)
+        if pending is None or message.target == NO_TARGET:
+            if pending is not None:
+                refusal = Refusal(RefusalReason.NO_TARGET, 1.0)
+                self._reply(pending.origin, refusal)
+            return
+        self._owners[message.request] = pending.coordinator
+        reserved = LongReserved(message.request, message.target)
+        self._reply(pending.origin, reserved)
+
+    @receive.register
+    def _(self, message: LongSlotRequest, origin: Origin) -> None:
+        assert origin.peer is not None
+        holder = (origin.peer, message.request)
+        service = self._services.setdefault(message.service, _Service())
+        lease = service.leases.get(holder)
+        if lease is not None:  # the reply was lost
+            reply = LongSlotReply(message.request, lease.target)
+            self._outbox.send(origin.peer, reply)
+        elif not service.targets:
+            reply = LongSlotReply(message.request, NO_TARGET)
+            self._outbox.send(origin.peer, reply)
+        elif all(holder != queued[0] for queued in service.queue):
+            expires = Seconds(self._now() + message.ttl_s)
+            service.queue.append((holder, message, expires))
+            self._serve_queue(service)
+
+    @receive.register
+    def _(self, message: LongSlotRelease, origin: Origin) -> None:
+        assert origin.peer is not None
+        holder = (origin.peer, message.request)
+        for service in self._services.values():
+            service.leases.pop(holder, None)
+            queued = (q for q in service.queue if q[0] != holder)
+            service.queue = deque(queued)
+            self._serve_queue(service)
+
+    @receive.register
+    def _(self, message: GetStatus, origin: Origin) -> None:
+        self._reply(
+            origin,
+            {
+                name: {"leases": len(s.leases), "waiting": len(s.queue)}
+                for name, s in self._services.items()
+            },
+        )
+
+    # Requester
+
+    def _request(self, request: RequestId, pending: _Pending) -> None:
+        ask = pending.ask
+        ttl = ask.deadline - self._now() + LEASE_GRACE_S
+        message = LongSlotRequest(
+            request, ask.service, ask.long_share, ttl, ask.excluded
+        )
+        self._outbox.send(pending.coordinator, message)
+
+    def _give_up(self, request: RequestId, pending: _Pending) -> None:
+        del self._pending[request]
+        self._outbox.send(pending.coordinator, LongSlotRelease(request))
+        self._reply(pending.origin, Refusal(RefusalReason.OVERLOAD, 1.0))
+
+    # Coordinator
+
+    @staticmethod
+    def _expire(service: _Service, now: Seconds) -> None:
+        service.leases = {
+            h: lease
+            for h, lease in service.leases.items()
+            if lease.expires > now
+        }
+        service.queue = deque(q for q in service.queue if q[2] > now)
+
+    def _serve_queue(self, service: _Service) -> None:
+        while service.queue:
+            holder, request, expires = service.queue[0]
+            if not service.has_share(request.long_share):
+                return
+            targets = service.open_targets(request)
+            if not targets:
+                return
+            service.queue.popleft()
+            self._context.random.shuffle(targets)
+            chosen = min(targets, key=lambda t: service.long_on(t.target))
+            service.leases[holder] = _Lease(chosen.target, expires)
+            reply = LongSlotReply(request.request, chosen.target)
+            self._outbox.send(holder[0], reply)
--- /dev/null
+++ b/packages/core/src/wasabitray_core/filters/__init__.py
@@ -0,0 +1,30 @@
+"""The filters that every request goes through, in order."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from wasabitray_core.filters.chain import FilterChain
+from wasabitray_core.filters.claim import ClaimFilter
+from wasabitray_core.filters.quarantine import QuarantineFilter
+from wasabitray_core.filters.retry import RetryFilter
+from wasabitray_core.filters.routing import DeadlineFilter, RoutingFilter
+from wasabitray_core.filters.slot import LongSlotFilter, SlotFilter
+from wasabitray_core.ids import ClaimId, Seconds
+
+
+def build_chain(
+    clock: Callable[[], Seconds], new_claim: Callable[[], ClaimId]
+) -> FilterChain:
+    """Return the chain of an entry."""
+    return FilterChain(
+        (
+            RoutingFilter(),
+            DeadlineFilter(),
+            QuarantineFilter(),
+            ClaimFilter(new_claim, clock),
+            RetryFilter(clock),
+            LongSlotFilter(),
+            SlotFilter(clock),
+        )
+    )
--- /dev/null
+++ b/packages/core/src/wasabitray_core/filters/quarantine.py
@@ -0,0 +1,66 @@
+"""Keeping requests that break targets away from more of them."""
+
+from __future__ import annotations
+
+import hashlib
+
+from wasabitray_core.filters.chain import (
+    AskController,
+    Filter,
+    Proceed,
+    Steps,
+    TellController,
+)
+from wasabitray_core.ids import Fingerprint
+from wasabitray_core.local import (
+    CheckQuarantine,
+    ClearSuspicion,
+    ControllerName,
+    Suspicion,
+)
+from wasabitray_core.requests import Exchange, Request
+from wasabitray_core.states import RefusalReason
+
+_QUARANTINE = ControllerName.QUARANTINE
+
+
+def fingerprint_of(request: Request) -> Fingerprint:
+    """Return what stays the same when a caller sends a request again."""
+    digest = hashlib.blake2b(digest_size=16)
+    identity = (
+        (request.organisation, request.key)
+        if request.key
+        else (
+            request.organisation,
+            request.method,
+            request.path,
+            request.query,
+        )
+    )
+    for part in identity:
+        digest.update(f"{len(part)}:{part}".encode())
+    if not request.key:
+        digest.update(request.body)
+    return Fingerprint(digest.hexdigest())
+
+
+class QuarantineFilter(Filter):
+    """Refuses a request that broke several targets that ran it."""
+
+    def handle(self, exchange: Exchange, proceed: Proceed) -> Steps:
+        """Refuse a quarantined request; clear one that succeeds."""
+        fingerprint = fingerprint_of(exchange.request)
+        exchange.fingerprint = fingerprint
+        check = CheckQuarantine(fingerprint)
+        suspicion = yield AskController(_QUARANTINE, check)
+        if suspicion is Suspicion.QUARANTINED:
+            return exchange.refuse(
+                RefusalReason.QUARANTINED,
+                422,
+                "this request broke every target that ran it",
+            )
+        answer = yield from proceed(exchange)
+        if suspicion is Suspicion.SUSPECT and answer.refusal is None:
+            clear = ClearSuspicion(fingerprint)
+            yield TellController(_QUARANTINE, clear)
+        return answer
--- /dev/null
+++ b/packages/core/src/wasabitray_core/filters/retry.py
@@ -0,0 +1,55 @@
+"""Trying again where that is safe."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from wasabitray_core.filters.chain import Filter, Proceed, Steps
+from wasabitray_core.ids import Seconds
+from wasabitray_core.requests import Answer, Exchange
+from wasabitray_core.states import Outcome, RefusalReason
+
+MAX_ATTEMPTS = 3
+RETRIED_REASONS = frozenset(
+    {RefusalReason.TARGET_FAILED, RefusalReason.BAD_ANSWER}
+)
+
+
+class RetryFilter(Filter):
+    """Repeats an attempt that failed, within the budget and the deadline.
+
+    A request that may have run is repeated only when it is idempotent. The
+    budget is kept by the controller that grants slots: it refuses a slot
+    for a retry when the service's budget is used up, and the answer of the
+    attempt before then stands.
+    """
+
+    def __init__(self, clock: Callable[[], Seconds]) -> None:
+        """Take the clock."""
+        self._clock = clock
+
+    def handle(self, exchange: Exchange, proceed: Proceed) -> Steps:
+        """Make one or more attempts."""
+        answer = yield from proceed(exchange)
+        while self._may_retry(exchange, answer):
+            before = exchange.attempts
+            retried = yield from proceed(exchange)
+            if exchange.attempts == before:
+                return answer  # no slot for a retry
+            if answer.chunks is not None:
+                answer.chunks.close()
+            answer = retried
+        return answer
+
+    def _may_retry(self, exchange: Exchange, answer: Answer) -> bool:
+        if answer.refusal not in RETRIED_REASONS and answer.fault is None:
+            return False
+        if exchange.attempts >= MAX_ATTEMPTS:
+            return False
+        if self._clock() >= exchange.deadline:
+            return False
+        if exchange.request.stream is not None:
+            return False  # the body was read once and is gone
+        if answer.outcome is Outcome.NOT_RUN and not exchange.ran:
+            return True
+        return exchange.matched.idempotent
--- /dev/null
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -0,0 +1,210 @@
+"""Getting a slot on a target and returning it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Generator
+from typing import Any
+
+from wasabitray_core.filters.chain import (
+    AskController,
+    AtEnd,
+    Attempt,
+    Effect,
+    Filter,
+    Proceed,
+    Steps,
+    TellController,
+)
+from wasabitray_core.filters.check import SERVER_ERRORS, find_fault
+from wasabitray_core.ids import Seconds
+from wasabitray_core.local import (
+    Acquire,
+    ControllerName,
+    Grant,
+    LongReserved,
+    Refusal,
+    Release,
+    ReportBreak,
+    ReserveLong,
+    ReturnLong,
+    Sample,
+)
+from wasabitray_core.requests import (
+    Answer,
+    AttemptResult,
+    Exchange,
+    Target,
+)
+from wasabitray_core.states import AttemptStatus, RefusalReason, WorkClass
+
+# Part of the time left that one attempt at repeatable work may use.
+ATTEMPT_SHARE = 0.5
+
+_DISPATCH = ControllerName.DISPATCH
+STATUS_OF_REASON = {
+    RefusalReason.NO_TARGET: 503,
+    RefusalReason.OVERLOAD: 503,
+    RefusalReason.DEADLINE: 504,
+}
+
+
+class LongSlotFilter(Filter):
+    """Reserves a long slot for long work before it takes a slot."""
+
+    def handle(self, exchange: Exchange, proceed: Proceed) -> Steps:
+        """Reserve and return a long slot around the attempt."""
+        if exchange.matched.work is WorkClass.SHORT:
+            return (yield from proceed(exchange))
+        reserve = ReserveLong(
+            exchange.service,
+            exchange.policy.long_share,
+            exchange.deadline,
+            tuple(exchange.tried),
+        )
+        reserved = yield AskController(ControllerName.LONG_SLOTS, reserve)
+        if not isinstance(reserved, LongReserved):
+            return _refuse(exchange, reserved)
+        exchange.pinned = reserved.target
+        answer = yield from proceed(exchange)
+        returned = TellController(
+            ControllerName.LONG_SLOTS, ReturnLong(reserved.request)
+        )
+        yield AtEnd(returned) if answer.chunks else returned
+        return answer
+
+
+class SlotFilter(Filter):
+    """Takes a slot on a target, makes the attempt and reports on it."""
+
+    def __init__(self, clock: Callable[[], Seconds]) -> None:
+        """Take the clock."""
+        self._clock = clock
+
+    def handle(self, exchange: Exchange, proceed: Proceed) -> Steps:
+        """Make one attempt; this is the end of the chain."""
+        granted = yield AskController(_DISPATCH, self._acquire(exchange))
+        if not isinstance(granted, Grant):
+            return _refuse(exchange, granted)
+        target = granted.target
+        exchange.attempts += 1
+        exchange.tried.append(target.target)
+        # A reused connection can be dead already, and a request lost on it
+        # can't be told from one that ran.
+        fresh = not exchange.matched.idempotent or exchange.attempts > 1
+        timeout = self._attempt_timeout(exchange)
+        result = yield Attempt(target, exchange.request, timeout, fresh)
+        exchange.ran = exchange.ran or result.may_have_run
+        fault = find_fault(exchange, result)
+        answer = self._to_answer(exchange, target, result, fault)
+        yield from self._report(exchange, target, result, fault is None)
+        return answer
+
+    def _attempt_timeout(self, exchange: Exchange) -> Seconds:
+        """Return the time for an attempt; it leaves time for a retry."""
+        remaining = max(0.0, exchange.deadline - self._clock())
+        route = exchange.matched
+        if route.work is WorkClass.LONG or not route.idempotent:
+            return Seconds(remaining)
+        return Seconds(remaining * ATTEMPT_SHARE)
+
+    @staticmethod
+    def _acquire(exchange: Exchange) -> Acquire:
+        return Acquire(
+            exchange.service,
+            exchange.request.organisation,
+            exchange.matched.work,
+            exchange.matched.idempotent,
+            exchange.deadline,
+            tuple(exchange.tried),
+            exchange.pinned,
+            exchange.attempts > 0,
+            exchange.policy.retry_share,
+        )
+
+    def _to_answer(
+        self,
+        exchange: Exchange,
+        target: Target,
+        result: AttemptResult,
+        fault: str | None,
+    ) -> Answer:
+        answer = result.answer
+        if answer is not None and (fault is None or _is_own_error(result)):
+            answer.target = target.target
+            answer.attempts = exchange.attempts
+            answer.fault = fault
+            return answer
+        if answer is not None and answer.chunks is not None:
+            answer.chunks.close()
+        detail = f"{target.target}: {fault}"
+        if (
+            result.status is AttemptStatus.TIMED_OUT
+            and self._clock() >= exchange.deadline
+        ):
+            return exchange.refuse(RefusalReason.DEADLINE, 504, detail)
+        if result.status is AttemptStatus.ANSWERED:
+            return exchange.refuse(RefusalReason.BAD_ANSWER, 502, detail)
+        if result.may_have_run:
+            return exchange.refuse(RefusalReason.TARGET_FAILED, 502, detail)
+        return exchange.refuse(RefusalReason.TARGET_FAILED, 503, detail, 1.0)
+
+    def _report(
+        self,
+        exchange: Exchange,
+        target: Target,
+        result: AttemptResult,
+        good: bool,
+    ) -> Generator[Effect, Any, None]:
+        release = TellController(
+            _DISPATCH,
+            Release(
+                exchange.service,
+                target.target,
+                exchange.matched.work,
+                result.status,
+                result.elapsed,
+                result.load,
+            ),
+        )
+        streaming = good and result.answer and result.answer.chunks
+        yield AtEnd(release) if streaming else release
+        if result.status is AttemptStatus.FAILED:
+            # A break is evidence against the request as well.
+            broke = ReportBreak(exchange.fingerprint, target.target)
+            yield TellController(ControllerName.QUARANTINE, broke)
+        if _speaks_for_target(result):
+            sample = Sample(
+                exchange.service,
+                target.target,
+                exchange.matched.work,
+                good,
+                result.elapsed,
+            )
+            yield TellController(ControllerName.HEALTH, sample)
+
+
+def _speaks_for_target(result: AttemptResult) -> bool:
+    """Tell whether an attempt is evidence about its target.
+
+    Shedding is load and a stale connection is the path's fault.
+    """
+    return result.status not in (
+        AttemptStatus.SHED,
+        AttemptStatus.STALE_CONNECTION,
+        AttemptStatus.CANCELLED,
+    )
+
+
+def _is_own_error(result: AttemptResult) -> bool:
+    """Tell whether a target answered with an error status of its own."""
+    answer = result.answer
+    return answer is not None and answer.status in SERVER_ERRORS
+
+
+def _refuse(exchange: Exchange, refusal: Refusal) -> Answer:
+    return exchange.refuse(
+        refusal.reason,
+        STATUS_OF_REASON[refusal.reason],
+        f"service {exchange.service}",
+        refusal.retry_after,
+    )
--- /dev/null
+++ b/packages/core/src/wasabitray_core/local.py
@@ -0,0 +1,419 @@
+"""Messages between tasks of one process: asks, their replies and news."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from wasabitray_core.documents import FilledTemplate, Fleet, Route
+from wasabitray_core.ids import (
+    ClaimId,
+    ClaimKey,
+    Fingerprint,
+    HostId,
+    OrganisationName,
+    RegionName,
+    RequestId,
+    Revision,
+    Seconds,
+    ServiceName,
+    TargetId,
+)
+from wasabitray_core.messages import (
+    Announcement,
+    Change,
+    CommittedChange,
+    Ejection,
+    Quarantine,
+    Snapshot,
+)
+from wasabitray_core.requests import LoadReport, Target
+from wasabitray_core.states import (
+    AttemptStatus,
+    HostFlag,
+    RefusalReason,
+    WorkClass,
+)
+
+
+class ControllerName(Enum):
+    """The controllers of a process."""
+
+    MEMBERSHIP = "membership"
+    CONFIGURATION = "configuration"
+    CONSENSUS = "consensus"
+    TARGETS = "targets"
+    DISPATCH = "dispatch"
+    HEALTH = "health"
+    CLAIMS = "claims"
+    GRANTS = "grants"
+    QUARANTINE = "quarantine"
+    LONG_SLOTS = "long-slots"
+    ADDRESSES = "addresses"
+    DIRECTORY = "directory"
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed; sent at each controller's own interval."""
+
+
+@dataclass(frozen=True, slots=True)
+class GetStatus:
+    """Asks a controller for its state as plain data for operators."""
+
+
+# Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class Resolve:
+    """Asks for the route of a request."""
+
+    organisation: OrganisationName
+    method: str
+    path: str
+
+
+@dataclass(frozen=True, slots=True)
+class Resolved:
+    """A request's route, and the configuration it comes from."""
+
+    revision: Revision
+    filled: FilledTemplate
+    route: Route
+
+
+@dataclass(frozen=True, slots=True)
+class Unresolved:
+    """Why a request has no route."""
+
+    reason: RefusalReason
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class GetDocuments:
+    """Asks for the documents in force; the reply is a ConfigState."""
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """Changes the replicated log has committed."""
+
+    changes: tuple[CommittedChange, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Restored:
+    """State taken from a snapshot of the replicated log."""
+
+    snapshot: Snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """A revision came into force on this host."""
+
+    revision: Revision
+    fleet: Fleet | None
+
+
+@dataclass(frozen=True, slots=True)
+class Isolation:
+    """Whether this entry may serve, from its contacts.
+
+    Attributes:
+        newest: highest revision heard of from any contact.
+    """
+
+    isolated: bool
+    newest: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class Propose:
+    """Asks the leader to commit a change."""
+
+    change: Change
+
+
+@dataclass(frozen=True, slots=True)
+class Proposed:
+    """The answer to a change that is committed.
+
+    Attributes:
+        accepted: whether a majority of the entries has it in force, so
+            that no entry can come back with an older one.
+        waiting: entries that have not reported it in force yet.
+    """
+
+    revision: Revision
+    accepted: bool
+    waiting: tuple[HostId, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class GetHistory:
+    """Asks for the newest changes; the reply is a tuple of them."""
+
+    limit: int
+
+
+@dataclass(frozen=True, slots=True)
+class TransferLeadership:
+    """Hands the lead to another voter before a planned stop."""
+
+
+# Membership and addresses
+
+
+@dataclass(frozen=True, slots=True)
+class Spread:
+    """Passes news to other hosts with the next rounds of gossip."""
+
+    item: Announcement | Ejection | Quarantine
+
+
+@dataclass(frozen=True, slots=True)
+class SetFlag:
+    """Sets or clears a flag that this host spreads about itself."""
+
+    flag: HostFlag
+    value: bool
+
+
+@dataclass(frozen=True, slots=True)
+class HostView:
+    """Another host as this one sees it now."""
+
+    host: HostId
+    revision: Revision
+    flags: HostFlag
+    fresh: bool
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """All hosts as this one sees them now, itself included."""
+
+    hosts: tuple[HostView, ...]
+
+    def fresh_entries(self) -> tuple[HostId, ...]:
+        """Return the entries heard of lately, in a fixed order."""
+        return tuple(
+            sorted(
+                view.host
+                for view in self.hosts
+                if view.fresh and not view.flags & HostFlag.CONTROL
+            )
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class GetAddresses:
+    """Asks which entries a caller should use."""
+
+    region: RegionName
+
+
+@dataclass(frozen=True, slots=True)
+class Addresses:
+    """Entries for a caller, best first, and how long to keep them."""
+
+    addresses: tuple[str, ...]
+    ttl_s: float
+
+
+# Targets and dispatch
+
+
+@dataclass(frozen=True, slots=True)
+class UsableTarget:
+    """A target that may get work.
+
+    Attributes:
+        probation: it gets a trickle of repeatable work only.
+    """
+
+    target: Target
+    probation: bool
+
+
+@dataclass(frozen=True, slots=True)
+class UsableTargets:
+    """The targets of a service that may get work, and all active ones."""
+
+    service: ServiceName
+    usable: tuple[UsableTarget, ...]
+    active: tuple[TargetId, ...]
+    ejected: tuple[TargetId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Acquire:
+    """Asks for a slot on a target of a service.
+
+    Attributes:
+        excluded: targets already tried.
+        pinned: the only target allowed, from a long slot.
+        retry_share: retries allowed as a share of first attempts.
+    """
+
+    service: ServiceName
+    organisation: OrganisationName
+    work: WorkClass
+    idempotent: bool
+    deadline: Seconds
+    excluded: tuple[TargetId, ...] = ()
+    pinned: TargetId | None = None
+    retry: bool = False
+    retry_share: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """A slot on a target."""
+
+    target: Target
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """No slot, why, and how long a caller should wait."""
+
+    reason: RefusalReason
+    retry_after: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Returns a slot and tells how the attempt went."""
+
+    service: ServiceName
+    target: TargetId
+    work: WorkClass
+    status: AttemptStatus
+    elapsed: Seconds
+    load: LoadReport | None
+
+
+# Health
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """How one attempt speaks for or against a target."""
+
+    service: ServiceName
+    target: TargetId
+    work: WorkClass
+    good: bool
+    elapsed: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceLimits:
+    """Floors of the services in the configuration in force."""
+
+    floors: dict[ServiceName, int]
+
+
+# Claims
+
+
+@dataclass(frozen=True, slots=True)
+class AcquireClaim:
+    """Asks the claim groups to grant a key to one claim."""
+
+    key: ClaimKey
+    claim: ClaimId
+    ttl_s: float
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class WithdrawClaim:
+    """Gives a claim back because its work did not and will not run."""
+
+    key: ClaimKey
+    claim: ClaimId
+
+
+class ClaimVerdict(Enum):
+    """Answer of the claim groups."""
+
+    GRANTED = "granted"
+    HELD = "held"
+    """Another claim holds the key."""
+    UNAVAILABLE = "unavailable"
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimDecided:
+    """The groups' answer, told to a controller that asked."""
+
+    key: ClaimKey
+    claim: ClaimId
+    verdict: ClaimVerdict
+
+
+# Quarantine
+
+
+@dataclass(frozen=True, slots=True)
+class CheckQuarantine:
+    """Asks how suspect a request is; the reply is a Suspicion."""
+
+    fingerprint: Fingerprint
+
+
+class Suspicion(Enum):
+    """What is known of a request that may break targets."""
+
+    NONE = "none"
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
+
+
+@dataclass(frozen=True, slots=True)
+class ClearSuspicion:
+    """A target answered this request without breaking."""
+
+    fingerprint: Fingerprint
+
+
+@dataclass(frozen=True, slots=True)
+class ReportBreak:
+    """A target broke the connection while it had this request."""
+
+    fingerprint: Fingerprint
+    target: TargetId
+
+
+# Long work
+
+
+@dataclass(frozen=True, slots=True)
+class ReserveLong:
+    """Asks for a long slot; the reply is a Grant or a Refusal."""
+
+    service: ServiceName
+    long_share: float
+    deadline: Seconds
+    excluded: tuple[TargetId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LongReserved:
+    """A long slot and the number to return it with."""
+
+    request: RequestId
+    target: TargetId
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnLong:
+    """Returns a long slot."""
+
+    request: RequestId
--- /dev/null
+++ b/packages/core/src/wasabitray_core/rendezvous.py
@@ -0,0 +1,23 @@
+"""Rendezvous hashing.
+
+Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
+IEEE/ACM Transactions on Networking, 1998.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+from wasabitray_core.ids import HostId
+
+
+def choose_owner(name: str, hosts: Iterable[HostId]) -> HostId:
+    """Return the host that owns a name among the given hosts."""
+    return max(hosts, key=lambda host: (_weight(name, host), host))
+
+
+def _weight(name: str, host: HostId) -> bytes:
+    digest = hashlib.blake2b(digest_size=8)
+    digest.update(f"{len(name)}:{name}{host}".encode())
+    return digest.digest()
--- /dev/null
+++ b/packages/core/src/wasabitray_core/requests.py
@@ -0,0 +1,181 @@
+"""Requests, answers and targets as the decisions see them."""
+
+from __future__ import annotations
+
+from collections.abc import Generator, Iterator
+from dataclasses import dataclass, field
+
+from wasabitray_core.documents import FilledTemplate, Route, ServicePolicy
+from wasabitray_core.ids import (
+    FailureDomainName,
+    Fingerprint,
+    OrganisationName,
+    RegionName,
+    Revision,
+    Seconds,
+    ServiceName,
+    TargetId,
+)
+from wasabitray_core.states import AttemptStatus, Outcome, RefusalReason
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A caller's request.
+
+    Attributes:
+        query: text after the question mark, without it.
+        body: the body, if it was small enough to be read whole.
+        stream: a larger body in pieces, readable once.
+        length: bytes of the body.
+        key: idempotency key given by the caller, empty if none.
+    """
+
+    organisation: OrganisationName
+    method: str
+    path: str
+    query: str = ""
+    headers: Headers = ()
+    body: bytes = b""
+    stream: Iterator[bytes] | None = None
+    length: int = 0
+    key: str = ""
+
+    def __repr__(self) -> str:
+        return f"<Request [{self.method} {self.path}]>"
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """A target as it announced itself."""
+
+    target: TargetId
+    service: ServiceName
+    region: RegionName
+    failure_domain: FailureDomainName
+    slots: int
+
+    def __repr__(self) -> str:
+        return f"<Target [{self.target}]>"
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load a target reported on an answer."""
+
+    busy: int
+    slots: int
+
+
+@dataclass(slots=True)
+class Answer:
+    """An answer of a target, or one of the fleet's own.
+
+    Attributes:
+        chunks: the rest of a body too large to hold, after `body`.
+        refusal: set on an answer of the fleet's own.
+        outcome: set on an answer of the fleet's own.
+        fault: set on a target's own error answer.
+        retry_after: seconds the caller should wait, if it should.
+    """
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b""
+    chunks: Generator[bytes, None, None] | None = None
+    target: TargetId | None = None
+    refusal: RefusalReason | None = None
+    outcome: Outcome | None = None
+    detail: str = ""
+    fault: str | None = None
+    retry_after: float | None = None
+    attempts: int = 0
+
+    def header(self, name: str) -> str:
+        """Return a header's value, or an empty string."""
+        lowered = name.lower()
+        return next((v for n, v in self.headers if n.lower() == lowered), "")
+
+    def __repr__(self) -> str:
+        return f"<Answer [{self.status}]>"
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """How one attempt at a target ended."""
+
+    status: AttemptStatus
+    answer: Answer | None = None
+    load: LoadReport | None = None
+    elapsed: Seconds = Seconds(0.0)
+    detail: str = ""
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the target can have started the work."""
+        return self.status not in (AttemptStatus.REFUSED, AttemptStatus.SHED)
+
+
+@dataclass(slots=True)
+class Exchange:
+    """One request on its way through the filter chain.
+
+    Attributes:
+        arrived: monotonic time of arrival.
+        deadline: monotonic time after which no answer helps.
+        ran: whether a target can have started the work.
+        tried: targets already used, newest last.
+        pinned: the target of a reserved long slot.
+    """
+
+    request: Request
+    arrived: Seconds
+    deadline: Seconds
+    caller_timeout: Seconds | None = None
+    revision: Revision = Revision(0)
+    filled: FilledTemplate | None = None
+    route: Route | None = None
+    fingerprint: Fingerprint = Fingerprint("")
+    ran: bool = False
+    attempts: int = 0
+    tried: list[TargetId] = field(default_factory=list)
+    pinned: TargetId | None = None
+
+    @property
+    def matched(self) -> Route:
+        """The request's route, once it was looked up."""
+        assert self.route is not None
+        return self.route
+
+    @property
+    def service(self) -> ServiceName:
+        """The service of the request's route."""
+        return ServiceName(self.matched.service)
+
+    @property
+    def policy(self) -> ServicePolicy:
+        """The limits of the request's service."""
+        assert self.filled is not None
+        return self.filled.services[self.matched.service]
+
+    def refuse(
+        self,
+        reason: RefusalReason,
+        status: int,
+        detail: str = "",
+        retry_after: float | None = None,
+    ) -> Answer:
+        """Return an answer of the fleet's own with the true outcome."""
+        return Answer(
+            status=status,
+            refusal=reason,
+            outcome=Outcome.UNKNOWN if self.ran else Outcome.NOT_RUN,
+            detail=detail or reason.value,
+            retry_after=retry_after,
+            attempts=self.attempts,
+        )
+
+    def __repr__(self) -> str:
+        return f"<Exchange [{self.request.method} {self.request.path}]>"
--- /dev/null
+++ b/packages/node/src/wasabitray_node/daemon.py
@@ -0,0 +1,65 @@
+"""The command `wasabitrayd`: one process of the fleet."""
+
+import gevent
+
+gevent.config.libev_backend = "epoll"
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse
+import signal
+import sys
+from pathlib import Path
+
+from result import Err
+
+from wasabitray_node.app import App
+from wasabitray_node.logs import configure_logs
+from wasabitray_node.settings import load_settings
+
+EXIT_BAD_SETTINGS = 2
+
+
+def _parse_arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(
+        prog="wasabitrayd",
+        description="Runs one host of the fleet in the role its settings say.",
+        epilog="Exit codes: 0 after a graceful stop, 2 for bad settings.",
+    )
+    parser.add_argument(
+        "--settings", type=Path, required=True, help="settings file in TOML"
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and stop"
+    )
+    parser.add_argument(
+        "--initialise",
+        action="store_true",
+        help="first start of a founding control host; never after that",
+    )
+    return parser.parse_args()
+
+
+def main() -> int:
+    """Run until SIGTERM or SIGINT and stop gracefully."""
+    arguments = _parse_arguments()
+    loaded = load_settings(arguments.settings)
+    if isinstance(loaded, Err):
+        print("\n".join(loaded.err_value), file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    if arguments.check:
+        print(f"{arguments.settings}: good")
+        return 0
+    settings = loaded.ok_value
+    configure_logs(settings.host)
+    app = App(settings, arguments.initialise)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, app.stop)
+    app.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/node/src/wasabitray_node/fleet_directory.py
@@ -0,0 +1,34 @@
+"""Keeps the links' addresses up to date with the fleet document."""
+
+from __future__ import annotations
+
+from typing import Any, ClassVar
+
+from wasabitray_core.controllers.controller import (
+    Context,
+    Controller,
+    Origin,
+)
+from wasabitray_core.ids import HostId
+from wasabitray_core.local import ControllerName, GetStatus, InForce
+from wasabitray_node.links import PeerLinks
+
+
+class DirectoryController(Controller):
+    """Tells the links where the fleet document places each entry."""
+
+    name: ClassVar[ControllerName] = ControllerName.DIRECTORY
+    tick_interval_s = 60.0
+
+    def __init__(self, context: Context, links: PeerLinks) -> None:
+        """Take the links."""
+        super().__init__(context)
+        self._links = links
+
+    def receive(self, message: Any, origin: Origin) -> None:
+        """Handle one message; only a new fleet document matters."""
+        if isinstance(message, GetStatus):
+            self._reply(origin, self._links.describe())
+        if isinstance(message, InForce) and message.fleet is not None:
+            for entry in message.fleet.entries:
+                self._links.learn(HostId(entry.host), entry.peer_address)
--- /dev/null
+++ b/packages/node/src/wasabitray_node/headers.py
@@ -0,0 +1,56 @@
+"""Names of headers, and which headers pass."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+OWN_PREFIX = "wasabitray-"
+ORGANISATION_HEADER = "Wasabitray-Organisation"
+TIMEOUT_HEADER = "Wasabitray-Timeout-Ms"
+DEADLINE_HEADER = "Wasabitray-Deadline-Ms"
+OUTCOME_HEADER = "Wasabitray-Outcome"
+REASON_HEADER = "Wasabitray-Reason"
+LOAD_HEADER = "Wasabitray-Load"
+ENTRY_HEADER = "Wasabitray-Entry"
+TARGET_HEADER = "Wasabitray-Target"
+REVISION_HEADER = "Wasabitray-Revision"
+ATTEMPTS_HEADER = "Wasabitray-Attempts"
+KEY_HEADER = "Idempotency-Key"
+
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def strip_hop_by_hop(
+    headers: Iterable[tuple[str, str]],
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers that pass to the other side.
+
+    Dropped are the hop-by-hop headers of RFC 9110 section 7.6.1, those
+    that `Connection` names, and the fleet's own, which only it sets.
+    """
+    headers = list(headers)
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _HOP_BY_HOP
+        and name.lower() not in named
+        and not name.lower().startswith(OWN_PREFIX)
+    )
--- /dev/null
+++ b/packages/node/src/wasabitray_node/links.py
@@ -0,0 +1,255 @@
+"""Links to and from peers over thrift."""
+
+from __future__ import annotations
+
+import hmac
+import random
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import gevent.socket
+from gevent.event import Event
+from gevent.server import StreamServer
+from thrift.Thrift import TException
+from thrift.transport.TSocket import TSocket
+from thrift.transport.TTransport import TFramedTransport, TTransportException
+
+from wasabitray_core.ids import HostId
+from wasabitray_core.messages import Hello
+from wasabitray_node.logs import log_change
+from wasabitray_node.settings import split_address
+from wasabitray_wire import (
+    PROTOCOL,
+    from_wire,
+    hello_from_wire,
+    hello_to_wire,
+    to_wire,
+)
+from wasabitray_wire.gen import Peer
+
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+MAX_WAITING_MESSAGES = 1_024
+MAX_BATCH = 128
+CONNECT_TIMEOUT_S = 1.0
+ACK_TIMEOUT_S = 2.0
+RECONNECT_FIRST_S = 0.1
+RECONNECT_MAX_S = 2.0
+
+_LINK_ERRORS = (TException, OSError, EOFError)
+
+
+class PeerLink:
+    """A task that owns the connection to one peer.
+
+    Messages wait in a bounded queue; the oldest are dropped first. The peer
+    acknowledges each batch, so a silent connection is replaced.
+    """
+
+    def __init__(
+        self, peer: HostId, address: str, hello: Hello, source: str
+    ) -> None:
+        """Take the peer's address, this host's hello and its IP number."""
+        self._source = source
+        self._peer = peer
+        self._address = address
+        self._hello = hello_to_wire(hello)
+        self._waiting: deque[Any] = deque(maxlen=MAX_WAITING_MESSAGES)
+        self._wake = Event()
+        self._transport: TFramedTransport | None = None
+        self._client: Peer.Client | None = None
+        self._up = False
+
+    @property
+    def up(self) -> bool:
+        """Whether the last batch was acknowledged."""
+        return self._up
+
+    @property
+    def address(self) -> str:
+        """The peer's address."""
+        return self._address
+
+    def put(self, message: Any) -> None:
+        """Queue a message."""
+        self._waiting.append(message)
+        self._wake.set()
+
+    def run(self) -> None:
+        """Send queued messages until the task is killed."""
+        backoff = RECONNECT_FIRST_S
+        while True:
+            self._wake.wait()
+            self._wake.clear()
+            try:
+                self._send_waiting()
+                backoff = RECONNECT_FIRST_S
+            except _LINK_ERRORS as error:
+                self._close(error)
+                self._waiting.clear()  # stale by the time of a reconnect
+                gevent.sleep(backoff * (0.5 + random.random()))
+                backoff = min(RECONNECT_MAX_S, 2 * backoff)
+
+    def _send_waiting(self) -> None:
+        while self._waiting:
+            client = self._client or self._connect()
+            count = min(MAX_BATCH, len(self._waiting))
+            batch = [self._waiting.popleft() for _ in range(count)]
+            client.deliver([to_wire(message) for message in batch])
+
+    def _connect(self) -> Peer.Client:
+        # A link comes from the host's own number, so that filters on the
+        # way can tell hosts apart.
+        sock = gevent.socket.create_connection(
+            split_address(self._address),
+            timeout=CONNECT_TIMEOUT_S,
+            source_address=(self._source, 0),
+        )
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(ACK_TIMEOUT_S)
+        endpoint = TSocket()
+        endpoint.setHandle(sock)
+        self._transport = TFramedTransport(endpoint, MAX_FRAME_BYTES)
+        protocol = PROTOCOL.getProtocol(self._transport)
+        client = Peer.Client(protocol)
+        client.hello(self._hello)
+        self._client = client
+        if not self._up:
+            self._up = True
+            log_change("link up", peer=self._peer)
+        return client
+
+    def _close(self, error: Exception) -> None:
+        if self._transport is not None:
+            self._transport.close()
+        self._transport = self._client = None
+        if self._up:
+            self._up = False
+            log_change("link down", peer=self._peer, reason=str(error))
+
+    def __repr__(self) -> str:
+        return f"<PeerLink [{self._peer}]>"
+
+
+class PeerLinks:
+    """Starts a link for each peer that something is sent to."""
+
+    def __init__(
+        self, hello: Hello, seeds: dict[HostId, str], source: str
+    ) -> None:
+        """Take this host's hello, known peers and own IP number."""
+        self._hello = hello
+        self._source = source
+        self._addresses = dict(seeds)
+        self._links: dict[HostId, PeerLink] = {}
+        self._greenlets: dict[HostId, gevent.Greenlet] = {}
+
+    def learn(self, peer: HostId, address: str) -> None:
+        """Note a peer's address; a changed one gets a new link."""
+        if self._addresses.get(peer) == address:
+            return
+        self._addresses[peer] = address
+        old = self._greenlets.pop(peer, None)
+        if old is not None:
+            old.kill(block=False)
+            del self._links[peer]
+
+    def describe(self) -> dict[str, Any]:
+        """Return each link's state for operators."""
+        return {
+            peer: {"address": link.address, "up": link.up}
+            for peer, link in self._links.items()
+        }
+
+    def send(self, peer: HostId, message: Any) -> None:
+        """Queue a message; it is dropped if the peer is not known."""
+        link = self._links.get(peer)
+        if link is None:
+            address = self._addresses.get(peer)
+            if address is None:
+                return
+            link = PeerLink(peer, address, self._hello, self._source)
+            self._links[peer] = link
+            self._greenlets[peer] = gevent.spawn(link.run)
+        link.put(message)
+
+
+class PeerConnection:
+    """The serving side of one accepted link."""
+
+    def __init__(
+        self,
+        secret: str,
+        receive: Callable[[HostId, Any], None],
+        learn: Callable[[HostId, str], None],
+    ) -> None:
+        """Take the shared secret and where messages go."""
+        self._secret = secret.encode()
+        self._receive = receive
+        self._learn = learn
+        self._peer: HostId | None = None
+
+    def hello(self, hello: Any) -> None:
+        """Check the peer's secret (called by the generated processor)."""
+        greeting = hello_from_wire(hello)
+        given = greeting.secret.encode()
+        if not hmac.compare_digest(given, self._secret):
+            raise _refused("wrong secret", greeting.host)
+        self._peer = greeting.host
+        self._learn(greeting.host, greeting.address)
+
+    def deliver(self, messages: list[Any]) -> None:
+        """Take a batch (called by the generated processor)."""
+        if self._peer is None:
+            raise _refused("no hello", "")
+        for message in messages:
+            self._receive(self._peer, from_wire(message))
+
+
+def _refused(reason: str, peer: str) -> TTransportException:
+    """Return the error that makes the processor end the link."""
+    log_change("link refused", peer=peer, reason=reason)
+    return TTransportException(message=reason)
+
+
+class PeerListener:
+    """Accepts links; each is served by a task of its own."""
+
+    def __init__(
+        self,
+        address: str,
+        secret: str,
+        receive: Callable[[HostId, Any], None],
+        learn: Callable[[HostId, str], None],
+    ) -> None:
+        """Take the address to listen on."""
+        self._secret = secret
+        self._receive = receive
+        self._learn = learn
+        self._server = StreamServer(split_address(address), self._serve)
+
+    def start(self) -> None:
+        """Start to accept."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop to accept and end all links."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock: Any, address: tuple[str, int]) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        endpoint = TSocket()
+        endpoint.setHandle(sock)
+        transport = TFramedTransport(endpoint, MAX_FRAME_BYTES)
+        protocol = PROTOCOL.getProtocol(transport)
+        connection = PeerConnection(self._secret, self._receive, self._learn)
+        processor = Peer.Processor(connection)
+        try:
+            while True:
+                processor.process(protocol, protocol)
+        except _LINK_ERRORS:
+            pass  # the sending side logs that its link is down
+        finally:
+            transport.close()
--- /dev/null
+++ b/packages/node/src/wasabitray_node/operators.py
@@ -0,0 +1,248 @@
+"""The listener for operators: changes, state and metrics."""
+
+from __future__ import annotations
+
+import hmac
+import json
+from collections.abc import Callable
+from typing import Any
+
+import falcon
+from gevent import Timeout
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err
+
+from wasabitray_core.documents import describe_faults
+from wasabitray_core.errors import (
+    ConflictError,
+    DocumentError,
+    NotLeaderError,
+    WasabitrayError,
+)
+from wasabitray_core.ids import ChangeId, Revision
+from wasabitray_core.local import (
+    ControllerName,
+    GetDocuments,
+    GetHistory,
+    GetStatus,
+    Propose,
+)
+from wasabitray_core.messages import Change, CommittedChange, DocumentEdit
+from wasabitray_node.http import bad_request
+from wasabitray_node.metrics import Metrics
+from wasabitray_node.tasks import Router
+
+PROPOSE_TIMEOUT_S = 15.0
+DEFAULT_HISTORY = 50
+
+STATUS_OF_ERROR: dict[type[WasabitrayError], int] = {
+    ConflictError: 409,
+    DocumentError: 422,
+    NotLeaderError: 421,
+}
+
+
+class EditBody(BaseModel):
+    """One document written, or deleted when `body` is null."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    key: str
+    body: dict[str, Any] | None
+
+
+class ChangeBody(BaseModel):
+    """An operator's change."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    change: str = Field(min_length=8, max_length=128)
+    expected: int = Field(ge=0)
+    author: str
+    wall_time: str
+    edits: list[EditBody] = Field(min_length=1)
+    forced: bool = False
+
+    def to_change(self) -> Change:
+        """Return the change as the decisions know it."""
+        edits = tuple(
+            DocumentEdit(e.key, None if e.body is None else to_json(e.body))
+            for e in self.edits
+        )
+        return Change(
+            ChangeId(self.change),
+            Revision(self.expected),
+            self.author,
+            self.wall_time,
+            edits,
+            self.forced,
+        )
+
+
+def to_json(body: dict[str, Any]) -> str:
+    """Return a document's one JSON text."""
+    return json.dumps(body, sort_keys=True, separators=(",", ":"))
+
+
+class SecretCheck:
+    """Falcon middleware that lets in only who knows the secret."""
+
+    def __init__(self, secret: str) -> None:
+        """Take the shared secret; without one everybody is let in."""
+        self._expected = f"Bearer {secret}".encode() if secret else b""
+
+    def process_request(
+        self, req: falcon.Request, resp: falcon.Response
+    ) -> None:
+        """Check the bearer token."""
+        given = (req.auth or "").encode()
+        if self._expected and not hmac.compare_digest(given, self._expected):
+            raise falcon.HTTPUnauthorized(title="wrong or no secret")
+
+
+class ChangesResource:
+    """Takes changes and shows the newest ones."""
+
+    def __init__(self, router: Router) -> None:
+        """Take the tasks."""
+        self._router = router
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Propose a change and wait until it is accepted."""
+        if ControllerName.CONSENSUS not in self._router.controllers():
+            raise falcon.HTTPError(421, title="not a control host")
+        try:
+            body = ChangeBody.model_validate_json(req.bounded_stream.read())
+        except ValidationError as error:
+            raise bad_request(describe_faults(error, "change")) from None
+        try:
+            result = self._router.ask(
+                ControllerName.CONSENSUS,
+                Propose(body.to_change()),
+                PROPOSE_TIMEOUT_S,
+            )
+        except Timeout:
+            raise falcon.HTTPGatewayTimeout(
+                title="outcome unknown",
+                description="send the same change again to learn it",
+            ) from None
+        if isinstance(result, Err):
+            raise _to_http(result.err_value)
+        proposed = result.ok_value
+        resp.media = {
+            "revision": proposed.revision,
+            "accepted": proposed.accepted,
+            "waiting": list(proposed.waiting),
+        }
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Show the newest changes."""
+        limit = req.get_param_as_int("limit", default=DEFAULT_HISTORY)
+        changes = self._router.ask(ControllerName.CONSENSUS, GetHistory(limit))
+        resp.media = {"changes": [_describe(c) for c in changes]}
+
+
+def _describe(committed: CommittedChange) -> dict[str, Any]:
+    change = committed.change
+    return {
+        "revision": committed.revision,
+        "change": change.change,
+        "author": change.author,
+        "wall_time": change.wall_time,
+        "written": [e.key for e in change.edits if e.body is not None],
+        "deleted": [e.key for e in change.edits if e.body is None],
+    }
+
+
+def _to_http(error: WasabitrayError) -> falcon.HTTPError:
+    status = STATUS_OF_ERROR.get(type(error), 503)
+    return falcon.HTTPError(
+        status, title=type(error).__name__, description=str(error)
+    )
+
+
+class DocumentsResource:
+    """Shows the documents in force on this host."""
+
+    def __init__(self, router: Router) -> None:
+        """Take the tasks."""
+        self._router = router
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Show all documents and their revision."""
+        state = self._router.ask(ControllerName.CONFIGURATION, GetDocuments())
+        documents = {k: json.loads(v) for k, v in state.documents.items()}
+        resp.media = {"revision": state.revision, "documents": documents}
+
+
+class StatusResource:
+    """Shows the state of every controller."""
+
+    def __init__(self, router: Router, facts: dict[str, Any]) -> None:
+        """Take the tasks and the fixed facts about this host."""
+        self._router = router
+        self._facts = facts
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Show the state as one document."""
+        resp.media = self._facts | {
+            name.value: self._router.ask(name, GetStatus())
+            for name in self._router.controllers()
+        }
+
+
+class MetricsResource:
+    """Shows metrics in the text format that scrapers read."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        """Take the metrics."""
+        self._metrics = metrics
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Show all metrics."""
+        resp.content_type = "text/plain; version=0.0.4"
+        resp.data = self._metrics.render()
+
+
+class LatenciesResource:
+    """Shows percentiles for each organisation and class."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        """Take the metrics."""
+        self._metrics = metrics
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Show the percentiles."""
+        resp.media = {"latencies": self._metrics.summary()}
+
+
+class DrainResource:
+    """Starts a graceful stop of this host."""
+
+    def __init__(self, stop: Callable[[], None]) -> None:
+        """Take what starts the stop."""
+        self._stop = stop
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Start the stop and answer at once."""
+        self._stop()
+        resp.status = 202
+        resp.media = {"draining": True}
+
+
+def build_operators_app(
+    router: Router,
+    metrics: Metrics,
+    secret: str,
+    facts: dict[str, Any],
+    stop: Callable[[], None],
+) -> falcon.App:
+    """Return the WSGI application for operators."""
+    app = falcon.App(middleware=[SecretCheck(secret)])
+    app.add_route("/v1/changes", ChangesResource(router))
+    app.add_route("/v1/documents", DocumentsResource(router))
+    app.add_route("/v1/status", StatusResource(router, facts))
+    app.add_route("/v1/latencies", LatenciesResource(metrics))
+    app.add_route("/v1/drain", DrainResource(stop))
+    app.add_route("/metrics", MetricsResource(metrics))
+    return app
--- /dev/null
+++ b/packages/node/src/wasabitray_node/tasks.py
@@ -0,0 +1,281 @@
+"""Tasks that own a controller each and talk by messages."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Any
+
+import gevent
+from gevent.event import AsyncResult
+from gevent.queue import Empty, SimpleQueue
+
+from wasabitray_core import messages as m
+from wasabitray_core.controllers.controller import (
+    NOWHERE,
+    Ask,
+    Controller,
+    Origin,
+)
+from wasabitray_core.ids import HostId, Seconds
+from wasabitray_core.local import ControllerName, Tick
+from wasabitray_node.logs import log_change, log_fault
+
+ASK_TIMEOUT_S = 30.0
+
+# Who takes a message of a peer. Gossip's items reach their controllers from
+# the membership controller.
+CONTROLLER_OF_MESSAGE: dict[type, ControllerName] = {
+    m.Gossip: ControllerName.MEMBERSHIP,
+    m.ConfigPull: ControllerName.CONFIGURATION,
+    m.ConfigPush: ControllerName.CONFIGURATION,
+    m.ConfigState: ControllerName.CONFIGURATION,
+    m.VoteRequest: ControllerName.CONSENSUS,
+    m.VoteReply: ControllerName.CONSENSUS,
+    m.AppendRequest: ControllerName.CONSENSUS,
+    m.AppendReply: ControllerName.CONSENSUS,
+    m.InstallSnapshot: ControllerName.CONSENSUS,
+    m.CampaignNow: ControllerName.CONSENSUS,
+    m.JoinRequest: ControllerName.CONSENSUS,
+    m.ClaimRequest: ControllerName.GRANTS,
+    m.ClaimReply: ControllerName.CLAIMS,
+    m.ClaimRelease: ControllerName.GRANTS,
+    m.RecallRequest: ControllerName.GRANTS,
+    m.RecallChallenge: ControllerName.GRANTS,
+    m.RecallConfirm: ControllerName.GRANTS,
+    m.RecallState: ControllerName.GRANTS,
+    m.Evidence: ControllerName.HEALTH,
+    m.LongSlotRequest: ControllerName.LONG_SLOTS,
+    m.LongSlotReply: ControllerName.LONG_SLOTS,
+    m.LongSlotRelease: ControllerName.LONG_SLOTS,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _ToPeer:
+    host: HostId
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class _ToController:
+    controller: ControllerName
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class _ToAsk:
+    ask: Ask
+    value: Any
+
+
+@dataclass(frozen=True, slots=True)
+class _ToLog:
+    event: str
+    facts: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class _Item:
+    message: Any
+    origin: Origin
+
+
+class TaskOutbox:
+    """Holds what a controller sends until the batch is durable."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.deliveries: list[Any] = []
+        self.persists: list[Any] = []
+
+    def send(self, host: HostId, message: Any) -> None:
+        """Send a message to a peer."""
+        self.deliveries.append(_ToPeer(host, message))
+
+    def tell(self, controller: ControllerName, message: Any) -> None:
+        """Put a message into another controller's mailbox."""
+        self.deliveries.append(_ToController(controller, message))
+
+    def reply(self, ask: Ask, value: Any) -> None:
+        """Answer a local ask."""
+        self.deliveries.append(_ToAsk(ask, value))
+
+    def persist(self, item: Any) -> None:
+        """Make an item durable before the batch's deliveries."""
+        self.persists.append(item)
+
+    def report(self, event: str, **facts: Any) -> None:
+        """Log a change of state."""
+        self.deliveries.append(_ToLog(event, facts))
+
+    def take(self) -> tuple[list[Any], list[Any]]:
+        """Return and forget the persists and the deliveries."""
+        taken = self.persists, self.deliveries
+        self.persists, self.deliveries = [], []
+        return taken
+
+
+class ControllerTask:
+    """A greenlet that owns a controller and its mailbox.
+
+    It takes all waiting messages as one batch: one sync for all that they
+    persist, then the deliveries. Messages that come during a sync form the
+    next batch.
+    """
+
+    def __init__(
+        self,
+        controller: Controller,
+        outbox: TaskOutbox,
+        router: Router,
+        clock: Callable[[], Seconds],
+        sync: Callable[[list[Any]], None] | None = None,
+    ) -> None:
+        """Take a controller and, if it persists, a way to sync items."""
+        self._controller = controller
+        self._outbox = outbox
+        self._router = router
+        self._clock = clock
+        self._sync = sync
+        self._mailbox: SimpleQueue = SimpleQueue()
+        self._next_tick = 0.0
+
+    @property
+    def name(self) -> ControllerName:
+        """The controller's name."""
+        return self._controller.name
+
+    def put(self, message: Any, origin: Origin) -> None:
+        """Put a message into the mailbox."""
+        self._mailbox.put(_Item(message, origin))
+
+    def run(self) -> None:
+        """Handle messages until the task is killed."""
+        self._next_tick = self._clock() + self._controller.tick_interval_s
+        self._flush()
+        while True:
+            first = self._wait(max(0.0, self._next_tick - self._clock()))
+            if first is not None:
+                self._handle(first)
+                self._handle_waiting()
+            self._tick_if_due()
+            self._flush()
+
+    def _tick_if_due(self) -> None:
+        now = self._clock()
+        if now >= self._next_tick:
+            self._handle(_Item(Tick(), NOWHERE))
+            self._next_tick = now + self._controller.tick_interval_s
+        else:
+            # A message can have made the controller want ticks sooner.
+            soon = now + self._controller.tick_interval_s
+            self._next_tick = min(self._next_tick, soon)
+
+    def _wait(self, timeout: float) -> _Item | None:
+        try:
+            return self._mailbox.get(timeout=timeout)
+        except Empty:
+            return None
+
+    def _handle_waiting(self) -> None:
+        for _ in range(self._mailbox.qsize()):
+            self._handle(self._mailbox.get_nowait())
+
+    def _handle(self, item: _Item) -> None:
+        try:
+            self._controller.receive(item.message, item.origin)
+        except Exception as error:  # one bad message must not end the task
+            log_fault("message failed", error, controller=self.name.value)
+
+    def _flush(self) -> None:
+        persists, deliveries = self._outbox.take()
+        if persists and self._sync is not None:
+            self._sync(persists)
+        for delivery in deliveries:
+            self._router.deliver(delivery)
+
+    def __repr__(self) -> str:
+        return f"<ControllerTask [{self.name.value}]>"
+
+
+class Router:
+    """Knows the tasks of this process and the way to peers."""
+
+    def __init__(self, host: HostId) -> None:
+        """Start without tasks."""
+        self._host = host
+        self._tasks: dict[ControllerName, ControllerTask] = {}
+        self._send_to_peer: Callable[[HostId, Any], None] | None = None
+
+    def add(self, task: ControllerTask) -> None:
+        """Add a task."""
+        self._tasks[task.name] = task
+
+    def connect_peers(self, send: Callable[[HostId, Any], None]) -> None:
+        """Set the way to peers."""
+        self._send_to_peer = send
+
+    def start(self) -> list[gevent.Greenlet]:
+        """Start every task."""
+        return [gevent.spawn(task.run) for task in self._tasks.values()]
+
+    def tell(self, controller: ControllerName, message: Any) -> None:
+        """Put a message into a controller's mailbox, if it runs here."""
+        task = self._tasks.get(controller)
+        if task is not None:
+            task.put(message, NOWHERE)
+
+    def ask(
+        self,
+        controller: ControllerName,
+        message: Any,
+        timeout: float = ASK_TIMEOUT_S,
+    ) -> Any:
+        """Send a message and wait for its reply.
+
+        Raises:
+            gevent.Timeout: no reply came in time.
+        """
+        result = AsyncResult()
+        origin = Origin(ask=Ask(result))
+        self._tasks[controller].put(message, origin)
+        return result.get(timeout=timeout)
+
+    def receive(self, peer: HostId, message: Any) -> None:
+        """Put a peer's message into its controller's mailbox."""
+        task = self._tasks.get(CONTROLLER_OF_MESSAGE[type(message)])
+        if task is not None:
+            task.put(message, Origin(peer=peer))
+
+    def controllers(self) -> tuple[ControllerName, ...]:
+        """Return the controllers that run here."""
+        return tuple(self._tasks)
+
+    @singledispatchmethod
+    def deliver(self, delivery: Any) -> None:
+        """Bring a controller's delivery to where it goes."""
+        raise TypeError(f"can't deliver {delivery!r}")
+
+    @deliver.register
+    def _(self, delivery: _ToPeer) -> None:
+        if delivery.host == self._host:
+            self.receive(delivery.host, delivery.message)
+        elif self._send_to_peer is not None:
+            self._send_to_peer(delivery.host, delivery.message)
+
+    @deliver.register
+    def _(self, delivery: _ToController) -> None:
+        self.tell(delivery.controller, delivery.message)
+
+    @deliver.register
+    def _(self, delivery: _ToAsk) -> None:
+        delivery.ask.set(delivery.value)
+
+    @deliver.register
+    def _(self, delivery: _ToLog) -> None:
+        log_change(delivery.event, **delivery.facts)
+
+    def __repr__(self) -> str:
+        return f"<Router [{len(self._tasks)} tasks]>"
--- /dev/null
+++ b/packages/wire/idl/wasabitray.thrift
@@ -0,0 +1,107 @@
+// Messages between hosts and stored records. Each struct has the name and
+// the fields of a class in wasabitray_core.messages, with an underscore after
+// a word that the schema language reserves. A union's field is the class's
+// name in snake case.
+namespace py wasabitray_wire.gen
+
+struct Hello { 1: string host, 2: string address, 3: string secret }
+
+struct HostStatus { 1: string host, 2: i64 counter, 3: i64 revision, 4: i32 flags }
+struct Announcement {
+  1: string target, 2: string service_, 3: string region, 4: string failure_domain,
+  5: i32 slots, 6: i64 generation, 7: i64 sequence, 8: i32 phase, 9: double lease_s
+}
+struct Ejection {
+  1: string target, 2: string service_, 3: i64 version, 4: i32 phase,
+  5: double duration_s, 6: string evidence
+}
+struct Quarantine { 1: string fingerprint, 2: double duration_s, 3: list<string> targets }
+struct Gossip {
+  1: list<HostStatus> statuses, 2: list<Announcement> announcements,
+  3: list<Ejection> ejections, 4: list<Quarantine> quarantines
+}
+
+struct DocumentEdit { 1: string key, 2: optional string body }
+struct Change {
+  1: string change, 2: i64 expected, 3: string author, 4: string wall_time,
+  5: list<DocumentEdit> edits, 6: bool forced
+}
+struct CommittedChange { 1: i64 revision, 2: Change change }
+struct ConfigPull { 1: i64 after }
+struct ConfigPush { 1: list<CommittedChange> changes }
+struct ConfigState { 1: i64 revision, 2: map<string, string> documents }
+
+struct Member { 1: string member, 2: string host }
+struct Members { 1: list<Member> voters, 2: list<Member> learners }
+struct Noop {}
+union Command { 1: Change change, 2: Members members, 3: Noop noop }
+struct LogRecord { 1: i64 index, 2: i64 term, 3: Command command }
+struct AnsweredChange { 1: string change, 2: string digest, 3: i64 revision }
+struct Snapshot {
+  1: i64 index, 2: i64 term, 3: Members members, 4: i64 revision,
+  5: map<string, string> documents, 6: list<AnsweredChange> answered,
+  7: list<CommittedChange> recent
+}
+struct Ballot { 1: i64 term, 2: string voted_for }
+struct VoteRequest {
+  1: i64 term, 2: string candidate, 3: i64 last_index, 4: i64 last_term, 5: bool pre,
+  6: bool transfer
+}
+struct VoteReply { 1: i64 term, 2: string voter, 3: bool granted, 4: bool pre }
+struct AppendRequest {
+  1: i64 term, 2: string leader, 3: i64 previous_index, 4: i64 previous_term,
+  5: list<LogRecord> records, 6: i64 commit
+}
+struct AppendReply { 1: i64 term, 2: string member, 3: bool accepted, 4: i64 index }
+struct InstallSnapshot { 1: i64 term, 2: string leader, 3: Snapshot snapshot }
+struct CampaignNow { 1: i64 term, 2: string leader }
+struct JoinRequest { 1: Member member }
+
+struct ClaimRequest { 1: string key, 2: string claim, 3: i32 epoch, 4: double ttl_s }
+struct MemberIncarnation { 1: string host, 2: string incarnation }
+struct ClaimReply {
+  1: string key, 2: string claim, 3: i32 status, 4: string incarnation,
+  5: list<MemberIncarnation> known
+}
+struct ClaimRelease { 1: string key, 2: string claim }
+struct HeldClaim { 1: string key, 2: string claim, 3: double remaining_s }
+struct RecallRequest { 1: string incarnation }
+struct RecallChallenge { 1: string incarnation, 2: i64 nonce }
+struct RecallConfirm { 1: string incarnation, 2: i64 nonce }
+struct RecallState {
+  1: string incarnation, 2: string responder, 3: list<HeldClaim> claims,
+  4: list<MemberIncarnation> known
+}
+
+struct TargetSample { 1: string target, 2: i32 good, 3: i32 bad }
+struct Evidence { 1: string service_, 2: string region, 3: list<TargetSample> samples }
+
+struct LongSlotRequest {
+  1: i64 request, 2: string service_, 3: double long_share, 4: double ttl_s,
+  5: list<string> excluded
+}
+struct LongSlotReply { 1: i64 request, 2: string target }
+struct LongSlotRelease { 1: i64 request }
+
+union PeerMessage {
+  2: Gossip gossip, 3: ConfigPull config_pull, 4: ConfigPush config_push,
+  5: ConfigState config_state, 6: VoteRequest vote_request, 7: VoteReply vote_reply,
+  8: AppendRequest append_request, 9: AppendReply append_reply,
+  10: InstallSnapshot install_snapshot, 11: JoinRequest join_request,
+  12: ClaimRequest claim_request, 13: ClaimReply claim_reply,
+  14: ClaimRelease claim_release, 15: RecallRequest recall_request,
+  16: RecallChallenge recall_challenge, 17: RecallConfirm recall_confirm,
+  18: RecallState recall_state, 19: Evidence evidence,
+  20: LongSlotRequest long_slot_request, 21: LongSlotReply long_slot_reply,
+  22: LongSlotRelease long_slot_release,
+  23: CampaignNow campaign_now
+}
+
+union StoredItem { 1: Ballot ballot, 2: LogRecord log_record, 3: Snapshot snapshot, 4: Member member }
+
+// A link carries messages one way. Each batch is acknowledged, so that a
+// connection that went silent is noticed.
+service Peer {
+  void hello(1: Hello hello),
+  void deliver(1: list<PeerMessage> messages)
+}
--- /dev/null
+++ b/packages/wire/src/wasabitray_wire/codec.py
@@ -0,0 +1,89 @@
+"""Bytes of messages and of stored records."""
+
+from __future__ import annotations
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.Thrift import TException
+from thrift.TSerialization import deserialize, serialize
+
+from wasabitray_core.errors import PeerError
+from wasabitray_core.messages import (
+    Ballot,
+    Hello,
+    LogRecord,
+    Member,
+    PeerMessage,
+    Snapshot,
+)
+from wasabitray_wire.convert import decoder, encoder
+from wasabitray_wire.gen import ttypes
+
+PROTOCOL = TCompactProtocolAcceleratedFactory()
+
+StoredItem = Ballot | LogRecord | Snapshot | Member
+
+_encode_message = encoder(PeerMessage, "PeerMessage")
+_decode_message = decoder(PeerMessage)
+_encode_hello = encoder(Hello)
+_decode_hello = decoder(Hello)
+_encode_item = encoder(StoredItem, "StoredItem")
+_decode_item = decoder(StoredItem)
+
+_MALFORMED = (TException, ValueError, EOFError, TypeError, AttributeError)
+
+
+def to_wire(message: PeerMessage) -> ttypes.PeerMessage:
+    """Return the generated struct of a message."""
+    return _encode_message(message)
+
+
+def from_wire(message: ttypes.PeerMessage) -> PeerMessage:
+    """Return the message of a generated struct.
+
+    Raises:
+        PeerError: the message is not one that this version knows.
+    """
+    try:
+        return _decode_message(message)
+    except _MALFORMED as error:
+        raise PeerError(str(error), step="decode message") from error
+
+
+def hello_to_wire(hello: Hello) -> ttypes.Hello:
+    """Return the generated struct of a hello."""
+    return _encode_hello(hello)
+
+
+def hello_from_wire(hello: ttypes.Hello) -> Hello:
+    """Return the hello of a generated struct.
+
+    Raises:
+        PeerError: a field is missing.
+    """
+    try:
+        return _decode_hello(hello)
+    except _MALFORMED as error:
+        raise PeerError(str(error), step="decode hello") from error
+
+
+def encoded_size(message: PeerMessage) -> int:
+    """Return the bytes that a message takes on a link."""
+    return len(serialize(to_wire(message), PROTOCOL))
+
+
+def encode_item(item: StoredItem) -> bytes:
+    """Return the bytes of a stored item."""
+    return serialize(_encode_item(item), PROTOCOL)
+
+
+def decode_item(data: bytes) -> StoredItem:
+    """Return the stored item of bytes.
+
+    Raises:
+        PeerError: the bytes are not a stored item.
+    """
+    try:
+        stored = deserialize(ttypes.StoredItem(), data, PROTOCOL)
+        return _decode_item(stored)
+    except _MALFORMED as error:
+        raise PeerError(str(error), step="decode record") from error
--- /dev/null
+++ b/packages/wire/src/wasabitray_wire/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
--- /dev/null
+++ b/tests/features/environment.py
@@ -0,0 +1,30 @@
+"""Sets up and takes down the fleet of each scenario."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent.parent
+sys.path[:0] = [str(ROOT / "examples"), str(ROOT / "tests")]
+
+
+def before_scenario(context, scenario):
+    context.folder = Path(tempfile.mkdtemp(prefix="wasabitray-"))
+    context.fleet = None
+    context.proxy = None
+
+
+def after_scenario(context, scenario):
+    if context.fleet is not None:
+        context.fleet.shut_down()
+    if context.proxy is not None:
+        context.proxy.stop()
+    if scenario.status == "failed":
+        print(f"logs are in {context.folder}")
+    else:
+        shutil.rmtree(context.folder, ignore_errors=True)
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes and helpers that tests share."""
--- /dev/null
+++ b/tests/wire/test_codec.py
@@ -0,0 +1,82 @@
+"""Every message survives its encoding."""
+
+import typing
+
+import pytest
+
+from wasabitray_core import messages as m
+from wasabitray_core.errors import PeerError
+from wasabitray_core.states import EjectionPhase, HostFlag, TargetPhase
+from wasabitray_wire import decode_item, encode_item, from_wire, to_wire
+from wasabitray_wire.convert import snake_case
+from wasabitray_wire.gen import ttypes
+
+CHANGE = m.Change(
+    "id-1",
+    3,
+    "ann",
+    "now",
+    (m.DocumentEdit("a", "{}"), m.DocumentEdit("b", None)),
+)
+MEMBERS = m.Members((m.Member("c1.0", "c1"),), (m.Member("c2.x", "c2"),))
+SNAPSHOT = m.Snapshot(
+    5,
+    2,
+    MEMBERS,
+    4,
+    {"fleet": "{}"},
+    (m.AnsweredChange("id-1", "digest", 4),),
+    (m.CommittedChange(4, CHANGE),),
+)
+
+MESSAGES = [
+    m.Gossip(
+        (m.HostStatus("e1", 9, 3, HostFlag.SERVING | HostFlag.LEAVING),),
+        (
+            m.Announcement(
+                "127.0.0.1:1", "rota", "s", "s-a", 2, 1, 2,
+                TargetPhase.LEAVING, 3.0,
+            ),
+        ),
+        (m.Ejection("t", "rota", 4, EjectionPhase.EJECTED, 10.0, "why"),),
+        (m.Quarantine("f", 5.0, ("t1", "t2")),),
+    ),
+    m.ConfigPush((m.CommittedChange(4, CHANGE),)),
+    m.ConfigState(4, {"fleet": "{}"}),
+    m.AppendRequest(
+        2, "c1.0", 4, 1,
+        (
+            m.LogRecord(5, 2, m.Noop()),
+            m.LogRecord(6, 2, CHANGE),
+            m.LogRecord(7, 2, MEMBERS),
+        ),
+        5,
+    ),
+    m.InstallSnapshot(2, "c1.0", SNAPSHOT),
+    m.VoteRequest(2, "c1.0", 4, 1, True, False),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda x: type(x).__name__)
+def test_message_survives(message):
+    assert from_wire(to_wire(message)) == message
+
+
+@pytest.mark.parametrize("item", [m.Ballot(3, "c1.0"), SNAPSHOT])
+def test_stored_item_survives(item):
+    assert decode_item(encode_item(item)) == item
+
+
+@pytest.mark.parametrize("kind", typing.get_args(m.PeerMessage))
+def test_schema_has_every_message_and_field(kind):
+    struct = getattr(ttypes, kind.__name__)
+    names = [spec[2].rstrip("_") for spec in struct.thrift_spec if spec]
+    assert names == list(kind.__dataclass_fields__)
+    assert hasattr(ttypes.PeerMessage(), snake_case(kind.__name__))
+
+
+def test_damaged_bytes_are_refused():
+    data = encode_item(SNAPSHOT)
+    for cut in range(len(data) - 1):
+        with pytest.raises(PeerError):
+            decode_item(data[:cut])
