Prove the configuration's promises with real processes under faults

Cause: the promises on configuration were proved in one process only.

Ruled out: the disk as the reason for half a second a change. An accepted change waits for a majority of the entries, whose word came with the next round of gossip and was looked at with the round after that.

Change: an entry tells the leader at once that a revision is in force, and a host looks at once at news of a revision. Nine scenarios with kills, a frozen and thawed leader, one-way cuts, an isolated entry, all control hosts gone, a lost disk with a second loss, a damaged and a torn log, and a race of 8 operators. Work under a claim must start within half the retention, so that an entry frozen for longer does not run it after the claim expired.

--- a/packages/core/src/wasabitray_core/controllers/configuration.py
+++ b/packages/core/src/wasabitray_core/controllers/configuration.py
@@ -96,6 +96,7 @@
             OrderedDict()
         )
         self._floors: dict[ServiceName, int] = {}
+        self._retention_s = 0.0
         self._access = _Access()
         self._caught_up_at: Seconds | None = None
         self._peers: tuple[HostId, ...] = ()
@@ -214,6 +215,7 @@
         self._floors = self._collect_floors()
         raw = self._documents.get(FLEET_KEY)
         fleet = Fleet.model_validate_json(raw) if raw else None
+        self._retention_s = fleet.claim_retention_s if fleet else 0.0
         in_force = InForce(self._revision, fleet)
         self._outbox.tell(ControllerName.MEMBERSHIP, in_force)
         for controller in self._audience:
@@ -265,7 +267,9 @@
                 RefusalReason.UNKNOWN_ROUTE,
                 f"{ask.organisation} has no route {ask.method} {ask.path}",
             )
-        return Resolved(self._revision, filled.ok_value, route)
+        return Resolved(
+            self._revision, filled.ok_value, route, self._retention_s
+        )
 
     def _is_current(self) -> bool:
         """Tell whether this host had the newest revision a moment ago."""
--- a/packages/core/src/wasabitray_core/controllers/membership.py
+++ b/packages/core/src/wasabitray_core/controllers/membership.py
@@ -126,11 +126,14 @@
     def _(self, message: Gossip, origin: Origin) -> None:
         sender = origin.peer
         assert sender is not None
+        news = False
         for status in message.statuses:
             if status.host == self.host:
                 self._note_heard_back(sender, status.counter)
             else:
-                self._note_status(status)
+                news = self._note_status(status) or news
+        if news:
+            self._publish()
         self._pass_on(message)
         self._pull_if_behind(sender)
 
@@ -157,6 +160,8 @@
         if message.fleet is not None:
             hosts = (HostId(e.host) for e in message.fleet.entries)
             self._entries = frozenset(hosts)
+        self._counter += 1
+        self._acknowledge()
         self._publish()
 
     @receive.register
@@ -181,13 +186,18 @@
 
     # Heartbeats
 
-    def _note_status(self, status: HostStatus) -> None:
+    def _note_status(self, status: HostStatus) -> bool:
+        """Take a newer heartbeat; tell whether it says more than "alive"."""
         known = self._peers.get(status.host)
         if known is None:
             self._peers[status.host] = _Peer(status, self._now())
-        elif status.counter > known.status.counter:
-            known.status = status
-            known.advanced = self._now()
+            return True
+        old = known.status
+        if status.counter <= old.counter:
+            return False
+        known.status = status
+        known.advanced = self._now()
+        return (status.revision, status.flags) != (old.revision, old.flags)
 
     def _note_heard_back(self, sender: HostId, counter: int) -> None:
         """Record that a peer has heard this host's heartbeat."""
@@ -228,13 +238,24 @@
             entry.rounds -= 1
         self._news = {k: n for k, n in self._news.items() if n.rounds > 0}
 
+    def _acknowledge(self) -> None:
+        """Tell the leader at once, which waits for a majority of entries."""
+        acknowledgement = Gossip((self._own_status(),))
+        for host, peer in self._peers.items():
+            if peer.status.flags & HostFlag.LEADER:
+                self._outbox.send(host, acknowledgement)
+
+    def _own_status(self) -> HostStatus:
+        return HostStatus(
+            self.host, self._counter, self._revision, self._flags
+        )
+
     def _statuses(self) -> tuple[HostStatus, ...]:
-        own = HostStatus(self.host, self._counter, self._revision, self._flags)
         oldest = self._now() - CONTACT_TIMEOUT_S
         fresh = (
             p.status for p in self._peers.values() if p.advanced >= oldest
         )
-        return (own, *fresh)
+        return (self._own_status(), *fresh)
 
     def _choose_peers(self) -> list[HostId]:
         known = sorted(set(self._peers) | set(self._seeds) | self._entries)
--- a/packages/core/src/wasabitray_core/filters/claim.py
+++ b/packages/core/src/wasabitray_core/filters/claim.py
@@ -24,6 +24,8 @@
 CLAIM_TIMEOUT_S = 1.0
 # Longer than any retention: the groups cut it down to theirs.
 CLAIM_TTL_S = 86_400.0
+# Work starts within this part of the retention or not at all.
+CLAIM_USE_SHARE = 0.5
 
 
 class ClaimFilter(Filter):
@@ -56,7 +58,10 @@
             )
         key = ClaimKey(f"request/{request.organisation}/{request.key}")
         claim = self._new_claim()
-        remaining = max(0.0, exchange.deadline - self._clock())
+        now = self._clock()
+        start_within = CLAIM_USE_SHARE * exchange.claim_retention_s
+        exchange.start_by = Seconds(now + start_within)
+        remaining = max(0.0, exchange.deadline - now)
         timeout = min(CLAIM_TIMEOUT_S, remaining)
         ask = AcquireClaim(key, claim, CLAIM_TTL_S, timeout)
         verdict = yield AskController(ControllerName.CLAIMS, ask)
--- a/packages/core/src/wasabitray_core/filters/routing.py
+++ b/packages/core/src/wasabitray_core/filters/routing.py
@@ -37,6 +37,7 @@
         exchange.revision = found.revision
         exchange.filled = found.filled
         exchange.route = found.route
+        exchange.claim_retention_s = found.claim_retention_s
         return (yield from proceed(exchange))
 
 
--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -41,6 +41,7 @@
 ATTEMPT_SHARE = 0.5
 
 _DISPATCH = ControllerName.DISPATCH
+_NOT_SENT = AttemptResult(AttemptStatus.CANCELLED)
 STATUS_OF_REASON = {
     RefusalReason.NO_TARGET: 503,
     RefusalReason.OVERLOAD: 503,
@@ -86,6 +87,11 @@
         if not isinstance(granted, Grant):
             return _refuse(exchange, granted)
         target = granted.target
+        if self._clock() >= min(exchange.deadline, exchange.start_by):
+            # This process may have been frozen while it waited.
+            yield self._release(exchange, target, _NOT_SENT)
+            refusal = Refusal(RefusalReason.DEADLINE)
+            return _refuse(exchange, refusal)
         exchange.attempts += 1
         exchange.tried.append(target.target)
         # A reused connection can be dead already, and a request lost on it
@@ -148,6 +154,20 @@
             return exchange.refuse(RefusalReason.TARGET_FAILED, 502, detail)
         return exchange.refuse(RefusalReason.TARGET_FAILED, 503, detail, 1.0)
 
+    @staticmethod
+    def _release(
+        exchange: Exchange, target: Target, result: AttemptResult
+    ) -> TellController:
+        release = Release(
+            exchange.service,
+            target.target,
+            exchange.matched.work,
+            result.status,
+            result.elapsed,
+            result.load,
+        )
+        return TellController(_DISPATCH, release)
+
     def _report(
         self,
         exchange: Exchange,
@@ -155,17 +175,7 @@
         result: AttemptResult,
         good: bool,
     ) -> Generator[Effect, Any, None]:
-        release = TellController(
-            _DISPATCH,
-            Release(
-                exchange.service,
-                target.target,
-                exchange.matched.work,
-                result.status,
-                result.elapsed,
-                result.load,
-            ),
-        )
+        release = self._release(exchange, target, result)
         streaming = good and result.answer and result.answer.chunks
         yield AtEnd(release) if streaming else release
         if result.status is AttemptStatus.FAILED:
--- a/packages/core/src/wasabitray_core/local.py
+++ b/packages/core/src/wasabitray_core/local.py
@@ -77,11 +77,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Resolved:
-    """A request's route, and the configuration it comes from."""
+    """A request's route, and the configuration it comes from.
+
+    Attributes:
+        claim_retention_s: how long a claim made now is kept.
+    """
 
     revision: Revision
     filled: FilledTemplate
     route: Route
+    claim_retention_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/requests.py
+++ b/packages/core/src/wasabitray_core/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Generator, Iterator
 from dataclasses import dataclass, field
 
@@ -128,6 +129,8 @@
         ran: whether a target can have started the work.
         tried: targets already used, newest last.
         pinned: the target of a reserved long slot.
+        start_by: monotonic time after which work must not start, because
+            its claim may expire while it runs.
     """
 
     request: Request
@@ -137,11 +140,13 @@
     revision: Revision = Revision(0)
     filled: FilledTemplate | None = None
     route: Route | None = None
+    claim_retention_s: float = 0.0
     fingerprint: Fingerprint = Fingerprint("")
     ran: bool = False
     attempts: int = 0
     tried: list[TargetId] = field(default_factory=list)
     pinned: TargetId | None = None
+    start_by: Seconds = Seconds(math.inf)
 
     @property
     def matched(self) -> Route:
--- a/tests/core/controllers/test_claims.py
+++ b/tests/core/controllers/test_claims.py
@@ -4,8 +4,8 @@
 import random
 
 import pytest
-
 from support.fakes import FakeClock, FakeOutbox
+
 from wasabitray_core.controllers.claims import ClaimsController
 from wasabitray_core.controllers.controller import Ask, Context, Origin
 from wasabitray_core.controllers.grants import GrantsController
@@ -20,7 +20,6 @@
 )
 from wasabitray_core.messages import (
     ClaimRelease,
-    ClaimReply,
     ClaimRequest,
     RecallChallenge,
     RecallConfirm,
--- a/tests/core/controllers/test_grants.py
+++ b/tests/core/controllers/test_grants.py
@@ -2,6 +2,7 @@
 
 from core.controllers.test_claims import RETENTION_S, make_fleet
 from support.fakes import Bed
+
 from wasabitray_core.controllers.claims import ClaimsController
 from wasabitray_core.controllers.grants import AMBIGUOUS, GrantsController
 from wasabitray_core.local import AcquireClaim, ClaimVerdict, InForce
--- /dev/null
+++ b/tests/features/configuration.feature
@@ -0,0 +1,76 @@
+Feature: Accepted configuration never reverts and is in force everywhere
+
+  Scenario: The leader is killed and a lost answer is asked for again
+    Given a fleet of 3 control hosts and 3 entries
+    When change first is proposed
+    And the leader is killed
+    And change first is proposed again
+    Then both answers name the same revision
+    When change second is proposed
+    Then the newest revision is in force on every entry within 3 s
+
+  Scenario: Two operators race with the same number
+    Given a fleet of 3 control hosts and 1 entries
+    When 8 operators propose against the same revision at once
+    Then exactly one is accepted and the others get a conflict
+
+  Scenario: An old leader is frozen and thawed
+    Given a fleet of 3 control hosts and 3 entries
+    When change first is proposed
+    And the leader is frozen
+    And change second is proposed
+    And the frozen host is thawed
+    Then the newest revision is in force on every entry within 3 s
+    And change third proposed to the thawed host does not revert anything
+
+  Scenario: An entry hears nothing of the control hosts, only of its peers
+    Given a proxied fleet of 3 control hosts and 3 entries
+    When what the control hosts send to e3 is lost
+    And change first is proposed
+    Then the newest revision is in force on every entry within 3 s
+
+  Scenario: An entry cut off from everyone refuses, and comes back
+    Given a proxied fleet of 3 control hosts and 3 entries
+    And a target of service rota
+    And the example declarations are in force
+    When e3 is cut off from all others
+    Then e3 refuses with 503 isolated within 6 s
+    When change later is proposed
+    And all cuts are healed
+    Then the newest revision is in force on every entry within 6 s
+
+  Scenario: All control hosts are gone
+    Given a fleet of 3 control hosts and 3 entries
+    And a target of service rota
+    And the example declarations are in force
+    When all control hosts are killed
+    And 5 s pass
+    Then GET /rota/hobart for hobart is answered by the target
+    When e2 is killed and started again
+    Then the newest revision is in force on every entry within 10 s
+    And an address answer lists 3 entries with a time to live
+
+  Scenario: A disk is lost, and a second host right after the repair
+    Given a fleet of 3 control hosts and 1 entries
+    When change first is proposed
+    And a follower loses its disk and is started again
+    Then it is a voter under a new name within 10 s
+    When the leader is killed
+    And change second is proposed
+    Then the newest revision is in force on every entry within 3 s
+    And the history holds first and second
+
+  Scenario: A log is damaged in its middle
+    Given a fleet of 3 control hosts and 1 entries
+    When 20 changes are proposed
+    And a follower's log is damaged in its middle and it is started again
+    Then it is a voter under a new name within 10 s
+    And it knows the newest revision
+
+  Scenario: All control hosts restart after hundreds of changes
+    Given a fleet of 3 control hosts and 1 entries
+    When 300 changes are proposed
+    And all control hosts are killed
+    And a follower's log gets a torn tail
+    And all control hosts are started again
+    Then every control host knows the newest revision within 10 s
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 from fleet import LocalFleet, call, wait_for
+from support.fault_proxy import FaultProxy
 
 HEADER = "Wasabitray-Organisation"
 SERVED_WITHIN_S = 10
@@ -28,14 +29,18 @@
 
 
 @given("a fleet of {controls:d} control hosts and {entries:d} entries")
-def start_fleet(context, controls, entries):
+def start_fleet(context, controls, entries, proxied=False):
     context.fleet = LocalFleet(
-        context.folder, controls=controls, entries=entries
+        context.folder, controls=controls, entries=entries, proxied=proxied
     )
+    if proxied:
+        context.proxy = FaultProxy(context.fleet)
     context.fleet.start()
+    context.down, context.changes = set(), {}
+    context.newest, context.table_written = 0, False
 
 
-@given("a target of service {service}")
+@given("a target of service {service:w}")
 def start_target(context, service):
     name = f"t{len(context.fleet.targets) + 1}"
     context.fleet.start_target(name, service)
