--- a/examples/target.py
+++ b/examples/target.py
@@ -18,7 +18,7 @@
 import time
 
 import gevent
-from gevent.pywsgi import WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer
 from geventhttpclient import HTTPClient
 
 LEASE_S = 3.0
@@ -38,6 +38,7 @@
         broken_data: answer without the fields that callers need.
         cut_body: end the answer's body early.
         answer_bytes: extra bytes in each answer.
+        poison: path of the requests whose connection is cut.
     """
 
     delay_s: float = 0.0
@@ -48,6 +49,15 @@
     broken_data: bool = False
     cut_body: bool = False
     answer_bytes: int = 0
+    poison: str = ""
+
+
+class SocketHandler(WSGIHandler):
+    """Shows the application its socket, to cut it on purpose."""
+
+    def get_environ(self):
+        """Return the environment of one request."""
+        return {**super().get_environ(), "wasabitray.socket": self.socket}
 
 
 class NoDelayServer(WSGIServer):
@@ -68,6 +78,7 @@
         self.behaviour = Behaviour()
         self.busy = 0
         self.runs: dict[str, int] = {}
+        self.poisoned = 0
         self.sequence = 0
         self.generation = time.time_ns() // 1_000_000
         self.leaving = False
@@ -137,8 +148,10 @@
                 gevent.sleep(3_600)
         finally:
             self.busy -= 1
-        if random.random() < behaviour.break_share:
-            environ["wsgi.input"].socket.close()
+        poisoned = environ["PATH_INFO"] == behaviour.poison
+        self.poisoned += poisoned
+        if poisoned or random.random() < behaviour.break_share:
+            environ["wasabitray.socket"].shutdown(socket.SHUT_RDWR)
             raise ConnectionError("cut on purpose")
         if random.random() < behaviour.fail_share:
             start_response("500 Failed", self.load())
@@ -182,7 +195,11 @@
             fields = json.loads(environ["wsgi.input"].read())
             self.behaviour = dataclasses.replace(self.behaviour, **fields)
         start_response("200 OK", [("Content-Type", "application/json")])
-        shown = {**dataclasses.asdict(self.behaviour), "runs": self.runs}
+        shown = {
+            **dataclasses.asdict(self.behaviour),
+            "runs": self.runs,
+            "poisoned": self.poisoned,
+        }
         return [json.dumps(shown).encode()]
 
 
@@ -199,7 +216,13 @@
     arguments = parser.parse_args()
     target = Target(arguments)
     host, _, port = arguments.address.rpartition(":")
-    server = NoDelayServer((host, int(port)), target.serve, log=None)
+    server = NoDelayServer(
+        (host, int(port)),
+        target.serve,
+        log=None,
+        error_log=None,
+        handler_class=SocketHandler,
+    )
     gevent.signal_handler(signal.SIGTERM, gevent.spawn, target.leave)
     gevent.spawn(target.announce)
     server.serve_forever()
--- a/packages/core/src/wasabitray_core/controllers/membership.py
+++ b/packages/core/src/wasabitray_core/controllers/membership.py
@@ -326,7 +326,7 @@
     """Tell whether news should not wait for the next round of gossip."""
     if isinstance(item, Announcement):
         return item.phase is TargetPhase.LEAVING
-    return isinstance(item, Ejection)
+    return isinstance(item, Ejection | Quarantine)
 
 
 def _subject(item: Announcement | Ejection | Quarantine) -> str:
--- a/packages/core/src/wasabitray_core/controllers/quarantine.py
+++ b/packages/core/src/wasabitray_core/controllers/quarantine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
@@ -25,21 +26,39 @@
 from wasabitray_core.messages import Quarantine
 
 BREAKS_TO_QUARANTINE = 3
-QUARANTINE_S = 600.0
+QUARANTINE_FIRST_S = 30.0
+QUARANTINE_MAX_S = 600.0
 SUSPICION_S = 120.0
 MAX_SUSPECTS = 4_096
 
-_NO_SUSPICION: tuple[frozenset[TargetId], Seconds] = (
-    frozenset(),
-    Seconds(0.0),
-)
+
+@dataclass(slots=True)
+class _Suspect:
+    """A request that broke targets.
+
+    Attributes:
+        blocked_until: no attempt is made until then.
+        block_s: how long the next block lasts.
+        forget_at: when the suspicion ends without another break.
+    """
+
+    targets: frozenset[TargetId]
+    blocked_until: Seconds
+    block_s: float
+    forget_at: Seconds
+
+    @property
+    def quarantined(self) -> bool:
+        return len(self.targets) >= BREAKS_TO_QUARANTINE
 
 
 class QuarantineController(Controller):
     """Owns fingerprints of requests that broke several targets.
 
     Suspicions are shared between entries, since the caller's resend can
-    reach another entry each time.
+    reach another entry each time. After a block one attempt is let through;
+    the block doubles if that breaks a target too, and ends if it does not,
+    so that a failure of the targets is not held against requests for long.
     """
 
     name: ClassVar[ControllerName] = ControllerName.QUARANTINE
@@ -48,9 +67,7 @@
     def __init__(self, context: Context) -> None:
         """Start without any suspect."""
         super().__init__(context)
-        self._suspects: OrderedDict[
-            Fingerprint, tuple[frozenset[TargetId], Seconds]
-        ] = OrderedDict()
+        self._suspects: OrderedDict[Fingerprint, _Suspect] = OrderedDict()
         self._cleared: OrderedDict[Fingerprint, frozenset[TargetId]] = (
             OrderedDict()
         )
@@ -63,72 +80,91 @@
     @receive.register
     def _(self, message: Tick, origin: Origin) -> None:
         now = self._now()
-        for fingerprint, (_, until) in list(self._suspects.items()):
-            if until < now:
+        for fingerprint, suspect in list(self._suspects.items()):
+            if suspect.forget_at < now:
                 del self._suspects[fingerprint]
 
     @receive.register
     def _(self, message: CheckQuarantine, origin: Origin) -> None:
-        targets, _ = self._suspects.get(message.fingerprint, _NO_SUSPICION)
-        if len(targets) >= BREAKS_TO_QUARANTINE:
+        suspect = self._suspects.get(message.fingerprint)
+        if suspect is None:
+            self._reply(origin, Suspicion.NONE)
+        elif suspect.quarantined and self._now() < suspect.blocked_until:
             self._reply(origin, Suspicion.QUARANTINED)
         else:
-            suspect = Suspicion.SUSPECT if targets else Suspicion.NONE
-            self._reply(origin, suspect)
+            if suspect.quarantined:
+                self._block(suspect)  # this is the one attempt let through
+            self._reply(origin, Suspicion.SUSPECT)
 
     @receive.register
     def _(self, message: ClearSuspicion, origin: Origin) -> None:
-        targets, _ = self._suspects.pop(message.fingerprint, _NO_SUSPICION)
-        if targets:
+        suspect = self._suspects.pop(message.fingerprint, None)
+        if suspect is not None:
             # Gossip still repeats these breaks; they no longer count.
-            self._cleared[message.fingerprint] = frozenset(targets)
+            self._cleared[message.fingerprint] = suspect.targets
             if len(self._cleared) > MAX_SUSPECTS:
                 self._cleared.popitem(last=False)
 
     @receive.register
     def _(self, message: ReportBreak, origin: Origin) -> None:
-        targets = frozenset({message.target})
-        self._merge(message.fingerprint, targets, SUSPICION_S)
+        self._merge(message.fingerprint, frozenset({message.target}))
 
     @receive.register
     def _(self, message: Quarantine, origin: Origin) -> None:
-        targets = frozenset(message.targets)
-        self._merge(message.fingerprint, targets, message.duration_s)
+        self._merge(message.fingerprint, frozenset(message.targets))
 
     @receive.register
     def _(self, message: GetStatus, origin: Origin) -> None:
         self._reply(
             origin,
             [
-                {"fingerprint": f, "targets": sorted(targets)}
-                for f, (targets, _) in self._suspects.items()
-                if len(targets) >= BREAKS_TO_QUARANTINE
+                {"fingerprint": f, "targets": sorted(suspect.targets)}
+                for f, suspect in self._suspects.items()
+                if suspect.quarantined
             ],
         )
 
     def _merge(
-        self,
-        fingerprint: Fingerprint,
-        targets: frozenset[TargetId],
-        duration_s: float,
+        self, fingerprint: Fingerprint, targets: frozenset[TargetId]
     ) -> None:
-        known, until = self._suspects.get(fingerprint, _NO_SUSPICION)
-        merged = known | (
-            targets - self._cleared.get(fingerprint, frozenset())
-        )
-        if merged == known:
+        targets -= self._cleared.get(fingerprint, frozenset())
+        suspect = self._suspects.get(fingerprint)
+        known = suspect.targets if suspect else frozenset()
+        if targets <= known:
             return
-        if len(merged) >= BREAKS_TO_QUARANTINE:
-            duration_s = QUARANTINE_S
-        until = Seconds(max(until, self._now() + duration_s))
-        self._suspects[fingerprint] = (merged, until)
-        if len(self._suspects) > MAX_SUSPECTS:
-            self._suspects.popitem(last=False)
-        news = Quarantine(fingerprint, duration_s, tuple(sorted(merged)))
-        self._outbox.tell(ControllerName.MEMBERSHIP, Spread(news))
-        if len(known) < BREAKS_TO_QUARANTINE <= len(merged):
+        if suspect is None:
+            suspect = self._add(fingerprint)
+        was_quarantined = suspect.quarantined
+        suspect.targets = known | targets
+        suspect.forget_at = Seconds(
+            self._now() + SUSPICION_S + suspect.block_s
+        )
+        self._tell_others(fingerprint, suspect)
+        if suspect.quarantined and not was_quarantined:
+            self._block(suspect)
             self._outbox.report(
                 "request quarantined",
                 fingerprint=fingerprint,
-                targets=sorted(merged),
+                targets=sorted(suspect.targets),
             )
+
+    def _add(self, fingerprint: Fingerprint) -> _Suspect:
+        now = self._now()
+        suspect = _Suspect(frozenset(), now, QUARANTINE_FIRST_S, now)
+        self._suspects[fingerprint] = suspect
+        if len(self._suspects) > MAX_SUSPECTS:
+            self._suspects.popitem(last=False)
+        return suspect
+
+    def _block(self, suspect: _Suspect) -> None:
+        now = self._now()
+        suspect.blocked_until = Seconds(now + suspect.block_s)
+        suspect.block_s = min(QUARANTINE_MAX_S, 2 * suspect.block_s)
+        suspect.forget_at = Seconds(suspect.blocked_until + SUSPICION_S)
+
+    def _tell_others(
+        self, fingerprint: Fingerprint, suspect: _Suspect
+    ) -> None:
+        targets = tuple(sorted(suspect.targets))
+        news = Quarantine(fingerprint, targets)
+        self._outbox.tell(ControllerName.MEMBERSHIP, Spread(news))
--- a/packages/core/src/wasabitray_core/filters/quarantine.py
+++ b/packages/core/src/wasabitray_core/filters/quarantine.py
@@ -59,8 +59,9 @@
                 422,
                 "this request broke every target that ran it",
             )
+        exchange.suspect = suspicion is Suspicion.SUSPECT
         answer = yield from proceed(exchange)
-        if suspicion is Suspicion.SUSPECT and answer.refusal is None:
+        if exchange.suspect and answer.refusal is None:
             clear = ClearSuspicion(fingerprint)
             yield TellController(_QUARANTINE, clear)
         return answer
--- a/packages/core/src/wasabitray_core/filters/retry.py
+++ b/packages/core/src/wasabitray_core/filters/retry.py
@@ -10,6 +10,9 @@
 from wasabitray_core.states import Outcome, RefusalReason
 
 MAX_ATTEMPTS = 3
+# A request that breaks targets may be the cause: it is not spread further.
+MAX_BREAKS = 2
+MAX_BREAKS_IF_SUSPECT = 1
 RETRIED_REASONS = frozenset(
     {RefusalReason.TARGET_FAILED, RefusalReason.BAD_ANSWER}
 )
@@ -44,7 +47,7 @@
     def _may_retry(self, exchange: Exchange, answer: Answer) -> bool:
         if answer.refusal not in RETRIED_REASONS and answer.fault is None:
             return False
-        if exchange.attempts >= MAX_ATTEMPTS:
+        if exchange.attempts >= MAX_ATTEMPTS or _breaks_targets(exchange):
             return False
         if self._clock() >= exchange.deadline:
             return False
@@ -53,3 +56,8 @@
         if answer.outcome is Outcome.NOT_RUN and not exchange.ran:
             return True
         return exchange.matched.idempotent
+
+
+def _breaks_targets(exchange: Exchange) -> bool:
+    limit = MAX_BREAKS_IF_SUSPECT if exchange.suspect else MAX_BREAKS
+    return exchange.breaks >= limit
--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -180,6 +180,7 @@
         yield AtEnd(release) if streaming else release
         if result.status is AttemptStatus.FAILED:
             # A break is evidence against the request as well.
+            exchange.breaks += 1
             broke = ReportBreak(exchange.fingerprint, target.target)
             yield TellController(ControllerName.QUARANTINE, broke)
         if _speaks_for_target(result):
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -105,10 +105,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Quarantine:
-    """A request that broke several targets and is not sent again."""
+    """A request and the targets that broke while they had it."""
 
     fingerprint: Fingerprint
-    duration_s: float
     targets: tuple[TargetId, ...]
 
 
--- a/packages/core/src/wasabitray_core/requests.py
+++ b/packages/core/src/wasabitray_core/requests.py
@@ -129,6 +129,8 @@
         ran: whether a target can have started the work.
         tried: targets already used, newest last.
         pinned: the target of a reserved long slot.
+        suspect: whether the request broke targets before.
+        breaks: targets that it broke this time.
         start_by: monotonic time after which work must not start, because
             its claim may expire while it runs.
     """
@@ -146,6 +148,8 @@
     attempts: int = 0
     tried: list[TargetId] = field(default_factory=list)
     pinned: TargetId | None = None
+    suspect: bool = False
+    breaks: int = 0
     start_by: Seconds = Seconds(math.inf)
 
     @property
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -206,6 +206,8 @@
             status = AttemptStatus.STALE_CONNECTION
         elif timed_out:
             status = AttemptStatus.TIMED_OUT
+        elif exchange.answer_began:
+            status = AttemptStatus.TRUNCATED
         else:
             status = AttemptStatus.FAILED
         return AttemptResult(status, detail=detail)
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -15,7 +15,7 @@
   1: string target, 2: string service_, 3: i64 version, 4: i32 phase,
   5: double duration_s, 6: string evidence
 }
-struct Quarantine { 1: string fingerprint, 2: double duration_s, 3: list<string> targets }
+struct Quarantine { 1: string fingerprint, 2: list<string> targets }
 struct Gossip {
   1: list<HostStatus> statuses, 2: list<Announcement> announcements,
   3: list<Ejection> ejections, 4: list<Quarantine> quarantines
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -446,15 +446,13 @@
     """
     Attributes:
      - fingerprint
-     - duration_s
      - targets
 
     """
 
 
-    def __init__(self, fingerprint=None, duration_s=None, targets=None,):
+    def __init__(self, fingerprint=None, targets=None,):
         self.fingerprint = fingerprint
-        self.duration_s = duration_s
         self.targets = targets
 
     def read(self, iprot):
@@ -472,11 +470,6 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.DOUBLE:
-                    self.duration_s = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
                 if ftype == TType.LIST:
                     self.targets = []
                     (_etype3, _size0) = iprot.readListBegin()
@@ -500,12 +493,8 @@
             oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
             oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
             oprot.writeFieldEnd()
-        if self.duration_s is not None:
-            oprot.writeFieldBegin('duration_s', TType.DOUBLE, 2)
-            oprot.writeDouble(self.duration_s)
-            oprot.writeFieldEnd()
         if self.targets is not None:
-            oprot.writeFieldBegin('targets', TType.LIST, 3)
+            oprot.writeFieldBegin('targets', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.targets))
             for iter6 in self.targets:
                 oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
@@ -3949,8 +3938,7 @@
 Quarantine.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
-    (2, TType.DOUBLE, 'duration_s', None, None, ),  # 2
-    (3, TType.LIST, 'targets', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (2, TType.LIST, 'targets', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -20,6 +20,8 @@
 
 
 def after_scenario(context, scenario):
+    for job in getattr(context, "load", ()):
+        job.kill()
     if context.fleet is not None:
         context.fleet.shut_down()
     if context.proxy is not None:
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -38,6 +38,7 @@
     context.fleet.start()
     context.down, context.changes = set(), {}
     context.newest, context.table_written = 0, False
+    context.services, context.load = {}, []
 
 
 @given("a target of service {service:w}")
--- /dev/null
+++ b/tests/features/targets.feature
@@ -0,0 +1,39 @@
+Feature: Targets that leave, fail grayly or are broken by a request
+
+  Scenario: A leaving target gets no new work, told to one entry only
+    Given a proxied fleet of 3 control hosts and 3 entries
+    And 3 targets of service rota announcing to e1 only
+    And the example declarations are in force
+    When what e1 sends to e2 is lost
+    And a rota target says that it leaves
+    Then no entry sends it work from 5 s on
+    And every entry serves rota
+
+  Scenario: Gray targets are ejected down to the floor and come back
+    Given a fleet of 3 control hosts and 3 entries
+    And 6 targets of service rota
+    And the example declarations are in force
+    When one rota target fails 40 percent of its work
+    And callers send work to all entries
+    Then it is ejected within 20 s and no other target is
+    When every rota target works again
+    And callers send work to all entries
+    Then it is back within 40 s
+
+  Scenario: A failure of most targets at once ejects none
+    Given a fleet of 3 control hosts and 3 entries
+    And 6 targets of service rota
+    And the example declarations are in force
+    When every rota target fails 60 percent of its work
+    And callers send work to all entries
+    Then within 6 s no target is ejected
+
+  Scenario: A request that breaks its targets is stopped and blames none
+    Given a fleet of 3 control hosts and 3 entries
+    And 6 targets of service rota
+    And the example declarations are in force
+    When every rota target breaks requests for /rota/hobart/poison
+    And a caller sends GET /rota/hobart/poison 12 times to all entries
+    Then at most 6 attempts reached targets
+    And it is refused with 422 quarantined at every entry
+    And within 1 s no target is ejected
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -39,7 +39,7 @@
             ),
         ),
         (m.Ejection("t", "rota", 4, EjectionPhase.EJECTED, 10.0, "why"),),
-        (m.Quarantine("f", 5.0, ("t1", "t2")),),
+        (m.Quarantine("f", ("t1", "t2")),),
     ),
     m.ConfigPush((m.CommittedChange(4, CHANGE),)),
     m.ConfigState(4, {"fleet": "{}"}),
