--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,282 @@
+"""Measures the request policies against simple baselines, one seed a run.
+
+Prints tables and writes bench/results/policies.json; --plot draws the
+crest. Figures are simulated time, so the machine's speed does not matter.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import numpy
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from baselines import BASELINES
+from world import SHORT_S, Entry, World, make_exchange
+
+from wasabitray_core.controllers import detector
+from wasabitray_core.states import EjectionPhase, WorkClass
+
+RESULTS = Path(__file__).parent / "results"
+POLICIES: dict[str, Any] = {"wasabitray": Entry, **BASELINES}
+DEADLINE_S = 2.0
+RESEND_S = 1.0
+MAX_SENDS = 3
+
+FAULTS = {
+    "fails all": {"fail_share": 1.0},
+    "fails 30%": {"fail_share": 0.3},
+    "5 times slower": {"slow_factor": 5.0},
+    "fails 60%, flaps each 1 s": {"fail_share": 0.6, "flap_s": 1.0},
+    "fails 60%, flaps each 5 s": {"fail_share": 0.6, "flap_s": 5.0},
+    "fails all, flaps each 30 s": {"fail_share": 1.0, "flap_s": 30.0},
+}
+
+
+class Load:
+    """Callers who send at a rate and resend what was refused."""
+
+    def __init__(self, world: World, rate, work=WorkClass.SHORT) -> None:
+        """Take a function from time to requests a second."""
+        self.world = world
+        self.rate = rate
+        self.work = work
+        self.entries = list(world.entries.values())
+        self.times: list[tuple[float, float]] = []
+        self.good = self.sent = 0
+        self.good_at: list[float] = []
+        self.schedule()
+
+    def schedule(self) -> None:
+        """Plan the next arrival."""
+        rate = self.rate(self.world.clock.now)
+        if rate > 0:
+            wait = self.world.random.expovariate(rate)
+            self.world.clock.at(wait, self.arrive)
+        else:
+            self.world.clock.at(0.1, self.schedule)
+
+    def arrive(self) -> None:
+        """Send one request to a random entry."""
+        self.schedule()
+        self.send(self.world.clock.now, 1)
+
+    def send(self, first: float, sends: int) -> None:
+        """Send, and again later when it was refused."""
+        self.sent += 1
+        exchange = make_exchange(self.world, self.work)
+        started = self.world.clock.now
+
+        def done(answer) -> None:
+            now = self.world.clock.now
+            if answer.status == 200 and now - started <= DEADLINE_S:
+                self.good += 1
+                self.good_at.append(now)
+                self.times.append((first, now - started))
+            elif sends < MAX_SENDS and self.work is WorkClass.SHORT:
+                wait = max(RESEND_S, answer.retry_after or 0.0)
+                self.world.clock.at(wait, self.send, first, sends + 1)
+
+        self.world.random.choice(self.entries).submit(exchange, done)
+
+
+def capacity(world: World) -> float:
+    """Return short requests a second that all slots allow."""
+    slots = sum(t.target.slots for t in world.targets.values())
+    mean = SHORT_S * numpy.exp(0.3**2 / 2)
+    return slots / mean
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return a percentile, or NaN of nothing."""
+    return float(numpy.percentile(values, share)) if values else float("nan")
+
+
+def measure_detection(build, seed: int, fault: dict) -> float | None:
+    """Return seconds until a gray target gets no ordinary work."""
+    world = World(seed, build=build)
+    Load(world, lambda now: 0.5 * capacity(world))
+    start = world.clock.now + 10.0
+    world.clock.run_until(start)
+    name, target = next(iter(world.targets.items()))
+    for field, value in fault.items():
+        setattr(target, field, value)
+    for step in range(1, 61):
+        world.clock.run_until(start + step * 0.25)
+        if _is_out(world, name, start):
+            return step * 0.25
+    return None
+
+
+def _is_out(world: World, name: str, start: float) -> bool:
+    entries = list(world.entries.values())
+    if isinstance(entries[0], Entry):
+        return any(
+            event == "target ejection"
+            and facts["target"] == name
+            and facts["phase"] == EjectionPhase.EJECTED.name.lower()
+            for at, _, event, facts in world.reports
+            if at >= start
+        )
+    out = sum(e.out_until[name] > world.clock.now for e in entries)
+    return out >= 0.9 * len(entries)
+
+
+def measure_false_ejections(seed: int, hours: float) -> dict:
+    """Run the detector alone on ordinary noise.
+
+    Each instance brings 10 attempts a second, 1% of them bad, reported each
+    quarter of a second.
+    """
+    generator = numpy.random.default_rng(seed)
+    instances = 20_000
+    steps = int(hours * 3_600 / 0.25 / instances)
+    gain = numpy.log(0.2 / 0.02)
+    loss = numpy.log(0.8 / 0.98)
+    exact = detector.CumulativeSum()
+    exact.add(0, 1, 0.01)
+    assert abs(exact.score - gain) < 1e-9, "the bench repeats the detector"
+    scores = numpy.zeros(instances)
+    alarms = 0
+    for _ in range(steps):
+        attempts = generator.poisson(2.5, instances)
+        bad = generator.binomial(attempts, 0.01)
+        scores = numpy.maximum(
+            0, scores + bad * gain + (attempts - bad) * loss
+        )
+        over = scores >= detector.THRESHOLD
+        alarms += int(over.sum())
+        scores[over] = 0
+    simulated = steps * 0.25 * instances / 3_600
+    return {"instance_hours": simulated, "false_ejections": alarms}
+
+
+def measure_noise(build, seed: int) -> int:
+    """Return wrong ejections in 5 minutes of ordinary load."""
+    world = World(seed, build=build)
+    Load(world, lambda now: 0.5 * capacity(world))
+    world.clock.run_until(world.clock.now + 300.0)
+    events = ("target ejection", "local")
+    return sum(
+        1
+        for _, _, event, facts in world.reports
+        if event in events and facts.get("phase") in (None, "ejected")
+    )
+
+
+def measure_crest(build, seed: int) -> dict:
+    """Demand goes to 5 times within 2 s, for 20 s."""
+    world = World(seed, build=build)
+    base = 0.4 * capacity(world)
+    start = world.clock.now + 10.0
+
+    def rate(now: float) -> float:
+        rise = min(1.0, max(0.0, (now - start) / 2.0))
+        return base * (1.0 + 4.0 * rise) if now < start + 22.0 else base
+
+    load = Load(world, rate)
+    world.clock.run_until(start + 60.0)
+    crest = [t for t in load.good_at if start + 2 <= t < start + 22]
+    after = [t for t in load.good_at if start + 27 <= t < start + 57]
+    allowed = min(5 * base, capacity(world)) * 20.0
+    served = [d for at, d in load.times if start + 2 <= at < start + 22]
+    return {
+        "goodput_share": len(crest) / allowed,
+        "goodput_after": len(after) / (base * 30.0),
+        "p99_ms": percentile(served, 99) * 1_000,
+        "per_second": numpy.histogram(
+            load.good_at, bins=60, range=(start - 5, start + 55)
+        )[0].tolist(),
+    }
+
+
+def measure_long_work(build, seed: int) -> dict:
+    """Short work at 30% of the slots, with and without 30% long work."""
+    p99 = {}
+    for name, long_share in (("without", 0.0), ("with", 0.3)):
+        world = World(seed, build=build)
+        every = capacity(world)
+        short = Load(world, lambda now, e=every: 0.3 * e)
+        if long_share:
+            rate = long_share * every / 50
+            Load(world, lambda now, r=rate: r, WorkClass.LONG)
+        start = world.clock.now
+        world.clock.run_until(start + 120.0)
+        late = [d for at, d in short.times if at >= start + 20.0]
+        p99[name] = percentile(late, 99) * 1_000
+        p99[f"{name}_good"] = short.good / max(1, short.sent)
+    return {**p99, "ratio": p99["with"] / p99["without"]}
+
+
+def run(seed: int, parts: list[str]) -> dict[str, Any]:
+    """Run the chosen parts for every policy."""
+    results: dict[str, Any] = {"seed": seed}
+    for name, build in POLICIES.items():
+        row: dict[str, Any] = {}
+        if "detection" in parts:
+            row["detection_s"] = {
+                text: measure_detection(build, seed, fault)
+                for text, fault in FAULTS.items()
+            }
+        if "noise" in parts:
+            row["wrong_ejections_in_1_instance_hour"] = measure_noise(
+                build, seed
+            )
+        if "crest" in parts:
+            row["crest"] = measure_crest(build, seed)
+        if "long" in parts:
+            row["long_work"] = measure_long_work(build, seed)
+        results[name] = row
+        print(name, json.dumps(_without_series(row), indent=1), flush=True)
+    if "noise" in parts:
+        results["detector"] = measure_false_ejections(seed, 10_000.0)
+        print("detector", results["detector"], flush=True)
+    return results
+
+
+def _without_series(row: dict[str, Any]) -> dict[str, Any]:
+    shown = {k: dict(v) if isinstance(v, dict) else v for k, v in row.items()}
+    shown.get("crest", {}).pop("per_second", None)
+    return shown
+
+
+def plot(results: dict[str, Any]) -> None:
+    """Draw good answers a second around the crest."""
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots()
+    for name in POLICIES:
+        series = results[name]["crest"]["per_second"]
+        axes.plot(range(-5, 55), series, label=name)
+    axes.set_xlabel("seconds from the start of the crest")
+    axes.set_ylabel("good answers a second")
+    axes.legend()
+    figure.savefig(RESULTS / "crest.png")
+
+
+def main() -> None:
+    """Run and write the results."""
+    every = ["detection", "noise", "crest", "long"]
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--parts", nargs="+", choices=every, default=every)
+    parser.add_argument("--plot", action="store_true")
+    arguments = parser.parse_args()
+    started = time.monotonic()
+    results = run(arguments.seed, arguments.parts)
+    RESULTS.mkdir(exist_ok=True)
+    output = RESULTS / "policies.json"
+    output.write_text(json.dumps(results, indent=2))
+    if arguments.plot and "crest" in arguments.parts:
+        plot(results)
+    print(f"seed {arguments.seed}, {time.monotonic() - started:.0f} s")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/world.py
@@ -0,0 +1,449 @@
+"""Entries and fake targets in one process, on a clock of their own.
+
+The entries are the real filter chain and controllers of the core; targets,
+network and callers are small fakes driven by one queue of events.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from wasabitray_core.controllers.claims import ClaimsController
+from wasabitray_core.controllers.controller import Ask, Context, Origin
+from wasabitray_core.controllers.dispatch import (
+    PUMP_INTERVAL_S,
+    DispatchController,
+)
+from wasabitray_core.controllers.grants import GrantsController
+from wasabitray_core.controllers.health import HealthController
+from wasabitray_core.controllers.long_slots import LongSlotsController
+from wasabitray_core.controllers.quarantine import QuarantineController
+from wasabitray_core.controllers.targets import TargetsController
+from wasabitray_core.documents import (
+    EntryHost,
+    FilledTemplate,
+    Fleet,
+    Route,
+    ServicePolicy,
+)
+from wasabitray_core.filters import build_chain
+from wasabitray_core.filters.chain import (
+    AskController,
+    AtEnd,
+    Attempt,
+    Effect,
+    TellController,
+)
+from wasabitray_core.ids import ClaimId, HostId, Revision, Seconds, TargetId
+from wasabitray_core.local import (
+    ControllerName,
+    FleetView,
+    HostView,
+    InForce,
+    Resolved,
+    ServiceLimits,
+    Spread,
+    Tick,
+)
+from wasabitray_core.messages import Announcement
+from wasabitray_core.requests import (
+    Answer,
+    AttemptResult,
+    Exchange,
+    LoadReport,
+    Request,
+    Target,
+)
+from wasabitray_core.states import (
+    AttemptStatus,
+    HostFlag,
+    TargetPhase,
+    WorkClass,
+)
+from wasabitray_node.tasks import CONTROLLER_OF_MESSAGE
+
+REGIONS = ("south", "north", "northwest")
+SERVICE = "rota"
+NEAR_S, FAR_S = 0.001, 0.030
+GOSSIP_S = 0.5
+LEASE_S = 3_600.0
+TARGET_QUEUE = 4
+SHORT_S = 0.060
+LONG_FACTOR = 50
+SPREAD = 0.3
+
+
+class Clock:
+    """Simulated time and the events to come."""
+
+    def __init__(self) -> None:
+        """Start at a time after any process's start."""
+        self.now = 10_000.0
+        self._events: list[tuple[float, int, Callable, tuple]] = []
+        self._numbers = itertools.count()
+
+    def __call__(self) -> Seconds:
+        """Return the time."""
+        return Seconds(self.now)
+
+    def at(self, delay: float, call: Callable, *args: Any) -> None:
+        """Call something after a delay."""
+        event = (self.now + delay, next(self._numbers), call, args)
+        heapq.heappush(self._events, event)
+
+    def run_until(self, end: float) -> None:
+        """Handle events up to a time."""
+        while self._events and self._events[0][0] <= end:
+            self.now, _, call, args = heapq.heappop(self._events)
+            call(*args)
+        self.now = end
+
+
+@dataclass
+class FakeTarget:
+    """An instance with a few slots and a short queue."""
+
+    clock: Clock
+    random: random.Random
+    target: Target
+    fail_share: float = 0.01
+    slow_factor: float = 1.0
+    flap_s: float = 0.0
+    fault: tuple[float, float] = (0.01, 1.0)
+    busy: int = 0
+    waiting: list[tuple] = field(default_factory=list)
+
+    def take(self, work: WorkClass, done: Callable) -> None:
+        """Take a request; `done` gets the result after its time."""
+        if self.busy < self.target.slots:
+            self.start(work, done)
+        elif len(self.waiting) < TARGET_QUEUE:
+            self.waiting.append((work, done))
+        else:
+            done(AttemptStatus.SHED, self.busy)
+
+    def start(self, work: WorkClass, done: Callable) -> None:
+        """Run a request in a slot."""
+        self.busy += 1
+        median = SHORT_S * (LONG_FACTOR if work is WorkClass.LONG else 1)
+        took = median * math.exp(self.random.gauss(0.0, SPREAD))
+        self.clock.at(took * self.current()[1], self.finish, done)
+
+    def current(self) -> tuple[float, float]:
+        """Return the failing share and the slowness at this moment."""
+        if self.flap_s and int(self.clock.now / self.flap_s) % 2:
+            return 0.01, 1.0
+        return self.fail_share, self.slow_factor
+
+    def finish(self, done: Callable) -> None:
+        """End a request and start the next."""
+        self.busy -= 1
+        bad = self.random.random() < self.current()[0]
+        busy = self.busy
+        if self.waiting:
+            self.start(*self.waiting.pop(0))
+        done(AttemptStatus.FAILED if bad else AttemptStatus.ANSWERED, busy)
+
+
+class BenchOutbox:
+    """Delivers a controller's messages inside the world."""
+
+    def __init__(self, entry: Entry) -> None:
+        """Take the entry that it belongs to."""
+        self._entry = entry
+
+    def send(self, host: HostId, message: Any) -> None:
+        """Send to a peer after the link's latency."""
+        self._entry.world.post(self._entry, host, message)
+
+    def tell(self, controller: ControllerName, message: Any) -> None:
+        """Tell a controller of this entry, or spread news."""
+        self._entry.tell(controller, message)
+
+    def reply(self, ask: Ask, value: Any) -> None:
+        """Continue the request that asked."""
+        self._entry.world.clock.at(0.0, ask, value)
+
+    def persist(self, item: Any) -> None:
+        """Nothing here is durable."""
+
+    def report(self, event: str, **facts: Any) -> None:
+        """Keep the event for the measurement."""
+        now = self._entry.world.clock.now
+        self._entry.world.reports.append((now, self._entry.host, event, facts))
+
+
+class Entry:
+    """The core's chain and controllers on one host."""
+
+    def __init__(self, world: World, number: int) -> None:
+        """Build the controllers."""
+        self.world = world
+        self.host = HostId(f"e{number}")
+        self.region = REGIONS[number % len(REGIONS)]
+        context = Context(
+            self.host, world.clock, world.random, BenchOutbox(self)
+        )
+        first = 1
+        self.controllers = {
+            c.name: c
+            for c in (
+                TargetsController(context, first),
+                DispatchController(context, self.region),
+                HealthController(context, self.region),
+                QuarantineController(context),
+                ClaimsController(context),
+                GrantsController(context, f"{self.host}-run"),
+                LongSlotsController(context),
+            )
+        }
+        self.chain = build_chain(world.clock, self.new_claim)
+        self.claims = itertools.count()
+
+    def start(self) -> None:
+        """Start to tick."""
+        for controller in self.controllers.values():
+            self.world.clock.at(
+                self.world.random.random(), self.tick, controller
+            )
+
+    def new_claim(self) -> ClaimId:
+        """Return a new claim id."""
+        return ClaimId(f"{self.host}/{next(self.claims)}")
+
+    def tick(self, controller: Any) -> None:
+        """Tick a controller at its own interval."""
+        controller.receive(Tick(), Origin())
+        interval = controller.tick_interval_s
+        if controller.name is ControllerName.DISPATCH:
+            interval = PUMP_INTERVAL_S  # its wish changes between ticks
+        self.world.clock.at(interval, self.tick, controller)
+
+    def tell(self, name: ControllerName, message: Any) -> None:
+        """Deliver a local message; gossip reaches all after a while."""
+        if isinstance(message, Spread):
+            self.world.spread(self, message.item)
+        elif name in self.controllers:
+            self.world.clock.at(
+                0.0, self.controllers[name].receive, message, Origin()
+            )
+
+    def submit(self, exchange: Exchange, done: Callable) -> None:
+        """Run an exchange through the chain."""
+        steps = self.chain.run(exchange)
+        self.step(steps, None, exchange, done)
+
+    def step(
+        self, steps: Any, result: Any, exchange: Exchange, done: Callable
+    ) -> None:
+        """Advance a chain until it waits."""
+        while True:
+            try:
+                effect: Effect = steps.send(result)
+            except StopIteration as stop:
+                done(stop.value)
+                return
+            result = None
+
+            def resume(value: Any = None) -> None:
+                self.step(steps, value, exchange, done)
+
+            if isinstance(effect, AskController):
+                if effect.controller is ControllerName.CONFIGURATION:
+                    result = self.world.resolve(exchange)
+                    continue
+                controller = self.controllers[effect.controller]
+                controller.receive(effect.message, Origin(ask=resume))
+                return
+            if isinstance(effect, TellController | AtEnd):
+                tell = effect.tell if isinstance(effect, AtEnd) else effect
+                self.tell(tell.controller, tell.message)
+                continue
+            assert isinstance(effect, Attempt)
+            self.world.attempt(self, effect, exchange, resume)
+            return
+
+
+class World:
+    """All entries, targets and the network between them."""
+
+    def __init__(
+        self,
+        seed: int,
+        entries: int = 36,
+        targets: int = 12,
+        slots: int = 2,
+        floor: int = 8,
+        build: Callable = Entry,
+    ) -> None:
+        """Start a fleet in which all targets are healthy and known."""
+        self.clock = Clock()
+        self.random = random.Random(seed)
+        self.reports: list[tuple] = []
+        self.policy = ServicePolicy(floor=floor, retry_share=0.1)
+        self.routes = {
+            work: Route(
+                path="/",
+                service=SERVICE,
+                work=work,
+                deadline_ms=2_000 if work is WorkClass.SHORT else 60_000,
+            )
+            for work in WorkClass
+        }
+        self.targets = {
+            t.target.target: t
+            for t in (self._make_target(n, slots) for n in range(targets))
+        }
+        self.entries = {
+            e.host: e for e in (build(self, n) for n in range(entries))
+        }
+        # Members of the claim group have run for longer than the retention.
+        self.clock.now += 601.0
+        self._introduce(floor)
+
+    def _make_target(self, number: int, slots: int) -> FakeTarget:
+        region = REGIONS[number % len(REGIONS)]
+        name = TargetId(f"127.0.0.{number + 1}:9000")
+        target = Target(name, SERVICE, region, f"{region}-a", slots)
+        return FakeTarget(self.clock, self.random, target)
+
+    def _introduce(self, floor: int) -> None:
+        hosts = list(self.entries)
+        fleet = Fleet(
+            entries=tuple(
+                EntryHost(
+                    host=host,
+                    region=entry.region,
+                    failure_domain="d",
+                    peer_address="-",
+                    caller_address="-",
+                )
+                for host, entry in self.entries.items()
+            ),
+            claim_groups=(tuple(hosts[:5]),),
+            claim_retention_s=600.0,
+        )
+        views = tuple(
+            HostView(h, Revision(1), HostFlag.SERVING, True) for h in hosts
+        )
+        for entry in self.entries.values():
+            if not hasattr(entry, "controllers"):
+                continue
+            for controller in entry.controllers.values():
+                name = controller.name
+                if name in (ControllerName.CLAIMS, ControllerName.GRANTS):
+                    entry.tell(name, InForce(Revision(1), fleet))
+                if name is ControllerName.TARGETS:
+                    entry.tell(name, ServiceLimits({SERVICE: floor}))
+                if name is ControllerName.HEALTH:
+                    entry.tell(name, ServiceLimits({SERVICE: floor}))
+                if name in (ControllerName.HEALTH, ControllerName.LONG_SLOTS):
+                    entry.tell(name, FleetView(views))
+            for target in self.targets.values():
+                entry.tell(ControllerName.TARGETS, _announce(target.target))
+            entry.start()
+        self.clock.run_until(self.clock.now + 10.0)
+
+    # Network
+
+    def latency(self, one: str, other: str) -> float:
+        """Return seconds from one region to another."""
+        return NEAR_S if one == other else FAR_S
+
+    def post(self, sender: Entry, host: HostId, message: Any) -> None:
+        """Deliver a peer's message."""
+        entry = self.entries[host]
+        name = CONTROLLER_OF_MESSAGE[type(message)]
+        controller = entry.controllers[name]
+        delay = self.latency(sender.region, entry.region)
+        origin = Origin(peer=sender.host)
+        self.clock.at(delay, controller.receive, message, origin)
+
+    def spread(self, sender: Entry, item: Any) -> None:
+        """Deliver gossip to every entry after some rounds.
+
+        Only the first to spread an item matters here; an entry that knows
+        it already ignores it.
+        """
+        key = (type(item), repr(item))
+        if key in self._spread:
+            return
+        self._spread.add(key)
+        for entry in self.entries.values():
+            if entry is not sender:
+                delay = self.random.uniform(0.0, 2 * GOSSIP_S)
+                self.clock.at(delay, entry.tell, _owner_of(item), item)
+
+    @property
+    def _spread(self) -> set:
+        return self.__dict__.setdefault("_spread_items", set())
+
+    def resolve(self, exchange: Exchange) -> Resolved:
+        """Return the route of the exchange's class."""
+        work = WorkClass(exchange.request.path.strip("/"))
+        filled = FilledTemplate(
+            services={SERVICE: self.policy}, routes=(self.routes[work],)
+        )
+        return Resolved(Revision(1), filled, self.routes[work], 600.0)
+
+    def attempt(
+        self, entry: Any, attempt: Attempt, exchange: Exchange, resume: Any
+    ) -> None:
+        """Send a request to a fake target."""
+        target = self.targets[attempt.target.target]
+        way = self.latency(entry.region, target.target.region)
+        started = self.clock.now
+        over = [False]
+
+        def finish(result: AttemptResult) -> None:
+            if not over[0]:
+                over[0] = True
+                resume(result)
+
+        def done(status: AttemptStatus, busy: int) -> None:
+            answer = None
+            if status is AttemptStatus.ANSWERED:
+                answer = Answer(200)
+            load = LoadReport(busy, target.target.slots)
+            elapsed = Seconds(self.clock.now + way - started)
+            result = AttemptResult(status, answer, load, elapsed)
+            self.clock.at(way, finish, result)
+
+        work = exchange.matched.work
+        self.clock.at(way, target.take, work, done)
+        expired = AttemptResult(
+            AttemptStatus.TIMED_OUT, elapsed=attempt.timeout
+        )
+        self.clock.at(attempt.timeout, finish, expired)
+
+
+def _announce(target: Target) -> Announcement:
+    return Announcement(
+        target.target,
+        target.service,
+        target.region,
+        target.failure_domain,
+        target.slots,
+        1,
+        1,
+        TargetPhase.ACTIVE,
+        LEASE_S,
+    )
+
+
+def _owner_of(item: Any) -> ControllerName:
+    quarantine = type(item).__name__ == "Quarantine"
+    return ControllerName.QUARANTINE if quarantine else ControllerName.TARGETS
+
+
+def make_exchange(world: World, work: WorkClass) -> Exchange:
+    """Return a new request of a class."""
+    request = Request("hobart", "GET", f"/{work.value}")
+    now = world.clock()
+    return Exchange(request, now, now)
--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Any, ClassVar
@@ -30,6 +29,7 @@
     Tick,
     UsableTargets,
 )
+from wasabitray_core.messages import LongOccupancy
 from wasabitray_core.requests import LoadReport, Target
 from wasabitray_core.states import AttemptStatus, RefusalReason, WorkClass
 
@@ -54,6 +54,8 @@
 
     Attributes:
         busy: slots in use by this entry.
+        busy_long: those of them with long work.
+        long_held: slots with long work of all entries.
         reported: load of the last answer, with its time.
         avoid_until: end of this entry's own avoidance of the path.
         ramp_until: until then a new target gets one request at a time.
@@ -63,6 +65,8 @@
     probation: bool
     ramp_until: Seconds
     busy: int = 0
+    busy_long: int = 0
+    long_held: int = 0
     reported: LoadReport | None = None
     reported_at: Seconds = Seconds(0.0)
     avoid_until: Seconds = Seconds(0.0)
@@ -75,11 +79,13 @@
 
     def load(self, now: Seconds) -> float:
         """Return the estimated slots in use by all entries."""
+        short = self.busy - self.busy_long
+        known = short + max(self.busy_long, self.long_held)
         if self.reported is None:
-            return self.busy
+            return known
         age = now - self.reported_at
         trust = max(0.0, 1.0 - age / LOAD_REPORT_TTL_S)
-        return max(self.busy, self.reported.busy * trust)
+        return max(known, self.reported.busy * trust)
 
     def has_room(self, now: Seconds) -> bool:
         return self.load(now) + 1 <= self.slots(now) + 1e-9
@@ -113,13 +119,16 @@
         queue.append(waiter)
         return True
 
-    def rotate(self) -> Iterator[deque[_Waiter]]:
-        """Yield each organisation's queue; the first goes last next time."""
-        for organisation in list(self.by_organisation):
-            queue = self.by_organisation.pop(organisation)
-            if queue:
-                self.by_organisation[organisation] = queue
-                yield queue
+    def in_turn(self) -> list[OrganisationName]:
+        """Return the organisations, the longest unserved first."""
+        return list(self.by_organisation)
+
+    def served(self, organisation: OrganisationName) -> None:
+        """Remove an organisation's first request and end its turn."""
+        queue = self.by_organisation.pop(organisation)
+        queue.popleft()
+        if queue:
+            self.by_organisation[organisation] = queue
 
 
 @dataclass(slots=True)
@@ -192,6 +201,12 @@
         service.targets = targets
         self._pump(service)
 
+    @receive.register
+    def _(self, message: LongOccupancy, origin: Origin) -> None:
+        held = {h.target: h.slots for h in message.held}
+        for target, state in self._service(message.service).targets.items():
+            state.long_held = held.get(target, 0)
+
     @receive.register
     def _(self, message: Acquire, origin: Origin) -> None:
         service = self._service(message.service)
@@ -217,6 +232,8 @@
         now = self._now()
         if state is not None:
             state.busy = max(0, state.busy - 1)
+            if message.work is WorkClass.LONG:
+                state.busy_long = max(0, state.busy_long - 1)
             self._note_load(state, message, now)
             self._note_path(state, message, now)
         if message.status is AttemptStatus.ANSWERED:
@@ -267,18 +284,23 @@
     def _pump(self, service: _Service) -> None:
         """Grant slots to waiting requests, short work first."""
         for work in (WorkClass.SHORT, WorkClass.LONG):
-            for queue in service.queues[work].rotate():
-                self._pump_queue(service, queue)
-
-    def _pump_queue(self, service: _Service, queue: deque[_Waiter]) -> None:
-        while queue:
-            if self._refuse_late(service, queue[0]):
+            queues = service.queues[work]
+            while self._pump_round(service, queues):
+                pass  # another round while slots are left
+
+    def _pump_round(self, service: _Service, queues: _Queues) -> bool:
+        """Give each organisation one slot; tell whether any got one."""
+        granted = False
+        for organisation in queues.in_turn():
+            queue = queues.by_organisation[organisation]
+            while queue and self._refuse_late(service, queue[0]):
                 queue.popleft()
+            if not queue:
+                del queues.by_organisation[organisation]
             elif self._try_grant(service, queue[0]):
-                queue.popleft()
-                return  # the next organisation's turn
-            else:
-                return
+                queues.served(organisation)
+                granted = True
+        return granted
 
     def _refuse_early(self, service: _Service, waiter: _Waiter) -> bool:
         """Refuse a request that its queue can't serve in time."""
@@ -322,6 +344,8 @@
         if state is None:
             return False
         state.busy += 1
+        if waiter.ask.work is WorkClass.LONG:
+            state.busy_long += 1
         self._reply(waiter.origin, Grant(state.target))
         return True
 
--- a/packages/core/src/wasabitray_core/controllers/health.py
+++ b/packages/core/src/wasabitray_core/controllers/health.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
@@ -12,7 +13,11 @@
     Controller,
     Origin,
 )
-from wasabitray_core.controllers.detector import CumulativeSum, RunningMedian
+from wasabitray_core.controllers.detector import (
+    ORDINARY_BAD_SHARE,
+    CumulativeSum,
+    RunningMedian,
+)
 from wasabitray_core.controllers.targets import NEW_VERSION
 from wasabitray_core.ids import (
     ClaimId,
@@ -46,9 +51,8 @@
 SLOW_FLOOR_S = 0.005
 MIN_BASELINE_SAMPLES = 20
 WINDOW_S = 3.0
-PATH_SAMPLES = 16
-PATH_GOOD_SHARE = 0.1
-PATH_GAP = 0.2
+# Odds of about 50 to 1 that a region does not see what another one sees.
+PATH_CONFIDENCE = 4.0
 WIDESPREAD_SHARE = 0.4
 EJECT_FIRST_S = 10.0
 EJECT_MAX_S = 300.0
@@ -94,7 +98,6 @@
     phase_ends: Seconds = Seconds(0.0)
     trial: _Count = field(default_factory=_Count)
     ejections: int = 0
-    last_return: Seconds = Seconds(0.0)
     permit: ClaimKey | None = None
     claim: ClaimId | None = None
     pending: bool = False
@@ -339,13 +342,12 @@
         reporters = [h for h, at in service.reporters.items() if at >= oldest]
         if len(reporters) > 1 and len(judged.blamers()) < 2:
             return True
-        counts = judged.by_region().values()
-        worst = max((c.bad_share for c in counts), default=0.0)
-        return any(
-            c.total >= PATH_SAMPLES
-            and c.bad_share < PATH_GOOD_SHARE
-            and worst - c.bad_share > PATH_GAP
-            for c in counts
+        counts = judged.by_region()
+        worst = max(counts, key=lambda r: counts[r].bad, default=None)
+        return worst is not None and any(
+            _contradicts(counts[region], counts[worst].bad_share)
+            for region in counts
+            if region != worst
         )
 
     # Ejecting
@@ -392,7 +394,7 @@
         self, name: ServiceName, target: TargetId, judged: _Judged
     ) -> None:
         now = self._now()
-        if now - judged.last_return > FLAP_MEMORY_S:
+        if now - judged.phase_ends > FLAP_MEMORY_S:
             judged.ejections = 0
         duration = min(EJECT_MAX_S, EJECT_FIRST_S * 2**judged.ejections)
         judged.ejections += 1
@@ -461,7 +463,6 @@
     ) -> None:
         judged.phase = EjectionPhase.RETURNED
         judged.phase_ends = Seconds(self._now() + 1.0)
-        judged.last_return = self._now()
         judged.sums = CumulativeSum()
         judged.window.clear()
         self._announce(name, target, judged, evidence)
@@ -484,3 +485,15 @@
             withdraw = WithdrawClaim(judged.permit, judged.claim)
             self._outbox.tell(ControllerName.CLAIMS, withdraw)
         judged.permit = judged.claim = None
+
+
+def _contradicts(count: _Count, share: float) -> bool:
+    """Tell whether a region sees a target as ordinary, not as bad.
+
+    It is the logarithm of the likelihood ratio of its attempts between the
+    given bad share and the ordinary one.
+    """
+    share = min(0.95, max(2.0 * ORDINARY_BAD_SHARE, share))
+    ratio = count.bad * math.log(share / ORDINARY_BAD_SHARE)
+    ratio += count.good * math.log((1 - share) / (1 - ORDINARY_BAD_SHARE))
+    return ratio <= -PATH_CONFIDENCE
--- a/packages/core/src/wasabitray_core/controllers/long_slots.py
+++ b/packages/core/src/wasabitray_core/controllers/long_slots.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Any, ClassVar
@@ -36,6 +36,8 @@
     UsableTargets,
 )
 from wasabitray_core.messages import (
+    LongHeld,
+    LongOccupancy,
     LongSlotRelease,
     LongSlotReply,
     LongSlotRequest,
@@ -71,6 +73,7 @@
     """A service whose long slots this host hands out."""
 
     targets: tuple[Target, ...] = ()
+    told: tuple[LongHeld, ...] = ()
     leases: dict[_Holder, _Lease] = field(default_factory=dict)
     queue: deque[tuple[_Holder, LongSlotRequest, Seconds]] = field(
         default_factory=deque
@@ -133,9 +136,10 @@
                 self._give_up(request, pending)
             else:
                 self._request(request, pending)
-        for service in self._services.values():
+        for name, service in self._services.items():
             self._expire(service, now)
             self._serve_queue(service)
+            self._tell_occupancy(name, service)
 
     @receive.register
     def _(self, message: ReserveLong, origin: Origin) -> None:
@@ -227,6 +231,16 @@
         }
         service.queue = deque(q for q in service.queue if q[2] > now)
 
+    def _tell_occupancy(self, name: ServiceName, service: _Service) -> None:
+        """Tell the entries where long work runs, when that changed."""
+        counts = Counter(lease.target for lease in service.leases.values())
+        held = tuple(LongHeld(t, n) for t, n in sorted(counts.items()))
+        if held == service.told:
+            return
+        service.told = held
+        for host in self._entries:
+            self._outbox.send(host, LongOccupancy(name, held))
+
     def _serve_queue(self, service: _Service) -> None:
         while service.queue:
             holder, request, expires = service.queue[0]
--- a/packages/core/src/wasabitray_core/controllers/quarantine.py
+++ b/packages/core/src/wasabitray_core/controllers/quarantine.py
@@ -15,9 +15,9 @@
 from wasabitray_core.ids import Fingerprint, Seconds, TargetId
 from wasabitray_core.local import (
     CheckQuarantine,
-    ClearSuspicion,
     ControllerName,
     GetStatus,
+    ReportAnswer,
     ReportBreak,
     Spread,
     Suspicion,
@@ -29,6 +29,10 @@
 QUARANTINE_FIRST_S = 30.0
 QUARANTINE_MAX_S = 600.0
 SUSPICION_S = 120.0
+# A request that a target answered is not one that breaks every target; for
+# this long breaks are held against the targets only.
+ANSWERED_S = 60.0
+MAX_ANSWERED = 8_192
 MAX_SUSPECTS = 4_096
 
 
@@ -68,9 +72,7 @@
         """Start without any suspect."""
         super().__init__(context)
         self._suspects: OrderedDict[Fingerprint, _Suspect] = OrderedDict()
-        self._cleared: OrderedDict[Fingerprint, frozenset[TargetId]] = (
-            OrderedDict()
-        )
+        self._answered: OrderedDict[Fingerprint, Seconds] = OrderedDict()
 
     @singledispatchmethod
     def receive(self, message: Any, origin: Origin) -> None:
@@ -97,13 +99,12 @@
             self._reply(origin, Suspicion.SUSPECT)
 
     @receive.register
-    def _(self, message: ClearSuspicion, origin: Origin) -> None:
-        suspect = self._suspects.pop(message.fingerprint, None)
-        if suspect is not None:
-            # Gossip still repeats these breaks; they no longer count.
-            self._cleared[message.fingerprint] = suspect.targets
-            if len(self._cleared) > MAX_SUSPECTS:
-                self._cleared.popitem(last=False)
+    def _(self, message: ReportAnswer, origin: Origin) -> None:
+        self._suspects.pop(message.fingerprint, None)
+        self._answered[message.fingerprint] = self._now()
+        self._answered.move_to_end(message.fingerprint)
+        if len(self._answered) > MAX_ANSWERED:
+            self._answered.popitem(last=False)
 
     @receive.register
     def _(self, message: ReportBreak, origin: Origin) -> None:
@@ -127,7 +128,9 @@
     def _merge(
         self, fingerprint: Fingerprint, targets: frozenset[TargetId]
     ) -> None:
-        targets -= self._cleared.get(fingerprint, frozenset())
+        answered = self._answered.get(fingerprint)
+        if answered is not None and self._now() - answered < ANSWERED_S:
+            return
         suspect = self._suspects.get(fingerprint)
         known = suspect.targets if suspect else frozenset()
         if targets <= known:
--- a/packages/core/src/wasabitray_core/filters/quarantine.py
+++ b/packages/core/src/wasabitray_core/filters/quarantine.py
@@ -14,8 +14,8 @@
 from wasabitray_core.ids import Fingerprint
 from wasabitray_core.local import (
     CheckQuarantine,
-    ClearSuspicion,
     ControllerName,
+    ReportAnswer,
     Suspicion,
 )
 from wasabitray_core.requests import Exchange, Request
@@ -48,7 +48,7 @@
     """Refuses a request that broke several targets that ran it."""
 
     def handle(self, exchange: Exchange, proceed: Proceed) -> Steps:
-        """Refuse a quarantined request; clear one that succeeds."""
+        """Refuse a quarantined request; report one that is answered."""
         fingerprint = fingerprint_of(exchange.request)
         exchange.fingerprint = fingerprint
         check = CheckQuarantine(fingerprint)
@@ -61,7 +61,7 @@
             )
         exchange.suspect = suspicion is Suspicion.SUSPECT
         answer = yield from proceed(exchange)
-        if exchange.suspect and answer.refusal is None:
-            clear = ClearSuspicion(fingerprint)
-            yield TellController(_QUARANTINE, clear)
+        if answer.refusal is None:
+            answered = ReportAnswer(fingerprint)
+            yield TellController(_QUARANTINE, answered)
         return answer
--- a/packages/core/src/wasabitray_core/local.py
+++ b/packages/core/src/wasabitray_core/local.py
@@ -382,7 +382,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ClearSuspicion:
+class ReportAnswer:
     """A target answered this request without breaking."""
 
     fingerprint: Fingerprint
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -466,6 +466,22 @@
     request: RequestId
 
 
+@dataclass(frozen=True, slots=True)
+class LongHeld:
+    """Long slots in use on one target."""
+
+    target: TargetId
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class LongOccupancy:
+    """A coordinator's word on where long work runs; others are free."""
+
+    service: ServiceName
+    held: tuple[LongHeld, ...]
+
+
 PeerMessage = (
     Gossip
     | ConfigPull
@@ -489,4 +505,5 @@
     | LongSlotRequest
     | LongSlotReply
     | LongSlotRelease
+    | LongOccupancy
 )
--- a/packages/node/src/wasabitray_node/tasks.py
+++ b/packages/node/src/wasabitray_node/tasks.py
@@ -49,6 +49,7 @@
     m.LongSlotRequest: ControllerName.LONG_SLOTS,
     m.LongSlotReply: ControllerName.LONG_SLOTS,
     m.LongSlotRelease: ControllerName.LONG_SLOTS,
+    m.LongOccupancy: ControllerName.DISPATCH,
 }
 
 
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -82,6 +82,8 @@
 }
 struct LongSlotReply { 1: i64 request, 2: string target }
 struct LongSlotRelease { 1: i64 request }
+struct LongHeld { 1: string target, 2: i32 slots }
+struct LongOccupancy { 1: string service_, 2: list<LongHeld> held }
 
 union PeerMessage {
   2: Gossip gossip, 3: ConfigPull config_pull, 4: ConfigPush config_push,
@@ -94,7 +96,7 @@
   18: RecallState recall_state, 19: Evidence evidence,
   20: LongSlotRequest long_slot_request, 21: LongSlotReply long_slot_reply,
   22: LongSlotRelease long_slot_release,
-  23: CampaignNow campaign_now
+  23: CampaignNow campaign_now, 24: LongOccupancy long_occupancy
 }
 
 union StoredItem { 1: Ballot ballot, 2: LogRecord log_record, 3: Snapshot snapshot, 4: Member member }
--- a/packages/wire/src/wasabitray_wire/gen/Peer.py
+++ b/packages/wire/src/wasabitray_wire/gen/Peer.py
@@ -310,11 +310,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype140, _size137) = iprot.readListBegin()
-                    for _i141 in range(_size137):
-                        _elem142 = PeerMessage()
-                        _elem142.read(iprot)
-                        self.messages.append(_elem142)
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = PeerMessage()
+                        _elem149.read(iprot)
+                        self.messages.append(_elem149)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -331,8 +331,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter143 in self.messages:
-                iter143.write(oprot)
+            for iter150 in self.messages:
+                iter150.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -3494,6 +3494,151 @@
         return not (self == other)
 
 
+class LongHeld(object):
+    """
+    Attributes:
+     - target
+     - slots
+
+    """
+
+
+    def __init__(self, target=None, slots=None,):
+        self.target = target
+        self.slots = slots
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LongHeld')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 2)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LongOccupancy(object):
+    """
+    Attributes:
+     - service_
+     - held
+
+    """
+
+
+    def __init__(self, service_=None, held=None,):
+        self.service_ = service_
+        self.held = held
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_ = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.held = []
+                    (_etype140, _size137) = iprot.readListBegin()
+                    for _i141 in range(_size137):
+                        _elem142 = LongHeld()
+                        _elem142.read(iprot)
+                        self.held.append(_elem142)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LongOccupancy')
+        if self.service_ is not None:
+            oprot.writeFieldBegin('service_', TType.STRING, 1)
+            oprot.writeString(self.service_.encode('utf-8') if sys.version_info[0] == 2 else self.service_)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.held))
+            for iter143 in self.held:
+                iter143.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerMessage(object):
     """
     Attributes:
@@ -3519,11 +3664,12 @@
      - long_slot_reply
      - long_slot_release
      - campaign_now
+     - long_occupancy
 
     """
 
 
-    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None,):
+    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None, long_occupancy=None,):
         self.gossip = gossip
         self.config_pull = config_pull
         self.config_push = config_push
@@ -3546,6 +3692,7 @@
         self.long_slot_reply = long_slot_reply
         self.long_slot_release = long_slot_release
         self.campaign_now = campaign_now
+        self.long_occupancy = long_occupancy
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3688,6 +3835,12 @@
                     self.campaign_now.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.STRUCT:
+                    self.long_occupancy = LongOccupancy()
+                    self.long_occupancy.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3786,6 +3939,10 @@
             oprot.writeFieldBegin('campaign_now', TType.STRUCT, 23)
             self.campaign_now.write(oprot)
             oprot.writeFieldEnd()
+        if self.long_occupancy is not None:
+            oprot.writeFieldBegin('long_occupancy', TType.STRUCT, 24)
+            self.long_occupancy.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4188,6 +4345,18 @@
     None,  # 0
     (1, TType.I64, 'request', None, None, ),  # 1
 )
+all_structs.append(LongHeld)
+LongHeld.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'slots', None, None, ),  # 2
+)
+all_structs.append(LongOccupancy)
+LongOccupancy.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'held', (TType.STRUCT, [LongHeld, None], False), None, ),  # 2
+)
 all_structs.append(PeerMessage)
 PeerMessage.thrift_spec = (
     None,  # 0
@@ -4214,6 +4383,7 @@
     (21, TType.STRUCT, 'long_slot_reply', [LongSlotReply, None], None, ),  # 21
     (22, TType.STRUCT, 'long_slot_release', [LongSlotRelease, None], None, ),  # 22
     (23, TType.STRUCT, 'campaign_now', [CampaignNow, None], None, ),  # 23
+    (24, TType.STRUCT, 'long_occupancy', [LongOccupancy, None], None, ),  # 24
 )
 all_structs.append(StoredItem)
 StoredItem.thrift_spec = (
--- /dev/null
+++ b/tests/core/filters/test_chain.py
@@ -0,0 +1,196 @@
+"""The whole chain, driven by a script instead of sockets."""
+
+import itertools
+
+import pytest
+from support.fakes import FakeClock
+
+from wasabitray_core.documents import FilledTemplate, Route, ServicePolicy
+from wasabitray_core.filters import build_chain
+from wasabitray_core.filters.chain import (
+    AskController,
+    Attempt,
+    TellController,
+    drive,
+)
+from wasabitray_core.local import (
+    Acquire,
+    AcquireClaim,
+    ClaimVerdict,
+    Grant,
+    Refusal,
+    Release,
+    Resolve,
+    Resolved,
+    Sample,
+    Suspicion,
+    WithdrawClaim,
+)
+from wasabitray_core.requests import (
+    Answer,
+    AttemptResult,
+    Exchange,
+    Request,
+    Target,
+)
+from wasabitray_core.states import AttemptStatus, Outcome, RefusalReason
+
+S = AttemptStatus
+
+
+class Script:
+    """Answers the chain's effects and keeps what it did."""
+
+    def __init__(self, *statuses, idempotent=True, verdict="granted", **route):
+        self.clock = FakeClock()
+        self.results = iter(statuses)
+        self.verdict = ClaimVerdict(verdict)
+        self.route = Route(
+            path="/",
+            service="rota",
+            methods=("GET", "POST"),
+            idempotent=idempotent,
+            **route,
+        )
+        self.attempts, self.told = [], []
+        self.slots = itertools.count(1)
+        self.freeze_s = 0.0
+
+    def run(self, key=""):
+        request = Request("hobart", "POST", "/x", key=key)
+        self.exchange = Exchange(request, self.clock(), self.clock())
+        chain = build_chain(self.clock, lambda: "claim-1")
+        return drive(chain.run(self.exchange), self.perform)
+
+    def perform(self, effect):
+        if isinstance(effect, AskController):
+            return self.reply(effect.message)
+        if isinstance(effect, TellController):
+            self.told.append(effect.message)
+            return None
+        assert isinstance(effect, Attempt)
+        self.attempts.append(effect)
+        result = next(self.results)
+        if isinstance(result, AttemptStatus):
+            answer = Answer(200) if result is S.ANSWERED else None
+            return AttemptResult(result, answer)
+        return result
+
+    def reply(self, message):
+        if isinstance(message, Resolve):
+            policy = ServicePolicy()
+            filled = FilledTemplate(
+                services={"rota": policy}, routes=(self.route,)
+            )
+            return Resolved(1, filled, self.route, 600.0)
+        if isinstance(message, AcquireClaim):
+            return self.verdict
+        if isinstance(message, Acquire):
+            self.clock.advance(self.freeze_s)
+            if message.retry and self.slots is None:
+                return Refusal(RefusalReason.OVERLOAD, 1.0)
+            name = f"t{next(self.slots)}" if self.slots else "t1"
+            return Grant(Target(name, "rota", "r", "d", 2))
+        return Suspicion.NONE
+
+    def told_of(self, kind):
+        return [m for m in self.told if isinstance(m, kind)]
+
+
+def test_good_answer_passes():
+    script = Script(S.ANSWERED)
+    assert script.run().status == 200
+    assert [s.good for s in script.told_of(Sample)] == [True]
+
+
+@pytest.mark.parametrize(
+    "status", [S.FAILED, S.TRUNCATED, S.TIMED_OUT, S.STALE_CONNECTION]
+)
+def test_request_that_may_have_run_is_repeated_only_if_idempotent(status):
+    script = Script(status, S.ANSWERED)
+    assert script.run().status == 200
+    script = Script(status, S.ANSWERED, idempotent=False)
+    answer = script.run(key="k")
+    assert len(script.attempts) == 1
+    assert answer.outcome is Outcome.UNKNOWN
+    assert not script.told_of(WithdrawClaim)
+
+
+@pytest.mark.parametrize("status", [S.REFUSED, S.SHED])
+def test_request_that_did_not_run_is_repeated_and_said_so(status):
+    script = Script(status, S.ANSWERED, idempotent=False)
+    assert script.run(key="k").status == 200
+    script = Script(status, status, status, idempotent=False)
+    answer = script.run(key="k")
+    assert answer.outcome is Outcome.NOT_RUN
+    assert len(script.told_of(WithdrawClaim)) == 1
+
+
+def test_after_one_attempt_that_may_have_run_the_outcome_stays_unknown():
+    script = Script(S.FAILED, S.REFUSED, S.REFUSED)
+    assert script.run().outcome is Outcome.UNKNOWN
+
+
+def test_non_idempotent_request_never_uses_an_idle_connection():
+    script = Script(S.ANSWERED, idempotent=False)
+    script.run(key="k")
+    assert script.attempts[0].fresh
+
+
+def test_key_is_required_for_non_idempotent_work():
+    script = Script(idempotent=False)
+    answer = script.run()
+    assert (answer.status, answer.outcome) == (400, Outcome.NOT_RUN)
+
+
+@pytest.mark.parametrize("verdict", ["held", "unavailable"])
+def test_without_a_claim_nothing_is_sent(verdict):
+    script = Script(idempotent=False, verdict=verdict)
+    answer = script.run(key="k")
+    assert not script.attempts
+    held = verdict == "held"
+    assert answer.outcome is (Outcome.UNKNOWN if held else Outcome.NOT_RUN)
+
+
+def test_entry_frozen_past_the_deadline_does_not_start_the_work():
+    script = Script(idempotent=False, deadline_ms=3_600_000)
+    script.freeze_s = 400.0
+    answer = script.run(key="k")
+    assert not script.attempts
+    assert answer.outcome is Outcome.NOT_RUN
+    assert len(script.told_of(Release)) == 1
+
+
+def test_used_up_retry_budget_lets_the_first_failure_stand():
+    script = Script(S.FAILED)
+    script.slots = None
+    assert script.run().refusal is RefusalReason.TARGET_FAILED
+
+
+def test_request_that_breaks_targets_is_not_spread_further():
+    script = Script(S.FAILED, S.FAILED, S.FAILED)
+    script.run()
+    assert len(script.attempts) == 2
+
+
+def test_error_answer_of_the_target_is_passed_on():
+    error = AttemptResult(S.ANSWERED, Answer(500, body=b"why"))
+    script = Script(error, idempotent=False)
+    answer = script.run(key="k")
+    assert (answer.status, answer.body) == (500, b"why")
+    assert answer.refusal is None
+
+
+def test_answer_that_breaks_its_description_is_not_passed_on():
+    bad = AttemptResult(S.ANSWERED, Answer(200, body=b"{}"))
+    good_answer = {"required_fields": ("branch",)}
+    script = Script(bad, bad, bad, good_answer=good_answer)
+    answer = script.run()
+    assert answer.refusal is RefusalReason.BAD_ANSWER
+    assert [s.good for s in script.told_of(Sample)] == [False] * 3
+
+
+def test_shedding_is_no_evidence_against_the_target():
+    script = Script(S.SHED, S.ANSWERED)
+    script.run()
+    assert [s.good for s in script.told_of(Sample)] == [True]
