--- a/bench/policies.py
+++ b/bench/policies.py
@@ -107,10 +107,10 @@
     name, target = next(iter(world.targets.items()))
     for field, value in fault.items():
         setattr(target, field, value)
-    for step in range(1, 61):
-        world.clock.run_until(start + step * 0.25)
+    for step in range(1, 301):
+        world.clock.run_until(start + step * 0.05)
         if _is_out(world, name, start):
-            return step * 0.25
+            return round(step * 0.05, 2)
     return None
 
 
--- a/packages/core/src/wasabitray_core/controllers/health.py
+++ b/packages/core/src/wasabitray_core/controllers/health.py
@@ -46,6 +46,8 @@
 from wasabitray_core.rendezvous import choose_owner
 from wasabitray_core.states import EjectionPhase, WorkClass
 
+TICK_S = 0.1
+# Good attempts are reported this often, bad ones with the next tick.
 REPORT_INTERVAL_S = 0.25
 SLOW_FACTOR = 3.0
 SLOW_FLOOR_S = 0.005
@@ -141,7 +143,7 @@
     """
 
     name: ClassVar[ControllerName] = ControllerName.HEALTH
-    tick_interval_s = REPORT_INTERVAL_S
+    tick_interval_s = TICK_S
 
     def __init__(self, context: Context, region: RegionName) -> None:
         """Start without evidence."""
@@ -153,6 +155,7 @@
         self._services: dict[ServiceName, _Service] = {}
         self._floors: dict[ServiceName, int] = {}
         self._claims = 0
+        self._reported_at = Seconds(0.0)
 
     @singledispatchmethod
     def receive(self, message: Any, origin: Origin) -> None:
@@ -244,7 +247,14 @@
         return known and sample.elapsed > limit
 
     def _report_evidence(self) -> None:
-        for service, targets in self._counts.items():
+        now = self._now()
+        due = now - self._reported_at >= REPORT_INTERVAL_S
+        if due:
+            self._reported_at = now
+        for service, targets in list(self._counts.items()):
+            if not due and not any(c.bad for c in targets.values()):
+                continue
+            del self._counts[service]
             samples = tuple(
                 TargetSample(target, count.good, count.bad)
                 for target, count in targets.items()
@@ -255,7 +265,6 @@
                 self._judge(evidence, self.host)
             else:
                 self._outbox.send(evaluator, evidence)
-        self._counts = {}
 
     # Judging
 
--- a/packages/node/src/wasabitray_node/links.py
+++ b/packages/node/src/wasabitray_node/links.py
@@ -41,6 +41,21 @@
 _LINK_ERRORS = (TException, OSError, EOFError)
 
 
+class MeteredSocket(TSocket):
+    """Counts the bytes that go out."""
+
+    def __init__(self, sock: Any) -> None:
+        """Take a connected socket."""
+        super().__init__()
+        self.setHandle(sock)
+        self.bytes_sent = 0
+
+    def write(self, buff: bytes) -> None:
+        """Send bytes."""
+        self.bytes_sent += len(buff)
+        super().write(buff)
+
+
 class PeerLink:
     """A task that owns the connection to one peer.
 
@@ -58,6 +73,8 @@
         self._hello = hello_to_wire(hello)
         self._waiting: deque[Any] = deque(maxlen=MAX_WAITING_MESSAGES)
         self._wake = Event()
+        self._endpoint: MeteredSocket | None = None
+        self._closed_bytes = 0
         self._transport: TFramedTransport | None = None
         self._client: Peer.Client | None = None
         self._up = False
@@ -67,6 +84,12 @@
         """Whether the last batch was acknowledged."""
         return self._up
 
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes sent over all connections of this link."""
+        open_bytes = self._endpoint.bytes_sent if self._endpoint else 0
+        return self._closed_bytes + open_bytes
+
     @property
     def address(self) -> str:
         """The peer's address."""
@@ -109,9 +132,8 @@
         )
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(ACK_TIMEOUT_S)
-        endpoint = TSocket()
-        endpoint.setHandle(sock)
-        self._transport = TFramedTransport(endpoint, MAX_FRAME_BYTES)
+        self._endpoint = MeteredSocket(sock)
+        self._transport = TFramedTransport(self._endpoint, MAX_FRAME_BYTES)
         protocol = PROTOCOL.getProtocol(self._transport)
         client = Peer.Client(protocol)
         client.hello(self._hello)
@@ -124,7 +146,9 @@
     def _close(self, error: Exception) -> None:
         if self._transport is not None:
             self._transport.close()
-        self._transport = self._client = None
+        if self._endpoint is not None:
+            self._closed_bytes += self._endpoint.bytes_sent
+        self._transport = self._client = self._endpoint = None
         if self._up:
             self._up = False
             log_change("link down", peer=self._peer, reason=str(error))
@@ -159,7 +183,11 @@
     def describe(self) -> dict[str, Any]:
         """Return each link's state for operators."""
         return {
-            peer: {"address": link.address, "up": link.up}
+            peer: {
+                "address": link.address,
+                "up": link.up,
+                "bytes_sent": link.bytes_sent,
+            }
             for peer, link in self._links.items()
         }
 
--- /dev/null
+++ b/tests/cli/test_folder.py
@@ -0,0 +1,48 @@
+"""The operator's folder: checks and differences."""
+
+import shutil
+from pathlib import Path
+
+import pytest
+
+from wasabitray_cli.errors import InputError
+from wasabitray_cli.folder import compare, read_folder, to_edits
+
+EXAMPLES = Path(__file__).parents[2] / "examples" / "declarations"
+
+
+@pytest.fixture
+def folder(tmp_path):
+    return Path(shutil.copytree(EXAMPLES, tmp_path / "declarations"))
+
+
+def test_examples_are_good(folder):
+    keys = {"template/library", "organisation/hobart"}
+    assert set(read_folder(folder)) == keys
+
+
+def test_every_fault_is_named(folder):
+    (folder / "organisations" / "perth.toml").write_text(
+        'name = "perth"\ntemplate = "library"\n'
+        "[parameters]\ndeadline_ms = 5\nbranches = 1\n"
+    )
+    with pytest.raises(InputError) as caught:
+        read_folder(folder)
+    for part in ("parameters.branch", "deadline_ms", "branches", "perth"):
+        assert part in str(caught.value)
+
+
+def test_empty_folder_is_refused(tmp_path):
+    with pytest.raises(InputError):
+        read_folder(tmp_path)
+
+
+def test_difference_and_its_edits():
+    current = {"a": {"x": 1}, "b": {"x": 1}, "c": {"x": 1}}
+    wanted = {"a": {"x": 1}, "b": {"x": 2}, "d": {"x": 1}}
+    difference = compare(current, wanted)
+    assert difference.added == ("d",)
+    assert difference.changed == ("b",)
+    assert difference.removed == ("c",)
+    assert {"key": "c", "body": None} in to_edits(difference, wanted)
+    assert compare(wanted, wanted).empty
--- /dev/null
+++ b/tests/node/test_http.py
@@ -0,0 +1,92 @@
+"""The listeners: ambiguous lengths, forged headers and strangers."""
+
+import socket
+
+import falcon
+import falcon.testing
+import gevent
+import gevent.socket
+import pytest
+
+from wasabitray_node.headers import strip_hop_by_hop
+from wasabitray_node.http import build_server
+from wasabitray_node.operators import SecretCheck
+
+
+class Echo:
+    def on_post(self, req, resp):
+        resp.text = req.bounded_stream.read().decode()
+
+
+@pytest.fixture
+def address():
+    app = falcon.App()
+    app.add_route("/", Echo())
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    server = build_server(f"127.0.0.1:{port}", app)
+    server.start()
+    yield "127.0.0.1", port
+    server.stop(timeout=0)
+
+
+def exchange(address, data):
+    """Send bytes and return all that comes back until the end."""
+    with gevent.Timeout(5):
+        sock = gevent.socket.create_connection(address)
+        sock.sendall(data)
+        received = b""
+        while piece := sock.recv(65_536):
+            received += piece
+        sock.close()
+    return received
+
+
+SMUGGLED = [
+    b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+    b"Content-Length: +4\r\n\r\nabcd",
+    b"Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+    b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("rest", SMUGGLED)
+def test_ambiguous_length_is_refused_and_the_connection_closed(address, rest):
+    hidden = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nh"
+    data = b"POST / HTTP/1.1\r\nHost: x\r\n" + rest + hidden
+    answer = exchange(address, data)
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert answer.count(b"HTTP/1.1") == 1
+
+
+def test_plain_request_passes(address):
+    data = (
+        b"POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        b"Content-Length: 4\r\n\r\nabcd"
+    )
+    assert exchange(address, data).endswith(b"abcd")
+
+
+def test_hop_by_hop_and_own_headers_do_not_pass():
+    given = [
+        ("Connection", "close, X-Hop"),
+        ("X-Hop", "1"),
+        ("Transfer-Encoding", "chunked"),
+        ("Wasabitray-Outcome", "not-run"),
+        ("wasabitray-deadline-ms", "9"),
+        ("Accept", "text/plain"),
+    ]
+    assert strip_hop_by_hop(given) == (("Accept", "text/plain"),)
+
+
+def test_operators_need_the_secret():
+    app = falcon.App(middleware=[SecretCheck("a long enough secret")])
+    app.add_route("/", Echo())
+    client = falcon.testing.TestClient(app)
+    assert client.simulate_post("/").status_code == 401
+    wrong = {"Authorization": "Bearer guess"}
+    assert client.simulate_post("/", headers=wrong).status_code == 401
+    right = {"Authorization": "Bearer a long enough secret"}
+    assert client.simulate_post("/", headers=right).status_code == 200
