Split the largest modules; prove that silent connections blame no target

Cause: the control group's controller (633 lines), health (508) and the subcommands (475) each had several jobs; nothing proved what happens when all open connections to targets go silent.

Ruled out: mixing classes together for the split. Voting is an object of its own on shared state, evidence is plain data that judges itself, subcommands are a package.

Change: voting.py, state.py, evidence.py, commands/; a scenario in which every open connection hangs and new ones work.

Conclusion: idempotent callers see at most one retry and no target is ejected.

--- a/examples/target.py
+++ b/examples/target.py
@@ -39,6 +39,7 @@
         cut_body: end the answer's body early.
         answer_bytes: extra bytes in each answer.
         poison: path of the requests whose connection is cut.
+        silence_open: connections open now never answer again.
     """
 
     delay_s: float = 0.0
@@ -50,14 +51,24 @@
     cut_body: bool = False
     answer_bytes: int = 0
     poison: str = ""
+    silence_open: bool = False
 
 
 class SocketHandler(WSGIHandler):
     """Shows the application its socket, to cut it on purpose."""
 
+    def handle(self):
+        """Serve one connection."""
+        self.opened = time.monotonic()
+        super().handle()
+
     def get_environ(self):
         """Return the environment of one request."""
-        return {**super().get_environ(), "wasabitray.socket": self.socket}
+        return {
+            **super().get_environ(),
+            "wasabitray.socket": self.socket,
+            "wasabitray.opened": self.opened,
+        }
 
 
 class NoDelayServer(WSGIServer):
@@ -79,6 +90,7 @@
         self.busy = 0
         self.runs: dict[str, int] = {}
         self.poisoned = 0
+        self.silent_before = 0.0
         self.sequence = 0
         self.generation = time.time_ns() // 1_000_000
         self.leaving = False
@@ -131,6 +143,8 @@
         """Answer one request (a WSGI application)."""
         if environ["PATH_INFO"] == "/_control":
             return self.control(environ, start_response)
+        if environ["wasabitray.opened"] < self.silent_before:
+            gevent.sleep(3_600)
         behaviour = self.behaviour
         chance = random.random()
         if chance < behaviour.shed_share:
@@ -194,6 +208,8 @@
         if environ["REQUEST_METHOD"] == "POST":
             fields = json.loads(environ["wsgi.input"].read())
             self.behaviour = dataclasses.replace(self.behaviour, **fields)
+            if fields.get("silence_open"):
+                self.silent_before = time.monotonic()
         start_response("200 OK", [("Content-Type", "application/json")])
         shown = {
             **dataclasses.asdict(self.behaviour),
--- /dev/null
+++ b/packages/cli/src/wasabitray_cli/commands/__init__.py
@@ -0,0 +1,27 @@
+"""The subcommands."""
+
+from wasabitray_cli.commands.changes import (
+    ApplyCommand,
+    DiffCommand,
+    GetCommand,
+    HistoryCommand,
+    WaitCommand,
+)
+from wasabitray_cli.commands.fleet import (
+    AddressesCommand,
+    DrainCommand,
+    StatusCommand,
+    TargetsCommand,
+)
+
+COMMANDS = (
+    ApplyCommand,
+    DiffCommand,
+    GetCommand,
+    HistoryCommand,
+    StatusCommand,
+    TargetsCommand,
+    AddressesCommand,
+    DrainCommand,
+    WaitCommand,
+)
--- /dev/null
+++ b/packages/cli/src/wasabitray_cli/commands/base.py
@@ -0,0 +1,90 @@
+"""What all subcommands share."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any, ClassVar
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from wasabitray_cli.client import FleetClient
+from wasabitray_cli.errors import CommandError, InputError
+from wasabitray_cli.folder import Documents
+from wasabitray_cli.settings import DEFAULT_FILE, load_client_settings
+
+COMMON_OPTIONS = [
+    option(
+        "fleet",
+        "f",
+        "Settings file that says where the fleet is.",
+        flag=False,
+        default=DEFAULT_FILE,
+    ),
+    option("json", None, "Print JSON instead of text."),
+]
+
+
+class FleetCommand(Command):
+    """A subcommand that talks to the fleet."""
+
+    options: ClassVar[list] = COMMON_OPTIONS
+
+    def handle(self) -> int:
+        """Run and turn errors into exit codes."""
+        try:
+            settings = load_client_settings(Path(self.option("fleet")))
+            return self.run_with(FleetClient(settings))
+        except CommandError as error:
+            self.line_error(f"<error>{escape(str(error))}</error>")
+            return error.exit
+
+    def run_with(self, client: FleetClient) -> int:
+        """Do the work."""
+        raise NotImplementedError
+
+    def show(self, document: Any, lines: list[str]) -> None:
+        """Print a document as JSON or as text."""
+        if self.option("json"):
+            self.line(escape(json.dumps(document, indent=2)))
+        else:
+            for line in lines:
+                self.line(escape(line))
+
+    def show_table(
+        self, document: Any, headers: list[str], rows: list[list[str]]
+    ) -> None:
+        """Print a document as JSON or as a table."""
+        if self.option("json"):
+            self.show(document, [])
+        else:
+            self.render_table(headers, [[*map(escape, r)] for r in rows])
+
+
+def escape(text: str) -> str:
+    """Return text in which nothing is taken for markup."""
+    return text.replace("<", "\\<")
+
+
+def read_current(client: FleetClient) -> tuple[int, Documents]:
+    """Return the newest revision and its documents."""
+    state = client.newest_documents()
+    return state["revision"], state["documents"]
+
+
+def parse_seconds(value: str) -> float:
+    """Parse a number of seconds from an option."""
+    try:
+        return float(value)
+    except ValueError:
+        raise InputError(
+            f"{value!r} is not a number", step="read --timeout"
+        ) from None
+
+
+def parse_revision(value: str) -> int:
+    """Parse a revision or a count."""
+    if not value.isdigit():
+        raise InputError(f"{value!r} is not a revision", step="read revision")
+    return int(value)
--- /dev/null
+++ b/packages/cli/src/wasabitray_cli/commands/changes.py
@@ -0,0 +1,252 @@
+"""Subcommands that change or show the configuration."""
+
+from __future__ import annotations
+
+import difflib
+import getpass
+import json
+import time
+import uuid
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any, ClassVar
+
+from cleo.helpers import argument, option
+
+from wasabitray_cli.client import FleetClient
+from wasabitray_cli.commands.base import (
+    COMMON_OPTIONS,
+    FleetCommand,
+    parse_revision,
+    parse_seconds,
+    read_current,
+)
+from wasabitray_cli.errors import InputError, NotInForceError
+from wasabitray_cli.exits import Exit
+from wasabitray_cli.folder import (
+    Difference,
+    Documents,
+    compare,
+    read_folder,
+    to_edits,
+)
+from wasabitray_core.documents import FLEET_KEY
+
+POLL_S = 0.2
+
+
+def _describe(difference: Difference) -> list[str]:
+    return [
+        *(f"+ {key}" for key in difference.added),
+        *(f"~ {key}" for key in difference.changed),
+        *(f"- {key}" for key in difference.removed),
+    ]
+
+
+class ApplyCommand(FleetCommand):
+    """Makes the configuration equal to a folder."""
+
+    name = "apply"
+    description = "Make the configuration in force equal to a folder."
+    help = (
+        "Example: <info>wasabitray apply ./declarations</info>\n"
+        "Running it twice is safe. Exit codes: 2 bad input, 3 somebody else "
+        "changed the configuration first, 4 not yet in force everywhere."
+    )
+    arguments: ClassVar[list] = [argument("folder", "Folder to apply.")]
+    options: ClassVar[list] = [
+        *COMMON_OPTIONS,
+        option("author", None, "Name for the history.", flag=False),
+        option(
+            "expected",
+            None,
+            "Revision that the folder was made against; default: the newest.",
+            flag=False,
+        ),
+        option(
+            "force",
+            None,
+            "Vouch that entries which can't be reached are stopped.",
+        ),
+        option("timeout", "t", "Seconds to wait.", flag=False, default="10"),
+    ]
+
+    def run_with(self, client: FleetClient) -> int:
+        """Compare, propose and wait until it is in force."""
+        wanted = read_folder(Path(self.argument("folder")))
+        revision, current = read_current(client)
+        difference = compare(current, wanted)
+        if difference.empty:
+            self.show(
+                {"revision": revision, "changed": False},
+                [f"nothing to change, revision {revision} is in force"],
+            )
+            return Exit.OK
+        answer = client.propose(self._change(revision, difference, wanted))
+        made = answer["revision"]
+        missing = wait_in_force(
+            client, made, parse_seconds(self.option("timeout"))
+        )
+        answer["waiting"] = missing
+        lines = [*_describe(difference), f"revision {made} accepted"]
+        self.show(answer, lines)
+        if missing:
+            raise NotInForceError(
+                f"revision {made} is not yet in force on {missing}",
+                step="wait",
+            )
+        return Exit.OK
+
+    def _change(
+        self, revision: int, difference: Difference, wanted: Documents
+    ) -> dict[str, Any]:
+        expected = self.option("expected")
+        return {
+            "change": str(uuid.uuid4()),
+            "expected": revision
+            if expected is None
+            else parse_revision(expected),
+            "author": self.option("author") or getpass.getuser(),
+            "wall_time": datetime.now(UTC).isoformat(timespec="seconds"),
+            "edits": to_edits(difference, wanted),
+            "forced": bool(self.option("force")),
+        }
+
+
+def _missing_entries(client: FleetClient, revision: int) -> list[str]:
+    """Return the entries that have not reported a revision in force."""
+    _, documents = read_current(client)
+    entries = [e["host"] for e in documents.get(FLEET_KEY, {})["entries"]]
+    status = client.get_any(client.settings.control, "/v1/status")
+    have = {
+        host["host"]
+        for host in status["membership"]["hosts"]
+        if host["fresh"] and host["revision"] >= revision
+    }
+    return [e for e in entries if e not in have]
+
+
+def wait_in_force(
+    client: FleetClient, revision: int, timeout: float
+) -> list[str]:
+    """Return the entries that lack a revision when the time is over."""
+    deadline = time.monotonic() + timeout
+    while True:
+        missing = _missing_entries(client, revision)
+        if not missing or time.monotonic() >= deadline:
+            return missing
+        time.sleep(POLL_S)
+
+
+class DiffCommand(FleetCommand):
+    """Shows what apply would change."""
+
+    name = "diff"
+    description = "Show what `apply` would change."
+    arguments: ClassVar[list] = [argument("folder", "Folder to compare.")]
+
+    def run_with(self, client: FleetClient) -> int:
+        """Compare a folder with the configuration in force."""
+        wanted = read_folder(Path(self.argument("folder")))
+        revision, current = read_current(client)
+        difference = compare(current, wanted)
+        document = {
+            "revision": revision,
+            "added": difference.added,
+            "changed": difference.changed,
+            "removed": difference.removed,
+        }
+        lines = _describe(difference)
+        for key in difference.changed:
+            lines += _text_diff(key, current[key], wanted[key])
+        self.show(document, lines or ["no difference"])
+        return Exit.OK
+
+
+def _text_diff(key: str, old: Any, new: Any) -> list[str]:
+    texts = [
+        json.dumps(d, indent=2, sort_keys=True).splitlines()
+        for d in (old, new)
+    ]
+    return [*difflib.unified_diff(*texts, key, key, lineterm="", n=1)]
+
+
+class GetCommand(FleetCommand):
+    """Prints documents in force."""
+
+    name = "get"
+    description = "Print a document in force, or the names of all."
+    arguments: ClassVar[list] = [
+        argument("key", "Such as template/rota.", optional=True)
+    ]
+
+    def run_with(self, client: FleetClient) -> int:
+        """Print one document or the list."""
+        revision, documents = read_current(client)
+        key = self.argument("key")
+        if key is None:
+            self.show(
+                {"revision": revision, "keys": sorted(documents)},
+                [f"revision {revision}", *sorted(documents)],
+            )
+            return Exit.OK
+        if key not in documents:
+            raise InputError(f"no document {key!r}", step="get")
+        body = documents[key]
+        self.show(body, json.dumps(body, indent=2).splitlines())
+        return Exit.OK
+
+
+class HistoryCommand(FleetCommand):
+    """Shows who changed what and when."""
+
+    name = "history"
+    description = "Show who changed what and when."
+    options: ClassVar[list] = [
+        *COMMON_OPTIONS,
+        option("limit", "l", "Newest changes.", flag=False, default="20"),
+    ]
+
+    def run_with(self, client: FleetClient) -> int:
+        """Print the newest changes."""
+        limit = parse_revision(self.option("limit"))
+        found = client.get_any(
+            client.settings.control, f"/v1/changes?limit={limit}"
+        )
+        rows = [
+            [
+                str(c["revision"]),
+                c["wall_time"],
+                c["author"],
+                " ".join(c["written"] + [f"-{k}" for k in c["deleted"]]),
+            ]
+            for c in found["changes"]
+        ]
+        self.show_table(found, ["revision", "time", "author", "keys"], rows)
+        return Exit.OK
+
+
+class WaitCommand(FleetCommand):
+    """Waits until a revision is in force."""
+
+    name = "wait"
+    description = "Wait until a revision is in force on every entry."
+    arguments: ClassVar[list] = [argument("revision", "Revision to wait for.")]
+    options: ClassVar[list] = [
+        *COMMON_OPTIONS,
+        option("timeout", "t", "Seconds to wait.", flag=False, default="10"),
+    ]
+
+    def run_with(self, client: FleetClient) -> int:
+        """Wait and say who is missing if it takes too long."""
+        revision = parse_revision(self.argument("revision"))
+        missing = wait_in_force(
+            client, revision, parse_seconds(self.option("timeout"))
+        )
+        if missing:
+            raise NotInForceError(
+                f"revision {revision} is not in force on {missing}",
+                step="wait",
+            )
+        self.show({"revision": revision}, [f"revision {revision} in force"])
+        return Exit.OK
--- /dev/null
+++ b/packages/cli/src/wasabitray_cli/commands/fleet.py
@@ -0,0 +1,165 @@
+"""Subcommands that show or stop hosts and targets."""
+
+from __future__ import annotations
+
+from typing import Any, ClassVar
+
+from cleo.helpers import argument, option
+
+from wasabitray_cli.client import FleetClient
+from wasabitray_cli.commands.base import (
+    COMMON_OPTIONS,
+    FleetCommand,
+    escape,
+)
+from wasabitray_cli.errors import CommandError
+from wasabitray_cli.exits import Exit
+
+
+class StatusCommand(FleetCommand):
+    """Shows the fleet at a glance."""
+
+    name = "status"
+    description = "Show leader, control members, entries and targets' faults."
+
+    def run_with(self, client: FleetClient) -> int:
+        """Print the state of the fleet."""
+        control = _collect(client, client.settings.control)
+        entries = _collect(client, client.settings.entries)
+        rows = [_control_row(a, s) for a, s in control.items()]
+        rows += [_entry_row(a, s) for a, s in entries.items()]
+        headers = ["host", "role", "revision", "state", "not heard"]
+        self.show_table({**control, **entries}, headers, rows)
+        if not self.option("json"):
+            for line in _target_lines(entries):
+                self.line(escape(line))
+        return Exit.OK
+
+
+def _collect(
+    client: FleetClient, addresses: tuple[str, ...]
+) -> dict[str, dict[str, Any]]:
+    found = {}
+    for address in addresses:
+        try:
+            found[address] = client.get(address, "/v1/status")
+        except CommandError as error:
+            found[address] = {"unreachable": str(error)}
+    return found
+
+
+def _unheard(status: dict[str, Any]) -> str:
+    hosts = status["membership"]["hosts"]
+    return " ".join(h["host"] for h in hosts if not h["fresh"])
+
+
+def _control_row(address: str, status: dict[str, Any]) -> list[str]:
+    if "unreachable" in status:
+        return [address, "control", "", "unreachable", ""]
+    consensus = status["consensus"]
+    lag = " ".join(f"{m}:{n}" for m, n in consensus["lag"].items())
+    state = f"{consensus['role']} of term {consensus['term']}"
+    if lag:
+        state += f", lag {lag}"
+    revision = str(consensus["revision"])
+    return [status["host"], "control", revision, state, _unheard(status)]
+
+
+def _entry_row(address: str, status: dict[str, Any]) -> list[str]:
+    if "unreachable" in status:
+        return [address, "entry", "", "unreachable", ""]
+    membership = status["membership"]
+    own = membership["hosts"][0]
+    state = "cut off" if membership["isolated"] else " ".join(own["flags"])
+    revision = str(membership["revision"])
+    return [status["host"], "entry", revision, state, _unheard(status)]
+
+
+def _target_lines(entries: dict[str, dict[str, Any]]) -> list[str]:
+    lines = []
+    for target in _targets_seen(entries).values():
+        if target["ejection"] not in (None, "returned"):
+            lines.append(
+                f"{target['target']} {target['ejection']}: "
+                f"{target['evidence']}"
+            )
+        if target["phase"] != "active" or target["quiet"]:
+            state = "quiet" if target["quiet"] else target["phase"]
+            lines.append(f"{target['target']} {state}")
+    for status in entries.values():
+        for service, health in status.get("health", {}).items():
+            if health["widespread_failure"]:
+                lines.append(f"service {service}: widespread failure")
+    return sorted(set(lines))
+
+
+def _targets_seen(entries: dict[str, dict[str, Any]]) -> dict[str, dict]:
+    return {
+        target["target"]: target
+        for status in entries.values()
+        for target in status.get("targets", ())
+    }
+
+
+class TargetsCommand(FleetCommand):
+    """Lists the targets."""
+
+    name = "targets"
+    description = "List the targets that announced themselves."
+
+    def run_with(self, client: FleetClient) -> int:
+        """Print every target that any entry knows."""
+        seen = _targets_seen(_collect(client, client.settings.entries))
+        rows = [
+            [
+                t["target"],
+                t["service"],
+                t["region"],
+                t["failure_domain"],
+                str(t["slots"]),
+                "quiet" if t["quiet"] else t["phase"],
+                t["ejection"] or "",
+            ]
+            for _, t in sorted(seen.items())
+        ]
+        headers = ["target", "service", "region", "domain", "slots", "state"]
+        self.show_table(list(seen.values()), [*headers, "ejection"], rows)
+        return Exit.OK
+
+
+class AddressesCommand(FleetCommand):
+    """Asks which entries to use."""
+
+    name = "addresses"
+    description = "Ask which entries a caller should use."
+    options: ClassVar[list] = [
+        *COMMON_OPTIONS,
+        option("region", "r", "Region of the caller.", flag=False),
+    ]
+
+    def run_with(self, client: FleetClient) -> int:
+        """Print an address answer."""
+        path = "/.well-known/wasabitray/addresses"
+        region = self.option("region")
+        if region:
+            path += f"?region={region}"
+        found = client.get_any(client.settings.callers, path)
+        self.show(found, [f"for {found['ttl_s']} s:", *found["addresses"]])
+        return Exit.OK
+
+
+class DrainCommand(FleetCommand):
+    """Stops a host gracefully."""
+
+    name = "drain"
+    description = "Stop a host gracefully; its process then ends."
+    arguments: ClassVar[list] = [
+        argument("address", "Operator address of the host, IP:PORT.")
+    ]
+
+    def run_with(self, client: FleetClient) -> int:
+        """Ask the host to stop."""
+        address = self.argument("address")
+        found = client.post(address, "/v1/drain")
+        self.show(found, [f"{address} drains"])
+        return Exit.OK
--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -11,7 +11,6 @@
 from wasabitray_core.controllers.consensus.election import (
     ELECTION_MIN_S,
     NO_MEMBER,
-    UNKNOWN_HOST,
     Election,
 )
 from wasabitray_core.controllers.consensus.log import ReplicatedLog
@@ -25,9 +24,11 @@
     Proposal,
     Proposals,
 )
+from wasabitray_core.controllers.consensus.state import MemberState
 from wasabitray_core.controllers.consensus.state_machine import (
     ConfigurationStateMachine,
 )
+from wasabitray_core.controllers.consensus.voting import Voting
 from wasabitray_core.controllers.controller import (
     Context,
     Controller,
@@ -109,25 +110,29 @@
         """
         super().__init__(context)
         self._control_hosts = control_hosts
-        self._election = Election(member, ballot)
         self._machine = ConfigurationStateMachine()
         self._machine.restore(snapshot)
         self._log = ReplicatedLog(
             snapshot.index, snapshot.term, snapshot.members
         )
         self._log.load(records)
+        self._election = Election(member, ballot)
+        self._state = MemberState(context, self._election, self._log)
+        self._voting = Voting(
+            self._state, self._become_leader, self._step_down
+        )
         self._commit = self._applied = snapshot.index
         self._proposals = Proposals(self._machine)
         self._progress: dict[MemberId, Progress] = {}
         self._flagged = False
-        self._postpone()
+        self._state.postpone()
         if snapshot.revision:
             self._outbox.tell(ControllerName.CONFIGURATION, Restored(snapshot))
 
     @property
     def role(self) -> ConsensusRole:
         """The member's role in the current term."""
-        if self._member_record() not in self._log.members.voters:
+        if self._state.record not in self._log.members.voters:
             return ConsensusRole.LEARNER
         return self._election.role
 
@@ -153,12 +158,12 @@
 
     @receive.register
     def _(self, message: Tick, origin: Origin) -> None:
-        if self._election.role is _LEADER:
+        if self._state.leads:
             self._lead()
-        elif not self._is_voter():
+        elif not self._state.is_voter:
             self._ask_to_join()
         elif self._now() >= self._election.timeout:
-            self._start_pre_vote()
+            self._voting.start_pre_vote()
 
     @receive.register
     def _(self, message: FleetView, origin: Origin) -> None:
@@ -167,7 +172,7 @@
 
     @receive.register
     def _(self, message: Propose, origin: Origin) -> None:
-        if self._election.role is not _LEADER:
+        if not self._state.leads:
             self._reply(origin, Err(self._not_leader()))
             return
         self._proposals.add(Proposal(message.change, origin))
@@ -186,7 +191,7 @@
                 "member": self._election.member,
                 "role": self.role.value,
                 "term": self.term,
-                "leader": self._leader_host(),
+                "leader": self._state.leader_host,
                 "commit": self._commit,
                 "last_index": self._log.last_index,
                 "revision": self._machine.revision,
@@ -201,130 +206,34 @@
 
     @receive.register
     def _(self, message: TransferLeadership, origin: Origin) -> None:
-        if self._election.role is _LEADER:
-            heirs = [m for m in self._peers() if m in self._voters()]
+        if self._state.leads:
+            heirs = [m for m in self._state.peers if m in self._state.voters]
             if heirs:
                 heir = max(heirs, key=lambda m: self._progress[m.member].match)
                 campaign = CampaignNow(self.term, self._election.member)
                 self._outbox.send(heir.host, campaign)
-        self._reply(origin, self._election.role is _LEADER)
+        self._reply(origin, self._state.leads)
 
     # Elections
 
     @receive.register
     def _(self, message: VoteRequest, origin: Origin) -> None:
         assert origin.peer is not None
-        leads = self._election.role is _LEADER
-        sticky = leads or self._election.has_live_leader(self._now())
-        if sticky and not message.transfer:
-            granted = False
-        elif message.pre:
-            granted = message.term > self.term and self._is_new_enough(message)
-        else:
-            self._see_term(message.term)
-            granted = self._vote(message)
-        reply = VoteReply(
-            message.term if granted else self.term,
-            self._election.member,
-            granted,
-            message.pre,
-        )
-        self._outbox.send(origin.peer, reply)
-
-    def _vote(self, request: VoteRequest) -> bool:
-        if (
-            request.term != self.term
-            or not self._election.may_vote_for(request.candidate)
-            or not self._is_new_enough(request)
-        ):
-            return False
-        self._outbox.persist(self._election.vote_for(request.candidate))
-        self._postpone()
-        return True
-
-    def _is_new_enough(self, request: VoteRequest) -> bool:
-        return self._log.is_as_new_as(request.last_term, request.last_index)
+        self._voting.answer(message, origin.peer)
 
     @receive.register
     def _(self, message: VoteReply, origin: Origin) -> None:
-        if message.granted:
-            self._count_vote(message)
-        else:
-            self._see_term(message.term)
-
-    def _count_vote(self, reply: VoteReply) -> None:
-        election = self._election
-        if reply.pre:
-            counts = (
-                election.role is ConsensusRole.PRE_CANDIDATE
-                and reply.term == self.term + 1
-            )
-        else:
-            counts = (
-                election.role is ConsensusRole.CANDIDATE
-                and reply.term == self.term
-            )
-        if not counts:
-            return
-        election.votes.add(reply.voter)
-        if not is_quorum(self._log.members, election.votes):
-            return
-        if reply.pre:
-            self._start_election(transfer=False)
-        else:
-            self._become_leader()
-
-    def _start_pre_vote(self) -> None:
-        self._postpone()
-        self._election.role = ConsensusRole.PRE_CANDIDATE
-        self._election.leader = NO_MEMBER
-        self._election.votes = {self._election.member}
-        if is_quorum(self._log.members, self._election.votes):
-            self._start_election(transfer=False)
-        else:
-            self._request_votes(Term(self.term + 1), pre=True, transfer=False)
-
-    def _start_election(self, transfer: bool) -> None:
-        self._postpone()
-        election = self._election
-        self._outbox.persist(election.enter_term(Term(self.term + 1)))
-        self._outbox.persist(election.vote_for(election.member))
-        election.role = ConsensusRole.CANDIDATE
-        election.votes = {election.member}
-        if is_quorum(self._log.members, election.votes):
-            self._become_leader()
-        else:
-            self._request_votes(self.term, pre=False, transfer=transfer)
-
-    def _request_votes(self, term: Term, pre: bool, transfer: bool) -> None:
-        request = VoteRequest(
-            term,
-            self._election.member,
-            self._log.last_index,
-            self._log.last_term,
-            pre,
-            transfer,
-        )
-        for member in self._voters():
-            if member.member != self._election.member:
-                self._outbox.send(member.host, request)
+        self._voting.count(message)
 
     @receive.register
     def _(self, message: CampaignNow, origin: Origin) -> None:
-        if message.term == self.term and self._is_voter():
-            self._start_election(transfer=True)
-
-    def _see_term(self, term: Term) -> None:
-        """Fall back to follower when a higher term shows up."""
-        if term > self.term:
-            self._outbox.persist(self._election.enter_term(term))
-            self._step_down("higher term")
+        self._voting.campaign(message)
 
     def _step_down(self, reason: str) -> None:
-        was_leader = self._election.role is _LEADER
+        was_leader = self._state.leads
         self._election.role = ConsensusRole.FOLLOWER
         self._election.leader = NO_MEMBER
-        self._postpone()
+        self._state.postpone()
         if was_leader:
             self._outbox.report("lead lost", term=self.term, reason=reason)
             self._set_leader_flag(False)
@@ -346,7 +255,7 @@
         start = Progress(LogIndex(0), self._log.last_index, now)
         self._progress = {
             m.member: self._progress.get(m.member) or replace(start)
-            for m in self._peers()
+            for m in self._state.peers
         }
         heard = {
             m
@@ -356,7 +265,7 @@
         if not is_quorum(self._log.members, heard | {self._election.member}):
             self._step_down("no contact with a majority")
             return
-        for member in self._peers():
+        for member in self._state.peers:
             self._send_append(member)
         self._advance_commit()
         self._advance_members()
@@ -392,9 +301,9 @@
 
     @receive.register
     def _(self, message: AppendReply, origin: Origin) -> None:
-        self._see_term(message.term)
+        self._voting.see_term(message.term)
         progress = self._progress.get(message.member)
-        if self._election.role is not _LEADER or progress is None:
+        if not self._state.leads or progress is None:
             return
         if message.term != self.term:
             return
@@ -408,12 +317,12 @@
             hint = LogIndex(message.index + 1)
             progress.next = max(LogIndex(1), min(hint, progress.next))
             behind = True
-        if behind and self._election.role is _LEADER:
+        if behind and self._state.leads:
             self._send_next(message.member)
 
     def _send_next(self, name: MemberId) -> None:
         """Send a member that is behind its next records at once."""
-        for member in self._peers():
+        for member in self._state.peers:
             if member.member == name:
                 self._send_append(member)
 
@@ -440,7 +349,7 @@
     @receive.register
     def _(self, message: JoinRequest, origin: Origin) -> None:
         members = self._log.members
-        if self._election.role is not _LEADER:
+        if not self._state.leads:
             return
         if message.member in (*members.voters, *members.learners):
             return
@@ -459,13 +368,13 @@
         record = LogRecord(index, self.term, command)
         self._log.append(record)
         self._outbox.persist(record)
-        for member in self._peers():
+        for member in self._state.peers:
             if member.member in self._progress:
                 self._send_append(member)
 
     def _pump_proposals(self) -> None:
         """Put the next valid change into the log."""
-        if self._election.role is not _LEADER:
+        if not self._state.leads:
             return
         while self._has_committed_own_term() and not self._proposals.busy:
             proposal = self._proposals.pop()
@@ -524,19 +433,17 @@
         if snapshot.index > self._commit:
             self._outbox.persist(snapshot)
             self._machine.restore(snapshot)
-            self._log = ReplicatedLog(
-                snapshot.index, snapshot.term, snapshot.members
-            )
+            self._log.reset(snapshot.index, snapshot.term, snapshot.members)
             self._commit = self._applied = snapshot.index
             self._outbox.tell(ControllerName.CONFIGURATION, Restored(snapshot))
         self._reply_append(origin.peer, True, snapshot.index)
 
     def _accept_leader(self, term: Term, leader: MemberId) -> bool:
-        self._see_term(term)
+        self._voting.see_term(term)
         if term < self.term:
             return False
         self._election.follow(leader, self._now())
-        self._postpone()
+        self._state.postpone()
         return True
 
     def _reply_append(
@@ -546,9 +453,9 @@
         self._outbox.send(host, reply)
 
     def _ask_to_join(self) -> None:
-        if self._member_record() in self._log.members.learners:
+        if self._state.record in self._log.members.learners:
             return
-        request = JoinRequest(self._member_record())
+        request = JoinRequest(self._state.record)
         for host in self._control_hosts:
             if host != self.host:
                 self._outbox.send(host, request)
@@ -566,7 +473,7 @@
         if committed:
             message = Committed(tuple(committed))
             self._outbox.tell(ControllerName.CONFIGURATION, message)
-        if self._election.role is _LEADER and self._has_committed_own_term():
+        if self._state.leads and self._has_committed_own_term():
             self._set_leader_flag(True)
         if self._applied - self._log.base_index >= SNAPSHOT_EVERY:
             self._take_snapshot()
@@ -594,31 +501,8 @@
 
     # Group
 
-    def _member_record(self) -> Member:
-        return Member(self._election.member, self.host)
-
-    def _voters(self) -> tuple[Member, ...]:
-        return self._log.members.voters
-
-    def _is_voter(self) -> bool:
-        return self._member_record() in self._voters()
-
-    def _peers(self) -> list[Member]:
-        members = self._log.members
-        own = self._election.member
-        everyone = (*members.voters, *members.learners)
-        return [m for m in everyone if m.member != own]
-
-    def _leader_host(self) -> HostId:
-        leader = self._election.leader
-        if self._election.role is _LEADER:
-            return self.host
-        return next(
-            (m.host for m in self._peers() if m.member == leader), UNKNOWN_HOST
-        )
-
     def _not_leader(self) -> WasabitrayError:
-        leader = self._leader_host()
+        leader = self._state.leader_host
         detail = f"the leader is {leader or 'not known'}"
         return NotLeaderError(detail, step="propose", peer=leader)
 
@@ -627,7 +511,3 @@
             self._flagged = value
             flag = SetFlag(HostFlag.LEADER, value)
             self._outbox.tell(ControllerName.MEMBERSHIP, flag)
-
-    def _postpone(self) -> None:
-        chance = self._context.random.random()
-        self._election.postpone(self._now(), chance)
--- a/packages/core/src/wasabitray_core/controllers/consensus/log.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/log.py
@@ -21,10 +21,10 @@
             base_term: term of that record.
             members: the group as of that record.
         """
+        self._records: list[LogRecord] = []
         self._base_index = base_index
         self._base_term = base_term
         self._base_members = members
-        self._records: list[LogRecord] = []
 
     @property
     def base_index(self) -> LogIndex:
@@ -111,6 +111,15 @@
         self._base_index, self._base_term = index, term
         self._base_members = members
 
+    def reset(
+        self, base_index: LogIndex, base_term: Term, members: Members
+    ) -> None:
+        """Start anew at a snapshot."""
+        self._base_index = base_index
+        self._base_term = base_term
+        self._base_members = members
+        self._records.clear()
+
     def is_as_new_as(self, last_term: Term, last_index: LogIndex) -> bool:
         """Tell whether another log is at least as new as this one."""
         return (last_term, last_index) >= (self.last_term, self.last_index)
--- /dev/null
+++ b/packages/core/src/wasabitray_core/controllers/consensus/voting.py
@@ -0,0 +1,144 @@
+"""Terms and votes of a member of the replicated log."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from wasabitray_core.controllers.consensus.election import NO_MEMBER
+from wasabitray_core.controllers.consensus.progress import is_quorum
+from wasabitray_core.controllers.consensus.state import MemberState
+from wasabitray_core.ids import HostId, Term
+from wasabitray_core.messages import CampaignNow, VoteReply, VoteRequest
+from wasabitray_core.states import ConsensusRole
+
+
+class Voting:
+    """Gives and collects votes."""
+
+    def __init__(
+        self,
+        state: MemberState,
+        on_elected: Callable[[], None],
+        on_deposed: Callable[[str], None],
+    ) -> None:
+        """Take the shared state and whom to tell of the outcome."""
+        self._state = state
+        self._outbox = state.context.outbox
+        self._on_elected = on_elected
+        self._on_deposed = on_deposed
+
+    def answer(self, message: VoteRequest, peer: HostId) -> None:
+        """Answer a request for a vote."""
+        sticky = self._state.leads or self._state.election.has_live_leader(
+            self._state.now()
+        )
+        if sticky and not message.transfer:
+            granted = False
+        elif message.pre:
+            granted = message.term > self._state.term and self._is_new_enough(
+                message
+            )
+        else:
+            self.see_term(message.term)
+            granted = self._vote(message)
+        reply = VoteReply(
+            message.term if granted else self._state.term,
+            self._state.election.member,
+            granted,
+            message.pre,
+        )
+        self._outbox.send(peer, reply)
+
+    def _vote(self, request: VoteRequest) -> bool:
+        if (
+            request.term != self._state.term
+            or not self._state.election.may_vote_for(request.candidate)
+            or not self._is_new_enough(request)
+        ):
+            return False
+        self._outbox.persist(self._state.election.vote_for(request.candidate))
+        self._state.postpone()
+        return True
+
+    def _is_new_enough(self, request: VoteRequest) -> bool:
+        return self._state.log.is_as_new_as(
+            request.last_term, request.last_index
+        )
+
+    def count(self, message: VoteReply) -> None:
+        """Count a vote, or learn of a higher term."""
+        if message.granted:
+            self._count_vote(message)
+        else:
+            self.see_term(message.term)
+
+    def _count_vote(self, reply: VoteReply) -> None:
+        election = self._state.election
+        if reply.pre:
+            counts = (
+                election.role is ConsensusRole.PRE_CANDIDATE
+                and reply.term == self._state.term + 1
+            )
+        else:
+            counts = (
+                election.role is ConsensusRole.CANDIDATE
+                and reply.term == self._state.term
+            )
+        if not counts:
+            return
+        election.votes.add(reply.voter)
+        if not is_quorum(self._state.log.members, election.votes):
+            return
+        if reply.pre:
+            self._start_election(transfer=False)
+        else:
+            self._on_elected()
+
+    def start_pre_vote(self) -> None:
+        """Ask whether an election would be won, before a new term."""
+        self._state.postpone()
+        self._state.election.role = ConsensusRole.PRE_CANDIDATE
+        self._state.election.leader = NO_MEMBER
+        self._state.election.votes = {self._state.election.member}
+        if is_quorum(self._state.log.members, self._state.election.votes):
+            self._start_election(transfer=False)
+        else:
+            self._request_votes(
+                Term(self._state.term + 1), pre=True, transfer=False
+            )
+
+    def _start_election(self, transfer: bool) -> None:
+        self._state.postpone()
+        election = self._state.election
+        self._outbox.persist(election.enter_term(Term(self._state.term + 1)))
+        self._outbox.persist(election.vote_for(election.member))
+        election.role = ConsensusRole.CANDIDATE
+        election.votes = {election.member}
+        if is_quorum(self._state.log.members, election.votes):
+            self._on_elected()
+        else:
+            self._request_votes(self._state.term, pre=False, transfer=transfer)
+
+    def _request_votes(self, term: Term, pre: bool, transfer: bool) -> None:
+        request = VoteRequest(
+            term,
+            self._state.election.member,
+            self._state.log.last_index,
+            self._state.log.last_term,
+            pre,
+            transfer,
+        )
+        for member in self._state.voters:
+            if member.member != self._state.election.member:
+                self._outbox.send(member.host, request)
+
+    def campaign(self, message: CampaignNow) -> None:
+        """Take over from a leader that is about to stop."""
+        if message.term == self._state.term and self._state.is_voter:
+            self._start_election(transfer=True)
+
+    def see_term(self, term: Term) -> None:
+        """Fall back to follower when a higher term shows up."""
+        if term > self._state.term:
+            self._outbox.persist(self._state.election.enter_term(term))
+            self._on_deposed("higher term")
--- a/packages/core/src/wasabitray_core/controllers/health.py
+++ b/packages/core/src/wasabitray_core/controllers/health.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import math
-from collections import deque
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
@@ -14,10 +11,15 @@
     Origin,
 )
 from wasabitray_core.controllers.detector import (
-    ORDINARY_BAD_SHARE,
-    CumulativeSum,
     RunningMedian,
 )
+from wasabitray_core.controllers.evidence import (
+    WINDOW_S,
+    Count,
+    JudgedService,
+    JudgedTarget,
+    Report,
+)
 from wasabitray_core.controllers.targets import NEW_VERSION
 from wasabitray_core.ids import (
     ClaimId,
@@ -52,10 +54,6 @@
 SLOW_FACTOR = 3.0
 SLOW_FLOOR_S = 0.005
 MIN_BASELINE_SAMPLES = 20
-WINDOW_S = 3.0
-# Odds of about 50 to 1 that a region does not see what another one sees.
-PATH_CONFIDENCE = 4.0
-WIDESPREAD_SHARE = 0.4
 EJECT_FIRST_S = 10.0
 EJECT_MAX_S = 300.0
 FLAP_MEMORY_S = 900.0
@@ -65,72 +63,6 @@
 PERMIT_TIMEOUT_S = 1.0
 
 
-@dataclass(slots=True)
-class _Count:
-    good: int = 0
-    bad: int = 0
-
-    @property
-    def total(self) -> int:
-        return self.good + self.bad
-
-    @property
-    def bad_share(self) -> float:
-        return self.bad / self.total if self.total else 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class _Report:
-    """One entry's counts for a target, kept for the window."""
-
-    at: Seconds
-    reporter: HostId
-    region: RegionName
-    good: int
-    bad: int
-
-
-@dataclass(slots=True)
-class _Judged:
-    """A target as the evaluator of its service sees it."""
-
-    sums: CumulativeSum = field(default_factory=CumulativeSum)
-    window: deque[_Report] = field(default_factory=deque)
-    phase: EjectionPhase = EjectionPhase.RETURNED
-    phase_ends: Seconds = Seconds(0.0)
-    trial: _Count = field(default_factory=_Count)
-    ejections: int = 0
-    permit: ClaimKey | None = None
-    claim: ClaimId | None = None
-    pending: bool = False
-
-    def by_region(self) -> dict[RegionName, _Count]:
-        counts: dict[RegionName, _Count] = {}
-        for report in self.window:
-            count = counts.setdefault(report.region, _Count())
-            count.good += report.good
-            count.bad += report.bad
-        return counts
-
-    def total(self) -> _Count:
-        good = sum(r.good for r in self.window)
-        return _Count(good, sum(r.bad for r in self.window))
-
-    def blamers(self) -> set[HostId]:
-        return {r.reporter for r in self.window if r.bad}
-
-
-@dataclass(slots=True)
-class _Service:
-    """A service this host evaluates."""
-
-    targets: dict[TargetId, _Judged] = field(default_factory=dict)
-    reporters: dict[HostId, Seconds] = field(default_factory=dict)
-    active: tuple[TargetId, ...] = ()
-    ejected: tuple[TargetId, ...] = ()
-    widespread: bool = False
-
-
 class HealthController(Controller):
     """Owns the evidence about targets.
 
@@ -150,9 +82,9 @@
         super().__init__(context)
         self._region = region
         self._entries: tuple[HostId, ...] = (context.host,)
-        self._counts: dict[ServiceName, dict[TargetId, _Count]] = {}
+        self._counts: dict[ServiceName, dict[TargetId, Count]] = {}
         self._baselines: dict[ServiceName, RunningMedian] = {}
-        self._services: dict[ServiceName, _Service] = {}
+        self._services: dict[ServiceName, JudgedService] = {}
         self._floors: dict[ServiceName, int] = {}
         self._claims = 0
         self._reported_at = Seconds(0.0)
@@ -186,7 +118,7 @@
     def _(self, message: Sample, origin: Origin) -> None:
         bad = not message.good or self._is_slow(message)
         targets = self._counts.setdefault(message.service, {})
-        count = targets.setdefault(message.target, _Count())
+        count = targets.setdefault(message.target, Count())
         if bad:
             count.bad += 1
         else:
@@ -231,8 +163,8 @@
         baseline = self._baselines.get(name)
         return round(baseline.value * 1_000, 3) if baseline else None
 
-    def _service(self, name: ServiceName) -> _Service:
-        return self._services.setdefault(name, _Service())
+    def _service(self, name: ServiceName) -> JudgedService:
+        return self._services.setdefault(name, JudgedService())
 
     # Collecting
 
@@ -272,48 +204,26 @@
         service = self._service(evidence.service)
         service.reporters[reporter] = self._now()
         for sample in evidence.samples:
-            judged = service.targets.setdefault(sample.target, _Judged())
+            judged = service.targets.setdefault(sample.target, JudgedTarget())
             if judged.phase is EjectionPhase.PROBATION:
                 judged.trial.good += sample.good
                 judged.trial.bad += sample.bad
                 continue
             if judged.phase is EjectionPhase.EJECTED:
                 continue  # late reports of work from before the ejection
-            ordinary = self._peers_bad_share(service, sample.target)
-            judged.sums.add(sample.good, sample.bad, ordinary)
-            judged.window.append(
-                _Report(
-                    self._now(),
-                    reporter,
-                    evidence.region,
-                    sample.good,
-                    sample.bad,
-                )
+            report = Report(
+                self._now(),
+                reporter,
+                evidence.region,
+                sample.good,
+                sample.bad,
             )
-            self._trim(judged)
+            judged.add(report, service.peers_bad_share(sample.target))
         for sample in evidence.samples:
             self._consider(evidence.service, service, sample.target)
 
-    def _trim(self, judged: _Judged) -> None:
-        oldest = self._now() - WINDOW_S
-        while judged.window and judged.window[0].at < oldest:
-            judged.window.popleft()
-
-    @staticmethod
-    def _peers_bad_share(service: _Service, target: TargetId) -> float:
-        """Return the median bad share of the other targets.
-
-        The median keeps one other bad target from hiding this one.
-        """
-        shares = sorted(
-            judged.total().bad_share
-            for name, judged in service.targets.items()
-            if name != target and judged.window
-        )
-        return shares[len(shares) // 2] if shares else 0.0
-
     def _consider(
-        self, name: ServiceName, service: _Service, target: TargetId
+        self, name: ServiceName, service: JudgedService, target: TargetId
     ) -> None:
         judged = service.targets[target]
         self._note_widespread(name, service)
@@ -323,50 +233,30 @@
             or judged.phase is not EjectionPhase.RETURNED
             or target in service.ejected  # by an earlier evaluator
             or service.widespread
-            or self._is_path_fault(service, judged)
+            or service.is_path_fault(judged, self._now())
         ):
             return
         self._request_permit(name, service, target)
 
-    def _note_widespread(self, name: ServiceName, service: _Service) -> None:
+    def _note_widespread(
+        self, name: ServiceName, service: JudgedService
+    ) -> None:
         """Report once when most targets of a service turn bad together."""
-        seen = [j for j in service.targets.values() if j.window]
-        suspicious = sum(1 for j in seen if j.sums.suspicious)
-        gone = sum(
-            1
-            for j in service.targets.values()
-            if j.phase is not EjectionPhase.RETURNED
-        )
-        share = (suspicious + gone) / max(1, len(service.active), len(seen))
-        widespread = suspicious > 1 and share >= WIDESPREAD_SHARE
+        widespread = service.is_widespread()
         if widespread != service.widespread:
             service.widespread = widespread
             self._outbox.report(
                 "widespread failure", service=name, present=widespread
             )
 
-    def _is_path_fault(self, service: _Service, judged: _Judged) -> bool:
-        """Tell whether only some entries see the failure."""
-        oldest = self._now() - WINDOW_S
-        reporters = [h for h, at in service.reporters.items() if at >= oldest]
-        if len(reporters) > 1 and len(judged.blamers()) < 2:
-            return True
-        counts = judged.by_region()
-        worst = max(counts, key=lambda r: counts[r].bad, default=None)
-        return worst is not None and any(
-            _contradicts(counts[region], counts[worst].bad_share)
-            for region in counts
-            if region != worst
-        )
-
     # Ejecting
 
-    def _permits(self, name: ServiceName, service: _Service) -> int:
+    def _permits(self, name: ServiceName, service: JudgedService) -> int:
         """Return how many targets may be out at the same time."""
         return max(0, len(service.active) - self._floors.get(name, 1))
 
     def _request_permit(
-        self, name: ServiceName, service: _Service, target: TargetId
+        self, name: ServiceName, service: JudgedService, target: TargetId
     ) -> None:
         permits = self._permits(name, service)
         if not permits:
@@ -400,7 +290,7 @@
             self._outbox.tell(ControllerName.CLAIMS, withdraw)
 
     def _eject(
-        self, name: ServiceName, target: TargetId, judged: _Judged
+        self, name: ServiceName, target: TargetId, judged: JudgedTarget
     ) -> None:
         now = self._now()
         if now - judged.phase_ends > FLAP_MEMORY_S:
@@ -420,7 +310,7 @@
         self,
         name: ServiceName,
         target: TargetId,
-        judged: _Judged,
+        judged: JudgedTarget,
         evidence: str,
     ) -> None:
         remaining = max(0.0, judged.phase_ends - self._now())
@@ -433,7 +323,9 @@
 
     # Returning
 
-    def _advance_phases(self, name: ServiceName, service: _Service) -> None:
+    def _advance_phases(
+        self, name: ServiceName, service: JudgedService
+    ) -> None:
         now = self._now()
         for target, judged in service.targets.items():
             if judged.phase is EjectionPhase.EJECTED:
@@ -443,17 +335,16 @@
                 self._check_trial(name, target, judged)
 
     def _start_trial(
-        self, name: ServiceName, target: TargetId, judged: _Judged
+        self, name: ServiceName, target: TargetId, judged: JudgedTarget
     ) -> None:
         judged.phase = EjectionPhase.PROBATION
         judged.phase_ends = Seconds(self._now() + TRIAL_TIMEOUT_S)
-        judged.trial = _Count()
-        judged.sums = CumulativeSum()
-        judged.window.clear()
+        judged.trial = Count()
+        judged.forget()
         self._announce(name, target, judged, "on trial")
 
     def _check_trial(
-        self, name: ServiceName, target: TargetId, judged: _Judged
+        self, name: ServiceName, target: TargetId, judged: JudgedTarget
     ) -> None:
         if judged.trial.bad >= 2:
             self._eject(name, target, judged)
@@ -467,17 +358,18 @@
         self,
         name: ServiceName,
         target: TargetId,
-        judged: _Judged,
+        judged: JudgedTarget,
         evidence: str,
     ) -> None:
         judged.phase = EjectionPhase.RETURNED
         judged.phase_ends = Seconds(self._now() + 1.0)
-        judged.sums = CumulativeSum()
-        judged.window.clear()
+        judged.forget()
         self._announce(name, target, judged, evidence)
         self._release_permit(judged)
 
-    def _return_surplus(self, name: ServiceName, service: _Service) -> None:
+    def _return_surplus(
+        self, name: ServiceName, service: JudgedService
+    ) -> None:
         """Return ejected targets when leaving ones shrink the service."""
         out = [
             (judged.phase_ends, target)
@@ -489,20 +381,8 @@
             judged = service.targets[target]
             self._return(name, target, judged, "needed for the floor")
 
-    def _release_permit(self, judged: _Judged) -> None:
+    def _release_permit(self, judged: JudgedTarget) -> None:
         if judged.permit is not None and judged.claim is not None:
             withdraw = WithdrawClaim(judged.permit, judged.claim)
             self._outbox.tell(ControllerName.CLAIMS, withdraw)
         judged.permit = judged.claim = None
-
-
-def _contradicts(count: _Count, share: float) -> bool:
-    """Tell whether a region sees a target as ordinary, not as bad.
-
-    It is the logarithm of the likelihood ratio of its attempts between the
-    given bad share and the ordinary one.
-    """
-    share = min(0.95, max(2.0 * ORDINARY_BAD_SHARE, share))
-    ratio = count.bad * math.log(share / ORDINARY_BAD_SHARE)
-    ratio += count.good * math.log((1 - share) / (1 - ORDINARY_BAD_SHARE))
-    return ratio <= -PATH_CONFIDENCE
--- a/tests/features/steps/target_steps.py
+++ b/tests/features/steps/target_steps.py
@@ -120,6 +120,23 @@
         assert answer.json()["reason"] == reason
 
 
+@when("every open connection to the rota targets goes silent")
+def silence(context):
+    for name in targets_of(context, "rota"):
+        context.fleet.control_target(name, silence_open=True)
+
+
+@then("GET {path} is answered {count:d} times with at most one retry each")
+def answered_with_one_retry(context, path, count):
+    attempts = []
+    for number in range(count):
+        names = context.fleet.entry_names
+        answer = get(context, names[number % len(names)], path)
+        assert answer.status == 200, answer.body
+        attempts.append(int(answer.headers["wasabitray-attempts"]))
+    assert max(attempts) <= 2, attempts
+
+
 @when("an upload of {size:d} bytes to {entry:w} is under way")
 def start_upload(context, size, entry):
     context.upload_size = size
--- a/tests/features/targets.feature
+++ b/tests/features/targets.feature
@@ -37,3 +37,13 @@
     Then at most 6 attempts reached targets
     And it is refused with 422 quarantined at every entry
     And within 1 s no target is ejected
+
+  Scenario: All open connections to the targets go silent
+    Given a fleet of 3 control hosts and 3 entries
+    And 6 targets of service rota
+    And the example declarations are in force
+    When callers send work to all entries
+    And 3 s pass
+    And every open connection to the rota targets goes silent
+    Then GET /rota/hobart is answered 10 times with at most one retry each
+    And within 5 s no target is ejected
