Make the scenario on silent connections able to fail

Cause: with callers sending all the time no silent connection stayed idle, so the scenario passed even when a retry used an idle connection.

Ruled out: reading it as proof that targets are not blamed; most of them fail together then, which ejects none anyway. A unit test covers that.

Conclusion: at most one retry is proved for idle connections to targets.

--- a/tests/core/filters/test_chain.py
+++ b/tests/core/filters/test_chain.py
@@ -190,7 +190,8 @@
     assert [s.good for s in script.told_of(Sample)] == [False] * 3
 
 
-def test_shedding_is_no_evidence_against_the_target():
-    script = Script(S.SHED, S.ANSWERED)
+@pytest.mark.parametrize("status", [S.SHED, S.STALE_CONNECTION])
+def test_load_and_silent_paths_are_no_evidence_against_a_target(status):
+    script = Script(status, S.ANSWERED)
     script.run()
     assert [s.good for s in script.told_of(Sample)] == [True]
--- a/tests/features/steps/target_steps.py
+++ b/tests/features/steps/target_steps.py
@@ -65,6 +65,11 @@
     ]
 
 
+@when("the callers stop, which leaves idle connections")
+def stop_sending(context):
+    gevent.killall(context.load)
+
+
 def ejected(context):
     """Return the targets that any entry holds for ejected."""
     return {
--- a/tests/features/targets.feature
+++ b/tests/features/targets.feature
@@ -44,6 +44,7 @@
     And the example declarations are in force
     When callers send work to all entries
     And 3 s pass
+    And the callers stop, which leaves idle connections
     And every open connection to the rota targets goes silent
     Then GET /rota/hobart is answered 10 times with at most one retry each
     And within 5 s no target is ejected
