Pass the request target on as it was sent; refuse odd header lines

The entry took the path from the environment, where it is decoded: the query was lost, and an escaped line break in a path went to the target as a line break, so a caller could add headers or hide a request there. Header names with a space or an underscore and folded lines could hide a Transfer-Encoding.

Ruled out: encoding the path again, which does not give back what was sent.

Change: the listener hands the raw request target over; lines that are no header, names that are no token and folded lines are refused with 400. A request pinned to a target that went away is refused at once.

Before: the new cases failed (a space before the colon passed with 200). After: they pass, and the target sees query and escapes unchanged.

Conclusion: the forms of smuggling listed in test_http.py are refused.

--- a/examples/target.py
+++ b/examples/target.py
@@ -179,6 +179,8 @@
             "monitors": ["E. Pennicott", "R. Fipple"],
             "target": self.arguments.address,
             "received": received,
+            "query": environ["QUERY_STRING"],
+            "path": environ["PATH_INFO"],
             "padding": "x" * self.behaviour.answer_bytes,
         }
         if self.behaviour.broken_data:
--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -304,7 +304,8 @@
 
     def _refuse_early(self, service: _Service, waiter: _Waiter) -> bool:
         """Refuse a request that its queue can't serve in time."""
-        if not service.targets:
+        pinned = waiter.ask.pinned
+        if not service.targets or (pinned and pinned not in service.targets):
             refusal = Refusal(RefusalReason.NO_TARGET, self._retry_after(1.0))
             self._reply(waiter.origin, refusal)
             return True
--- a/packages/node/src/wasabitray_node/callers.py
+++ b/packages/node/src/wasabitray_node/callers.py
@@ -24,6 +24,7 @@
 from wasabitray_core.requests import Answer, Exchange, Request
 from wasabitray_core.states import Outcome, RefusalReason, WorkClass
 from wasabitray_node import headers as h
+from wasabitray_node.http import REQUEST_TARGET
 from wasabitray_node.logs import log_fault
 from wasabitray_node.metrics import Metrics
 from wasabitray_node.settings import Limits
@@ -192,11 +193,12 @@
         organisation = OrganisationName(
             req.get_header(h.ORGANISATION_HEADER) or ""
         )
-        raw = req.env.get("REQUEST_URI") or req.path
-        path, _, query = raw.partition("?")
+        path, _, query = req.env[REQUEST_TARGET].partition("?")
         body, stream, length = b"", None, req.content_length or 0
         refusal = None
-        if not organisation:
+        if not path.startswith("/"):
+            refusal = 400, "the request target must begin with a slash"
+        elif not organisation:
             refusal = 400, f"{h.ORGANISATION_HEADER} is missing"
         elif length > self._limits.max_body_bytes:
             refusal = 413, "the body is too large"
--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import re
 import socket
 from typing import Any
 
@@ -11,14 +12,20 @@
 
 from wasabitray_node.settings import split_address
 
-SHUTDOWN_GRACE_S = 1.0
+REQUEST_TARGET = "REQUEST_URI"
+
+
+# RFC 9110 section 5.6.2, without the underscore: the application could not
+# tell it from a hyphen.
+_HEADER_NAME = re.compile(r"[!#$%&'*+.^`|~0-9A-Za-z-]+")
 
 
 class StrictHandler(WSGIHandler):
-    """Refuses requests whose length is ambiguous.
+    """Refuses requests that two processes could read differently.
 
-    Two ways to state a body's length let a request hide another one from
-    one of the processes on its way (RFC 9112 section 11.2).
+    Two ways to state a body's length, odd names and folded lines let a
+    request hide another one from one of the processes on its way (RFC 9112
+    section 11.2).
     """
 
     def MessageClass(self, *args: Any) -> Any:  # noqa: N802
@@ -32,8 +39,23 @@
             raise ValueError("more than one or a bad Content-Length")
         if codings and [c.strip().lower() for c in codings] != ["chunked"]:
             raise ValueError("a Transfer-Encoding other than chunked")
+        if headers.defects:
+            raise ValueError("a line that is no header")
+        for name, value in headers.items():
+            if not _HEADER_NAME.fullmatch(name):
+                raise ValueError("a bad header name")
+            if "\r" in value or "\n" in value:
+                raise ValueError("a folded header line")
         return headers
 
+    def get_environ(self) -> dict[str, Any]:
+        """Return the environment with the target as it was sent.
+
+        The path in the environment is decoded, and could carry line breaks
+        into a request to a target.
+        """
+        return {**super().get_environ(), REQUEST_TARGET: self.path}
+
 
 class NoDelayServer(WSGIServer):
     """Sends small writes at once.
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -105,3 +105,11 @@
     found = get(context, path, organisation)
     assert found.status == status, found.status
     assert found.headers["wasabitray-outcome"] == "not-run"
+
+
+@then("the target gets the query and the escapes of the path unchanged")
+def target_of_request(context):
+    path = "/rota/hobart/a%0d%0aX-Evil:%201"
+    found = get(context, f"{path}?day=mon&x=%20y", "hobart").json()
+    assert found["query"] == "day=mon&x=%20y", found
+    assert found["path"] == "/rota/hobart/a\r\nX-Evil: 1", found
--- a/tests/features/whole_path.feature
+++ b/tests/features/whole_path.feature
@@ -7,6 +7,7 @@
     Then revision 1 is in force on every entry within 3 s
     And an address answer lists 3 entries with a time to live
     And GET /rota/hobart for hobart is answered by the target
+    And the target gets the query and the escapes of the path unchanged
 
   Scenario: Refusals say that the request did not run
     Given a fleet of 1 control hosts and 1 entries
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -9,7 +9,7 @@
 import pytest
 
 from wasabitray_node.headers import strip_hop_by_hop
-from wasabitray_node.http import build_server
+from wasabitray_node.http import REQUEST_TARGET, build_server
 from wasabitray_node.operators import SecretCheck
 
 
@@ -17,6 +17,9 @@
     def on_post(self, req, resp):
         resp.text = req.bounded_stream.read().decode()
 
+    def on_get(self, req, resp):
+        resp.text = req.env[REQUEST_TARGET]
+
 
 @pytest.fixture
 def address():
@@ -49,6 +52,9 @@
     b"Content-Length: +4\r\n\r\nabcd",
     b"Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
     b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+    b"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+    b"Transfer_Encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"X-Folded: a\r\n Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 ]
 
 
@@ -69,6 +75,12 @@
     assert exchange(address, data).endswith(b"abcd")
 
 
+def test_request_target_keeps_its_query_and_its_escapes(address):
+    target = b"/?a=%0d%0aX-Evil:%201&b"
+    data = b"GET " + target + b" HTTP/1.1\r\nConnection: close\r\n\r\n"
+    assert exchange(address, data).endswith(target)
+
+
 def test_hop_by_hop_and_own_headers_do_not_pass():
     given = [
         ("Connection", "close, X-Hop"),
