End a process whose disk fails; let a host whose clock went back be heard

When a sync failed, the task of the control group's member died and the process lived on without it. A restarted host whose clock had gone back counted its heartbeats below those of its last run, and peers took it for gone for up to an hour.

Ruled out: raising the error out of the thread. The thread's report of it goes to the log file, and where that can't grow either, the error was lost and the process hung; found by the new scenario.

Change: a failed sync is returned as a value and ends the process with code 3. Gossip tells a host that seems gone its last known heartbeat, and it goes on above that.

Before: the scenario timed out after 5 s. After: the follower ends, the other hosts accept the change.

Conclusion: a host that can't sync neither votes nor acknowledges.

--- a/packages/core/src/wasabitray_core/controllers/membership.py
+++ b/packages/core/src/wasabitray_core/controllers/membership.py
@@ -10,7 +10,7 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
@@ -201,7 +201,9 @@
 
     def _note_heard_back(self, sender: HostId, counter: int) -> None:
         """Record that a peer has heard this host's heartbeat."""
-        if self._first_counter <= counter <= self._counter:
+        if counter > self._counter:  # of an earlier run
+            self._counter = self._first_counter = counter + 1
+        elif counter >= self._first_counter:
             self._heard_back[sender] = (counter, self._now())
 
     def _heard_lately(self) -> bool:
@@ -233,11 +235,22 @@
             quarantines=_select(news, Quarantine),
         )
         for host in self._choose_peers():
-            self._outbox.send(host, gossip)
+            self._outbox.send(host, self._addressed(gossip, host))
         for entry in news:
             entry.rounds -= 1
         self._news = {k: n for k, n in self._news.items() if n.rounds > 0}
 
+    def _addressed(self, gossip: Gossip, host: HostId) -> Gossip:
+        """Add what is known of the receiver, if it seems to be gone.
+
+        A restarted host whose clock went back starts with a counter that
+        everyone takes for old; it learns so from its peers.
+        """
+        peer = self._peers.get(host)
+        if peer is None or peer.status in gossip.statuses:
+            return gossip
+        return replace(gossip, statuses=(*gossip.statuses, peer.status))
+
     def _acknowledge(self) -> None:
         """Tell the leader at once, which waits for a majority of entries."""
         acknowledgement = Gossip((self._own_status(),))
--- a/packages/node/src/wasabitray_node/app.py
+++ b/packages/node/src/wasabitray_node/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import os
 import random
 import secrets
 import time
@@ -58,7 +59,7 @@
 from wasabitray_node.fleet_directory import DirectoryController
 from wasabitray_node.http import NoDelayServer, build_server
 from wasabitray_node.links import PeerLinks, PeerListener
-from wasabitray_node.logs import log_change
+from wasabitray_node.logs import log_change, log_fault
 from wasabitray_node.metrics import Metrics
 from wasabitray_node.operators import build_operators_app
 from wasabitray_node.settings import Settings, split_address
@@ -71,6 +72,7 @@
 # Fewer, larger collections: their pauses show in the slowest requests.
 COLLECTOR_THRESHOLDS = (10_000, 20, 50)
 TRANSFER_WAIT_S = 0.5
+EXIT_TASK_FAILED = 3
 
 
 def monotonic() -> Seconds:
@@ -143,7 +145,9 @@
             pool = gevent.get_hub().threadpool
 
             def sync(items: list[Any]) -> None:
-                pool.apply(storage.sync, (items,))
+                error = pool.apply(_try_sync, (storage, items))
+                if error is not None:
+                    _exit_at_once(error)
 
         task = ControllerTask(
             controller, outbox, self._router, monotonic, sync
@@ -287,6 +291,8 @@
         """Run until a graceful stop is complete."""
         self._listener.start()
         tasks = self._router.start()
+        for task in tasks:
+            task.link_exception(lambda t: _exit_at_once(t.exception))
         for server in self._servers:
             server.start()
         gc.collect()
@@ -329,6 +335,24 @@
         self._work.wait_idle()
 
 
+def _try_sync(storage: Storage, items: list[Any]) -> Exception | None:
+    """Sync on a thread; an error is returned, not printed there."""
+    try:
+        storage.sync(items)
+    except Exception as error:
+        return error
+    return None
+
+
+def _exit_at_once(error: BaseException) -> None:
+    """End the process when a task fails, such as on a disk error.
+
+    A member that can't sync must not go on to vote or acknowledge.
+    """
+    log_fault("task failed", error)
+    os._exit(EXIT_TASK_FAILED)
+
+
 def _founder(host: HostId) -> Member:
     return Member(MemberId(f"{host}.0"), host)
 
--- a/packages/node/src/wasabitray_node/daemon.py
+++ b/packages/node/src/wasabitray_node/daemon.py
@@ -26,7 +26,8 @@
     parser = argparse.ArgumentParser(
         prog="wasabitrayd",
         description="Runs one host of the fleet in the role its settings say.",
-        epilog="Exit codes: 0 after a graceful stop, 2 for bad settings.",
+        epilog="Exit codes: 0 after a graceful stop, 2 for bad settings, "
+        "3 when a task failed, such as on a disk error.",
     )
     parser.add_argument(
         "--settings", type=Path, required=True, help="settings file in TOML"
--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -74,3 +74,11 @@
     And a follower's log gets a torn tail
     And all control hosts are started again
     Then every control host knows the newest revision within 10 s
+
+  Scenario: A disk that refuses to write ends the process
+    Given a fleet of 3 control hosts and 1 entries
+    When change first is proposed
+    And a follower's disk refuses to grow
+    And change second is proposed
+    Then that follower ends with exit code 3 within 5 s
+    And the newest revision is in force on every entry within 3 s
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -1,6 +1,7 @@
 """Steps about changes and the control hosts that keep them."""
 
 import json
+import resource
 import shutil
 import signal
 import time
@@ -306,3 +307,16 @@
         return answer.status == status and answer.json()["reason"] == reason
 
     wait_for(refused, seconds, f"{reason} at {entry}")
+
+
+@when("a follower's disk refuses to grow")
+def full_disk(context):
+    name = pick_follower(context)
+    process = context.fleet.processes[name].child.pid
+    resource.prlimit(process, resource.RLIMIT_FSIZE, (1, 1))
+
+
+@then("that follower ends with exit code {code:d} within {seconds:d} s")
+def follower_ends(context, code, seconds):
+    child = context.fleet.processes[context.repaired].child
+    assert child.wait(seconds) == code
