Do not eject a target for being slow while it starts

Ruled out: leaving new targets out of the evidence altogether; one that fails from its start should be found at once.

Change: for 15 s after a target's start, as its generation is first heard, slow attempts are no evidence. Failed ones are.

Before: the new scenario failed (the cold target was ejected). After: it passes; so do the tests of both rules.

Conclusion: a gray target that is only slow is found 15 s later after its start than before.

--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -265,7 +265,12 @@
             wait_for(lambda n=name: self.status(n), 15, f"{name} up")
 
     def start_target(
-        self, name: str, service: str, slots: int = 2, entries: int = 2
+        self,
+        name: str,
+        service: str,
+        slots: int = 2,
+        entries: int = 2,
+        cold_s: float = 0.0,
     ) -> None:
         """Start a target that announces itself to some entries."""
         region, domain = self.place(name)
@@ -273,6 +278,7 @@
         command += ["--address", f"{self.ip(name)}:9000"]
         command += ["--service", service, "--region", region]
         command += ["--domain", domain, "--slots", str(slots)]
+        command += ["--cold-s", str(cold_s)]
         for entry in self.entry_names[:entries]:
             command += ["--entry", f"{self.ip(entry)}:{TARGETS}"]
         process = Process(name, command, self.folder / f"{name}.log")
--- a/packages/core/src/wasabitray_core/controllers/evidence.py
+++ b/packages/core/src/wasabitray_core/controllers/evidence.py
@@ -115,6 +115,7 @@
     reporters: dict[HostId, Seconds] = field(default_factory=dict)
     active: tuple[TargetId, ...] = ()
     ejected: tuple[TargetId, ...] = ()
+    warming: frozenset[TargetId] = frozenset()
     widespread: bool = False
 
     def peers_bad_share(self, target: TargetId) -> float:
--- a/packages/core/src/wasabitray_core/controllers/health.py
+++ b/packages/core/src/wasabitray_core/controllers/health.py
@@ -111,6 +111,7 @@
         service = self._service(message.service)
         service.active = message.active
         service.ejected = message.ejected
+        service.warming = frozenset(message.warming)
         for target in set(service.targets) - set(message.active):
             self._release_permit(service.targets.pop(target))
 
@@ -172,6 +173,8 @@
         """Compare a good short attempt with the service's median."""
         if not sample.good or sample.work is WorkClass.LONG:
             return False
+        if sample.target in self._service(sample.service).warming:
+            return False
         baseline = self._baselines.setdefault(sample.service, RunningMedian())
         known = baseline.count >= MIN_BASELINE_SAMPLES
         limit = max(SLOW_FLOOR_S, SLOW_FACTOR * baseline.value)
--- a/packages/core/src/wasabitray_core/controllers/targets.py
+++ b/packages/core/src/wasabitray_core/controllers/targets.py
@@ -31,6 +31,8 @@
 # Announcements also stop when a link is cut, so a quiet target is kept as a
 # reserve for the floor until it has been quiet for this many leases.
 FORGET_AFTER_LEASES = 20
+# A target that starts cold is slow at first; that is no failure.
+WARM_UP_S = 15.0
 # An ejection decided on this host gets its version here.
 NEW_VERSION = 0
 AUDIENCE = (
@@ -42,8 +44,15 @@
 
 @dataclass(slots=True)
 class _Entry:
+    """A target's newest announcement.
+
+    Attributes:
+        began: when its generation was first heard of.
+    """
+
     announcement: Announcement
     renewed: Seconds
+    began: Seconds
 
     def lapsed(self, now: Seconds) -> bool:
         return now - self.renewed > self.announcement.lease_s
@@ -115,7 +124,11 @@
         if known is not None and _rank(message) <= _rank(known.announcement):
             self._reply(origin, False)
             return
-        self._entries[message.target] = _Entry(message, self._now())
+        now = self._now()
+        began = now
+        if known is not None and _is_same_run(known.announcement, message):
+            began = known.began
+        self._entries[message.target] = _Entry(message, now, began)
         self._outbox.tell(ControllerName.MEMBERSHIP, Spread(message))
         if known is None or known.announcement.phase != message.phase:
             self._outbox.report(
@@ -212,6 +225,11 @@
             tuple(usable),
             tuple(e.announcement.target for e in active),
             tuple(sorted(ejected & {e.announcement.target for e in active})),
+            tuple(
+                e.announcement.target
+                for e in active
+                if now - e.began < WARM_UP_S
+            ),
         )
 
     def _phase(self, target: TargetId) -> EjectionPhase | None:
@@ -248,6 +266,10 @@
     )
 
 
+def _is_same_run(one: Announcement, other: Announcement) -> bool:
+    return one.generation == other.generation
+
+
 def _target_of(entry: _Entry) -> Target:
     a = entry.announcement
     return Target(a.target, a.service, a.region, a.failure_domain, a.slots)
--- a/packages/core/src/wasabitray_core/local.py
+++ b/packages/core/src/wasabitray_core/local.py
@@ -247,12 +247,17 @@
 
 @dataclass(frozen=True, slots=True)
 class UsableTargets:
-    """The targets of a service that may get work, and all active ones."""
+    """The targets of a service that may get work, and all active ones.
+
+    Attributes:
+        warming: active targets that started a short while ago.
+    """
 
     service: ServiceName
     usable: tuple[UsableTarget, ...]
     active: tuple[TargetId, ...]
     ejected: tuple[TargetId, ...]
+    warming: tuple[TargetId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/core/controllers/test_health.py
+++ b/tests/core/controllers/test_health.py
@@ -12,12 +12,13 @@
     ClaimVerdict,
     FleetView,
     HostView,
+    Sample,
     ServiceLimits,
     UsableTargets,
     WithdrawClaim,
 )
 from wasabitray_core.messages import Ejection, Evidence, TargetSample
-from wasabitray_core.states import EjectionPhase, HostFlag
+from wasabitray_core.states import EjectionPhase, HostFlag, WorkClass
 
 NAMES = tuple(f"t{n}" for n in range(12))
 
@@ -147,6 +148,23 @@
     assert last.phase is EjectionPhase.RETURNED
 
 
+def slow_evidence(warming):
+    """Return the bad attempts reported for one slow target of two."""
+    bed = evaluator(entries=("e1",))
+    bed.tell(UsableTargets("rota", (), NAMES, (), warming))
+    for _ in range(30):
+        bed.tell(Sample("rota", "t1", WorkClass.SHORT, True, 0.02))
+    for _ in range(10):
+        bed.tell(Sample("rota", "t0", WorkClass.SHORT, True, 0.5))
+    bed.tick(0.3)
+    return bed.controller._services["rota"].targets["t0"].total().bad
+
+
+def test_slowness_counts_but_not_while_a_target_warms_up():
+    assert slow_evidence(()) == 10
+    assert slow_evidence(("t0",)) == 0
+
+
 def test_detector_finds_full_failure_in_ten_attempts_and_gray_in_fifty():
     full = CumulativeSum()
     full.add(0, 10, 0.0)
--- a/tests/core/controllers/test_targets.py
+++ b/tests/core/controllers/test_targets.py
@@ -82,6 +82,18 @@
     assert "t0" in usable(bed)
 
 
+def test_new_and_restarted_targets_are_warming_for_a_while():
+    bed = bed_with(1, floor=1)
+    for sequence in range(2, 9):
+        bed.tick(2.0)
+        bed.tell(announcement("t0", sequence))
+    assert bed.outbox.told_of(UsableTargets)[-1].warming == ("t0",)
+    bed.tick(1.5)
+    assert bed.outbox.told_of(UsableTargets)[-1].warming == ()
+    bed.tell(announcement("t0", 1, generation=2))
+    assert bed.outbox.told_of(UsableTargets)[-1].warming == ("t0",)
+
+
 def test_news_is_spread_once():
     bed = bed_with(1, floor=1)
     before = len(bed.outbox.told_of(Spread))
--- a/tests/features/steps/target_steps.py
+++ b/tests/features/steps/target_steps.py
@@ -142,6 +142,16 @@
     assert max(attempts) <= 2, attempts
 
 
+@when("another rota target starts and is cold for {seconds:d} s")
+def start_cold(context, seconds):
+    name = f"t{len(context.services) + 1}"
+    context.services[name] = "rota"
+    entries = len(context.fleet.entry_names)
+    context.fleet.start_target(
+        name, "rota", entries=entries, cold_s=float(seconds)
+    )
+
+
 @when("an upload of {size:d} bytes to {entry:w} is under way")
 def start_upload(context, size, entry):
     context.upload_size = size
--- a/tests/features/targets.feature
+++ b/tests/features/targets.feature
@@ -48,3 +48,11 @@
     And every open connection to the rota targets goes silent
     Then GET /rota/hobart is answered 10 times with at most one retry each
     And within 5 s no target is ejected
+
+  Scenario: A target that starts cold is not ejected
+    Given a fleet of 3 control hosts and 3 entries
+    And 4 targets of service rota
+    And the example declarations are in force
+    When callers send work to all entries
+    And another rota target starts and is cold for 5 s
+    Then within 8 s no target is ejected
