Send urgent news to several entries at once

Urgent news went to three random peers, of which some were control hosts that have no use for it, so an entry could miss the break for half a second.

Ruled out: one urgent message each 20 ms.

Change: urgent news goes to up to eight entries and no control host, which pass it on; at most 16 urgent messages between two rounds of gossip.

--- a/packages/core/src/wasabitray_core/controllers/membership.py
+++ b/packages/core/src/wasabitray_core/controllers/membership.py
@@ -43,6 +43,8 @@
 
 GOSSIP_INTERVAL_S = 0.5
 GOSSIP_FANOUT = 3
+URGENT_FANOUT = 8
+URGENT_PER_ROUND = 16
 CONTACT_TIMEOUT_S = 3.0
 FORGET_AFTER_S = 3_600.0
 EXTRA_ROUNDS = 3
@@ -104,6 +106,7 @@
         self._heard_back: dict[HostId, tuple[int, Seconds]] = {}
         self._news: dict[tuple[type, str], _News] = {}
         self._isolated = True
+        self._urgent_left = URGENT_PER_ROUND
 
     @property
     def isolated(self) -> bool:
@@ -118,6 +121,7 @@
     @receive.register
     def _(self, message: Tick, origin: Origin) -> None:
         self._counter += 1
+        self._urgent_left = URGENT_PER_ROUND
         self._gossip()
         self._forget_old_peers()
         self._publish()
@@ -143,7 +147,7 @@
         key = (type(item), _subject(item))
         self._news[key] = _News(item, self._rounds())
         if _is_urgent(item):
-            self._gossip()
+            self._spread_at_once(item)
 
     @receive.register
     def _(self, message: SetFlag, origin: Origin) -> None:
@@ -240,6 +244,40 @@
             entry.rounds -= 1
         self._news = {k: n for k, n in self._news.items() if n.rounds > 0}
 
+    def _spread_at_once(
+        self, item: Announcement | Ejection | Quarantine
+    ) -> None:
+        """Send urgent news to several entries, which do the same.
+
+        Only entries use news, so control hosts are left out here. When much
+        is urgent, the rest goes with the next round.
+        """
+        if not self._urgent_left:
+            return
+        self._urgent_left -= 1
+        entries = sorted(
+            (set(self._peers) | self._entries)
+            - {self.host}
+            - self._control_hosts()
+        )
+        news = [_News(item, 1)]
+        gossip = Gossip(
+            statuses=(self._own_status(),),
+            announcements=_select(news, Announcement),
+            ejections=_select(news, Ejection),
+            quarantines=_select(news, Quarantine),
+        )
+        count = min(URGENT_FANOUT, len(entries))
+        for host in self._context.random.sample(entries, count):
+            self._outbox.send(host, gossip)
+
+    def _control_hosts(self) -> set[HostId]:
+        return {
+            host
+            for host, peer in self._peers.items()
+            if peer.status.flags & HostFlag.CONTROL
+        }
+
     def _addressed(self, gossip: Gossip, host: HostId) -> Gossip:
         """Add what is known of the receiver, if it seems to be gone.
 
