Keep an entry out of address answers until it serves

Cause: the rolling restart failed once: a restarted entry counted as open from its start and refused 8 requests with no-configuration before it had checked that its revision was the newest.

Ruled out: a slower caller; the address answer itself named the entry.

Change: the configuration's controller says when the entry serves, and the flag that address answers look at follows it; it goes when the entry is cut off or behind.

--- a/packages/core/src/wasabitray_core/controllers/configuration.py
+++ b/packages/core/src/wasabitray_core/controllers/configuration.py
@@ -43,6 +43,7 @@
     Resolved,
     Restored,
     ServiceLimits,
+    SetFlag,
     Tick,
     Unresolved,
 )
@@ -52,7 +53,7 @@
     ConfigPush,
     ConfigState,
 )
-from wasabitray_core.states import RefusalReason
+from wasabitray_core.states import HostFlag, RefusalReason
 
 PUSH_FANOUT = 3
 KEPT_CHANGES = 512
@@ -97,6 +98,7 @@
         )
         self._floors: dict[ServiceName, int] = {}
         self._retention_s = 0.0
+        self._serving = False
         self._access = _Access()
         self._caught_up_at: Seconds | None = None
         self._peers: tuple[HostId, ...] = ()
@@ -125,6 +127,7 @@
         self._access = _Access(message.isolated, message.newest)
         if not message.isolated and self._revision >= message.newest:
             self._caught_up_at = self._now()
+        self._tell_serving()
 
     @receive.register
     def _(self, message: Committed, origin: Origin) -> None:
@@ -271,6 +274,18 @@
             self._revision, filled.ok_value, route, self._retention_s
         )
 
+    def _tell_serving(self) -> None:
+        """Be in address answers only while requests are served."""
+        serving = (
+            self._revision > 0
+            and self._is_current()
+            and not self._access.isolated
+        )
+        if serving != self._serving:
+            self._serving = serving
+            flag = SetFlag(HostFlag.SERVING, serving)
+            self._outbox.tell(ControllerName.MEMBERSHIP, flag)
+
     def _is_current(self) -> bool:
         """Tell whether this host had the newest revision a moment ago."""
         if self._caught_up_at is None:
--- a/packages/node/src/wasabitray_node/app.py
+++ b/packages/node/src/wasabitray_node/app.py
@@ -181,7 +181,7 @@
         self._add(
             MembershipController,
             tuple(self._seeds()),
-            HostFlag.CONTROL if control else HostFlag.SERVING,
+            HostFlag.CONTROL if control else HostFlag.NONE,
             audience,
             self._first_number,
         )
