--- a/packages/cli/src/wasabitray_cli/client.py
+++ b/packages/cli/src/wasabitray_cli/client.py
@@ -19,7 +19,6 @@
 TIMEOUT_S = 20.0
 CONNECT_TIMEOUT_S = 2.0
 ROUNDS = 3
-NOT_LEADER = 421
 
 
 class FleetClient:
--- a/packages/core/src/wasabitray_core/errors.py
+++ b/packages/core/src/wasabitray_core/errors.py
@@ -58,10 +58,6 @@
     """Stored state is damaged before its tail."""
 
 
-class SettingsError(WasabitrayError):
-    """The settings file is not valid."""
-
-
 class UpstreamError(WasabitrayError):
     """An exchange with a target broke."""
 
