--- a/Makefile
+++ b/Makefile
@@ -33,5 +33,6 @@
 
 # Needs the thrift compiler; its output is committed.
 codegen:
+	mkdir -p build
 	thrift --gen py -out build packages/wire/idl/wasabitray.thrift
 	cp build/wasabitray_wire/gen/*.py packages/wire/src/wasabitray_wire/gen/
--- a/packages/core/src/wasabitray_core/controllers/addresses.py
+++ b/packages/core/src/wasabitray_core/controllers/addresses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
@@ -11,10 +12,11 @@
     Origin,
 )
 from wasabitray_core.documents import EntryHost
-from wasabitray_core.ids import HostId, RegionName
+from wasabitray_core.ids import FailureDomainName, HostId, RegionName
 from wasabitray_core.local import (
     Addresses,
     ControllerName,
+    EntriesView,
     FleetView,
     GetAddresses,
     GetStatus,
@@ -26,6 +28,23 @@
 
 ADDRESS_TTL_S = 5.0
 MAX_ADDRESSES = 4
+# With fewer entries in a domain, one that fails costs its callers too much.
+MIN_NEAR = 2
+
+
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    region: RegionName
+    failure_domain: FailureDomainName
+    caller_address: str
+
+
+def _from_document(entry: EntryHost) -> _Entry:
+    return _Entry(
+        RegionName(entry.region),
+        FailureDomainName(entry.failure_domain),
+        entry.caller_address,
+    )
 
 
 class AddressesController(Controller):
@@ -33,10 +52,28 @@
 
     name: ClassVar[ControllerName] = ControllerName.ADDRESSES
 
-    def __init__(self, context: Context) -> None:
-        """Start without any entry."""
+    def __init__(
+        self,
+        context: Context,
+        limit: int = MAX_ADDRESSES,
+        ttl_s: float = ADDRESS_TTL_S,
+        spread: bool = True,
+    ) -> None:
+        """Start without any entry.
+
+        Args:
+            context: shared by all controllers.
+            limit: entries in one answer.
+            ttl_s: seconds that a caller keeps an answer.
+            spread: whether an answer covers failure domains and regions,
+                for callers that try one entry after the other; else it
+                holds the nearest ones, for callers that choose at random.
+        """
         super().__init__(context)
-        self._entries: dict[HostId, EntryHost] = {}
+        self._limit = limit
+        self._ttl_s = ttl_s
+        self._spread = spread
+        self._entries: dict[HostId, _Entry] = {}
         self._open: frozenset[HostId] = frozenset()
 
     @singledispatchmethod
@@ -55,7 +92,26 @@
     @receive.register
     def _(self, message: InForce, origin: Origin) -> None:
         if message.fleet is not None:
-            self._entries = {HostId(e.host): e for e in message.fleet.entries}
+            self._entries = {
+                HostId(e.host): _from_document(e)
+                for e in message.fleet.entries
+            }
+
+    @receive.register
+    def _(self, message: EntriesView, origin: Origin) -> None:
+        self._entries = {
+            state.host: _Entry(
+                state.region, state.failure_domain, state.caller_address
+            )
+            for state in message.entries
+        }
+        self._open = frozenset(
+            state.host
+            for state in message.entries
+            if state.present
+            and state.flags & HostFlag.SERVING
+            and not state.flags & HostFlag.LEAVING
+        )
 
     @receive.register
     def _(self, message: FleetView, origin: Origin) -> None:
@@ -73,11 +129,27 @@
 
     @receive.register
     def _(self, message: GetAddresses, origin: Origin) -> None:
-        chosen = self._choose(message.region)
+        if self._spread:
+            chosen = self._choose(message.region)
+        else:
+            chosen = self._choose_near(message.region, message.failure_domain)
         addresses = tuple(entry.caller_address for entry in chosen)
-        self._reply(origin, Addresses(addresses, ADDRESS_TTL_S))
+        self._reply(origin, Addresses(addresses, self._ttl_s))
 
-    def _choose(self, region: RegionName) -> list[EntryHost]:
+    def _choose_near(
+        self, region: RegionName, domain: FailureDomainName
+    ) -> list[_Entry]:
+        """Choose open entries of the caller's domain, region, or all."""
+        entries = [e for h, e in self._entries.items() if h in self._open]
+        near = [e for e in entries if e.failure_domain == domain]
+        if len(near) < MIN_NEAR:
+            near = [e for e in entries if e.region == region]
+        if len(near) < MIN_NEAR:
+            near = entries
+        self._context.random.shuffle(near)
+        return near[: self._limit]
+
+    def _choose(self, region: RegionName) -> list[_Entry]:
         """Order open entries: own region first, then other domains.
 
         The first two lie in different failure domains and the last in
@@ -96,8 +168,8 @@
                 e.failure_domain == first.failure_domain,
             )
         )
-        chosen = [first, *rest][:MAX_ADDRESSES]
-        if len(entries) > MAX_ADDRESSES:
+        chosen = [first, *rest][: self._limit]
+        if len(entries) > self._limit:
             chosen[-1] = next(
                 (e for e in rest if e.region != region), chosen[-1]
             )
--- a/packages/core/src/wasabitray_core/controllers/configuration.py
+++ b/packages/core/src/wasabitray_core/controllers/configuration.py
@@ -53,7 +53,8 @@
     ConfigPush,
     ConfigState,
 )
-from wasabitray_core.states import HostFlag, RefusalReason
+from wasabitray_core.route_table import RouteTable, read_source
+from wasabitray_core.states import HostFlag, IsolationPolicy, RefusalReason
 
 PUSH_FANOUT = 3
 KEPT_CHANGES = 512
@@ -80,16 +81,26 @@
     name: ClassVar[ControllerName] = ControllerName.CONFIGURATION
 
     def __init__(
-        self, context: Context, audience: tuple[ControllerName, ...]
+        self,
+        context: Context,
+        audience: tuple[ControllerName, ...],
+        push_fanout: int = PUSH_FANOUT,
+        when_isolated: IsolationPolicy = IsolationPolicy.REFUSE,
     ) -> None:
         """Start without a configuration.
 
         Args:
             context: shared by all controllers.
             audience: controllers told of each revision put in force.
+            push_fanout: entries that a new revision is passed on to.
+            when_isolated: what to do while cut off from the fleet.
         """
         super().__init__(context)
         self._audience = audience
+        self._push_fanout = push_fanout
+        self._when_isolated = when_isolated
+        self._table: RouteTable | None = None
+        self._split_phase = context.random.random()
         self._revision = Revision(0)
         self._documents: dict[str, str] = {}
         self._recent: deque[CommittedChange] = deque(maxlen=KEPT_CHANGES)
@@ -119,8 +130,14 @@
 
     @receive.register
     def _(self, message: FleetView, origin: Origin) -> None:
-        fresh = (v.host for v in message.hosts if v.fresh)
-        self._peers = tuple(h for h in fresh if h != self.host)
+        # Control hosts learn of changes through their log.
+        self._peers = tuple(
+            v.host
+            for v in message.hosts
+            if v.fresh
+            and v.host != self.host
+            and not v.flags & HostFlag.CONTROL
+        )
 
     @receive.register
     def _(self, message: Isolation, origin: Origin) -> None:
@@ -219,12 +236,20 @@
         raw = self._documents.get(FLEET_KEY)
         fleet = Fleet.model_validate_json(raw) if raw else None
         self._retention_s = fleet.claim_retention_s if fleet else 0.0
-        in_force = InForce(self._revision, fleet)
+        source = read_source(self._documents)
+        self._table = RouteTable(source, self._split_phase) if source else None
+        limits = self._table.limits if self._table else None
+        in_force = InForce(self._revision, fleet, limits)
         self._outbox.tell(ControllerName.MEMBERSHIP, in_force)
         for controller in self._audience:
             self._outbox.tell(controller, in_force)
             self._outbox.tell(controller, ServiceLimits(self._floors))
-        self._outbox.report("revision in force", revision=self._revision)
+        self._outbox.report(
+            "revision in force",
+            revision=self._revision,
+            table_version=self._table.version if self._table else None,
+        )
+        self._tell_serving()
 
     def _collect_floors(self) -> dict[ServiceName, int]:
         """Return the highest floor that any template states per service."""
@@ -242,13 +267,18 @@
 
     def _push(self, push: ConfigPush) -> None:
         """Pass new changes on to a few peers, which do the same."""
-        count = min(PUSH_FANOUT, len(self._peers))
+        count = min(self._push_fanout, len(self._peers))
         for host in self._context.random.sample(self._peers, count):
             self._outbox.send(host, push)
 
     # Resolving
 
     def _resolve(self, ask: Resolve) -> Resolved | Unresolved:
+        if self._when_isolated is IsolationPolicy.SERVE:
+            if self._revision == 0:
+                detail = "no configuration yet"
+                return Unresolved(RefusalReason.NO_CONFIGURATION, detail)
+            return self._find(ask)
         if self._revision == 0 or not self._is_current():
             return Unresolved(
                 RefusalReason.NO_CONFIGURATION,
@@ -259,6 +289,11 @@
             return Unresolved(
                 RefusalReason.ISOLATED, "this entry is cut off from the fleet"
             )
+        return self._find(ask)
+
+    def _find(self, ask: Resolve) -> Resolved | Unresolved:
+        if ask.authority:
+            return self._find_in_table(ask)
         filled = self._fill(ask.organisation)
         if isinstance(filled, Err):
             return Unresolved(
@@ -274,12 +309,21 @@
             self._revision, filled.ok_value, route, self._retention_s
         )
 
+    def _find_in_table(self, ask: Resolve) -> Resolved | Unresolved:
+        table = self._table
+        route = table.find(ask.authority, ask.path) if table else None
+        if table is None or route is None:
+            return Unresolved(
+                RefusalReason.UNKNOWN_ROUTE,
+                f"no route for {ask.authority}{ask.path}",
+            )
+        return Resolved(self._revision, table.filled, route, 0.0)
+
     def _tell_serving(self) -> None:
         """Be in address answers only while requests are served."""
-        serving = (
-            self._revision > 0
-            and self._is_current()
-            and not self._access.isolated
+        connected = self._is_current() and not self._access.isolated
+        serving = self._revision > 0 and (
+            connected or self._when_isolated is IsolationPolicy.SERVE
         )
         if serving != self._serving:
             self._serving = serving
--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -24,6 +24,7 @@
     Proposal,
     Proposals,
 )
+from wasabitray_core.controllers.consensus.reads import Reads
 from wasabitray_core.controllers.consensus.state import MemberState
 from wasabitray_core.controllers.consensus.state_machine import (
     ConfigurationStateMachine,
@@ -35,7 +36,12 @@
     Origin,
 )
 from wasabitray_core.documents import FLEET_KEY
-from wasabitray_core.errors import NotLeaderError, WasabitrayError
+from wasabitray_core.errors import (
+    DocumentError,
+    NotLeaderError,
+    UnavailableError,
+    WasabitrayError,
+)
 from wasabitray_core.ids import HostId, LogIndex, MemberId, Term
 from wasabitray_core.local import (
     Committed,
@@ -43,7 +49,11 @@
     FleetView,
     GetHistory,
     GetStatus,
+    GroupContact,
+    HostView,
     Propose,
+    ReadDocuments,
+    ReplaceTable,
     Restored,
     SetFlag,
     Tick,
@@ -56,6 +66,7 @@
     CampaignNow,
     Change,
     Command,
+    ConfigState,
     InstallSnapshot,
     JoinRequest,
     LogRecord,
@@ -66,12 +77,16 @@
     VoteReply,
     VoteRequest,
 )
+from wasabitray_core.route_table import diff_documents
 from wasabitray_core.states import ConsensusRole, HostFlag
 
 HEARTBEAT_S = 0.2
 MAX_RECORDS_PER_APPEND = 64
 SNAPSHOT_EVERY = 1_000
 KEPT_AFTER_SNAPSHOT = 200
+# A voter that is silent for longer gives its place to a learner: longer than
+# a host takes to restart or a cut usually lasts.
+SILENT_AFTER_S = 8.0
 # A learner this close to the end of the log may become a voter.
 CATCH_UP_RECORDS = 10
 
@@ -124,7 +139,9 @@
         self._commit = self._applied = snapshot.index
         self._proposals = Proposals(self._machine)
         self._progress: dict[MemberId, Progress] = {}
+        self._reads = Reads()
         self._flagged = False
+        self._contact: GroupContact | None = None
         self._state.postpone()
         if snapshot.revision:
             self._outbox.tell(ControllerName.CONFIGURATION, Restored(snapshot))
@@ -164,9 +181,16 @@
             self._ask_to_join()
         elif self._now() >= self._election.timeout:
             self._voting.start_pre_vote()
+        self._tell_contact()
 
     @receive.register
     def _(self, message: FleetView, origin: Origin) -> None:
+        self._control_hosts = tuple(
+            {
+                *self._control_hosts,
+                *(v.host for v in message.hosts if _is_control(v)),
+            }
+        )
         self._proposals.note_view(message)
         self._answer_accepted()
 
@@ -178,6 +202,56 @@
         self._proposals.add(Proposal(message.change, origin))
         self._pump_proposals()
 
+    @receive.register
+    def _(self, message: ReplaceTable, origin: Origin) -> None:
+        checked = message.source.check()
+        if isinstance(checked, Err):
+            faults = "\n".join(checked.err_value)
+            error = DocumentError(faults, step="check table")
+            self._reply(origin, Err(error))
+        elif not self._state.leads:
+            self._reply(origin, Err(self._not_leader()))
+        else:
+            change = Change(
+                message.change,
+                self._machine.revision,
+                message.author,
+                message.wall_time,
+                (),
+                version=message.source.version,
+            )
+            table = message.source.documents()
+            self._proposals.add(Proposal(change, origin, table))
+            self._pump_proposals()
+
+    @receive.register
+    def _(self, message: ReadDocuments, origin: Origin) -> None:
+        if not self._state.leads:
+            self._reply(origin, Err(self._not_leader()))
+        elif not self._has_committed_own_term():
+            detail = "the new leader has not committed yet"
+            error = UnavailableError(detail, step="read documents")
+            self._reply(origin, Err(error))
+        else:
+            self._reads.add(origin)
+            for member in self._state.peers:
+                self._send_append(member)
+            self._answer_reads()
+
+    def _answer_reads(self) -> None:
+        """Answer the reads whose round a majority has confirmed.
+
+        The lead at the time of a read is proved by answers to what was
+        sent after it ("ReadIndex" in section 6.4 of Ongaro's thesis).
+        """
+        rounds = {m: p.round for m, p in self._progress.items()}
+        for origin in self._reads.take_confirmed(
+            self._log.members, self._election.member, rounds
+        ):
+            documents = dict(self._machine.documents)
+            state = ConfigState(self._machine.revision, documents)
+            self._reply(origin, Ok(state))
+
     @receive.register
     def _(self, message: GetHistory, origin: Origin) -> None:
         self._reply(origin, self._machine.recent[-message.limit :])
@@ -220,6 +294,7 @@
     def _(self, message: VoteRequest, origin: Origin) -> None:
         assert origin.peer is not None
         self._voting.answer(message, origin.peer)
+        self._take_back(Member(message.candidate, origin.peer))
 
     @receive.register
     def _(self, message: VoteReply, origin: Origin) -> None:
@@ -237,7 +312,8 @@
         if was_leader:
             self._outbox.report("lead lost", term=self.term, reason=reason)
             self._set_leader_flag(False)
-            for origin in self._proposals.abandon():
+            waiting = [*self._proposals.abandon(), *self._reads.abandon()]
+            for origin in waiting:
                 self._reply(origin, Err(self._not_leader()))
 
     def _become_leader(self) -> None:
@@ -287,6 +363,7 @@
             previous_term,
             records,
             self._commit,
+            self._reads.round,
         )
         self._outbox.send(member.host, request)
 
@@ -308,6 +385,8 @@
         if message.term != self.term:
             return
         progress.heard = self._now()
+        progress.round = max(progress.round, message.round)
+        self._answer_reads()
         if message.accepted:
             progress.match = max(progress.match, message.index)
             progress.next = LogIndex(progress.match + 1)
@@ -342,22 +421,40 @@
         caught_up = {
             m for m, p in self._progress.items() if p.match >= max(1, close)
         }
-        changed = next_members(self._log.members, caught_up)
+        now = self._now()
+        silent = frozenset(
+            m
+            for m, p in self._progress.items()
+            if now - p.heard > SILENT_AFTER_S
+        )
+        changed = next_members(self._log.members, caught_up, silent)
         if changed is not None and self._has_committed_own_term():
             self._append(changed)
 
     @receive.register
     def _(self, message: JoinRequest, origin: Origin) -> None:
+        if self._state.leads:
+            self._add_learner(message.member)
+
+    def _take_back(self, member: Member) -> None:
+        """Make a member a learner that lost its place while it was away.
+
+        It does not know so yet and asks for votes; its log and ballot are
+        intact.
+        """
+        known = (*self._log.members.voters, *self._log.members.learners)
+        if self._state.leads and member.host not in {m.host for m in known}:
+            self._add_learner(member)
+
+    def _add_learner(self, member: Member) -> None:
         members = self._log.members
-        if not self._state.leads:
-            return
-        if message.member in (*members.voters, *members.learners):
+        if member in (*members.voters, *members.learners):
             return
         if (
             self._log.members_index <= self._commit
             and self._has_committed_own_term()
         ):
-            learners = (*members.learners, message.member)
+            learners = (*members.learners, member)
             self._append(Members(members.voters, learners))
 
     def _has_committed_own_term(self) -> bool:
@@ -383,6 +480,10 @@
             self._try_proposal(proposal)
 
     def _try_proposal(self, proposal: Proposal) -> None:
+        if proposal.table is not None:
+            edits = diff_documents(self._machine.documents, proposal.table)
+            change = replace(proposal.change, edits=edits)
+            proposal = Proposal(change, proposal.origin)
         answer = self._machine.find_answer(proposal.change)
         if isinstance(answer, Ok):
             self._proposals.await_acceptance(
@@ -407,21 +508,27 @@
     def _(self, message: AppendRequest, origin: Origin) -> None:
         assert origin.peer is not None
         if not self._accept_leader(message.term, message.leader):
-            self._reply_append(origin.peer, False, self._log.last_index)
+            self._reply_append(
+                origin.peer, False, self._log.last_index, message.round
+            )
             return
         held = self._log.term_at(message.previous_index)
         if message.previous_index < self._log.base_index:
             # Covered by the snapshot, so it is known to agree.
-            self._reply_append(origin.peer, True, self._log.base_index)
+            self._reply_append(
+                origin.peer, True, self._log.base_index, message.round
+            )
         elif held != message.previous_term:
             hint = min(self._log.last_index, message.previous_index - 1)
-            self._reply_append(origin.peer, False, LogIndex(hint))
+            self._reply_append(
+                origin.peer, False, LogIndex(hint), message.round
+            )
         else:
             for record in self._log.merge(message.records):
                 self._outbox.persist(record)
             match = LogIndex(message.previous_index + len(message.records))
             self._commit_up_to(min(message.commit, match))
-            self._reply_append(origin.peer, True, match)
+            self._reply_append(origin.peer, True, match, message.round)
 
     @receive.register
     def _(self, message: InstallSnapshot, origin: Origin) -> None:
@@ -447,9 +554,15 @@
         return True
 
     def _reply_append(
-        self, host: HostId, accepted: bool, index: LogIndex
+        self,
+        host: HostId,
+        accepted: bool,
+        index: LogIndex,
+        confirms: int = 0,
     ) -> None:
-        reply = AppendReply(self.term, self._election.member, accepted, index)
+        reply = AppendReply(
+            self.term, self._election.member, accepted, index, confirms
+        )
         self._outbox.send(host, reply)
 
     def _ask_to_join(self) -> None:
@@ -460,6 +573,18 @@
             if host != self.host:
                 self._outbox.send(host, request)
 
+    def _tell_contact(self) -> None:
+        """Tell the membership controller of the group, when it changes."""
+        members = self._log.members
+        contact = GroupContact(
+            self._state.leads or self._election.has_live_leader(self._now()),
+            self._state.leader_host,
+            tuple(m.host for m in members.voters),
+        )
+        if contact != self._contact:
+            self._contact = contact
+            self._outbox.tell(ControllerName.MEMBERSHIP, contact)
+
     # Applying
 
     def _commit_up_to(self, index: LogIndex) -> None:
@@ -511,3 +636,7 @@
             self._flagged = value
             flag = SetFlag(HostFlag.LEADER, value)
             self._outbox.tell(ControllerName.MEMBERSHIP, flag)
+
+
+def _is_control(view: HostView) -> bool:
+    return bool(view.flags & HostFlag.CONTROL)
--- a/packages/core/src/wasabitray_core/controllers/consensus/proposals.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/proposals.py
@@ -26,10 +26,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Proposal:
-    """A change and the ask that waits for its answer."""
+    """A change and the ask that waits for its answer.
+
+    Attributes:
+        table: documents of a whole route table, from which the change's
+            edits follow once it is its turn.
+    """
 
     change: Change
     origin: Origin
+    table: dict[str, str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/controllers/consensus/state_machine.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/state_machine.py
@@ -18,7 +18,13 @@
     DocumentError,
     WasabitrayError,
 )
-from wasabitray_core.ids import ChangeId, LogIndex, Revision, Term
+from wasabitray_core.ids import (
+    ChangeId,
+    ConfigVersion,
+    LogIndex,
+    Revision,
+    Term,
+)
 from wasabitray_core.messages import (
     AnsweredChange,
     Change,
@@ -27,6 +33,7 @@
     Members,
     Snapshot,
 )
+from wasabitray_core.route_table import version_of
 
 KEPT_ANSWERS = 10_000
 KEPT_CHANGES = 512
@@ -53,6 +60,7 @@
         """Start with an empty configuration at revision 0."""
         self._revision = Revision(0)
         self._documents: dict[str, str] = {}
+        self._version = ConfigVersion(0)
         self._answered: OrderedDict[ChangeId, AnsweredChange] = OrderedDict()
         self._recent: deque[CommittedChange] = deque(maxlen=KEPT_CHANGES)
 
@@ -61,6 +69,11 @@
         """The newest committed revision."""
         return self._revision
 
+    @property
+    def version(self) -> ConfigVersion:
+        """The operator's number of the newest route table, 0 if none."""
+        return self._version
+
     @property
     def documents(self) -> dict[str, str]:
         """The documents by key."""
@@ -80,7 +93,13 @@
     def find_answer(
         self, change: Change
     ) -> Result[Revision, WasabitrayError] | None:
-        """Return what a change id got before, or None if it is new."""
+        """Return what a change id got before, or None if it is new.
+
+        A table whose version is not above the one in force changes nothing
+        any more, so it gets the newest revision.
+        """
+        if change.version and change.version <= self._version:
+            return Ok(self._revision)
         answered = self._answered.get(change.change)
         if answered is None:
             return None
@@ -93,7 +112,12 @@
         return Err(ConflictError(detail, step="propose"))
 
     def check(self, change: Change) -> Result[None, WasabitrayError]:
-        """Check a new change against the newest state."""
+        """Check a new change against the newest state.
+
+        A whole table was checked before its edits were made.
+        """
+        if change.version:
+            return Ok(None)
         if change.expected != self._revision:
             detail = (
                 f"change expects revision {change.expected}, "
@@ -127,9 +151,13 @@
         """
         if change.change in self._answered:
             return None
-        if change.expected != self._revision:
+        if change.version:
+            if change.version <= self._version:
+                return None
+        elif change.expected != self._revision:
             return None
         self._documents = _edit(self._documents, change.edits)
+        self._version = version_of(self._documents)
         self._revision = Revision(self._revision + 1)
         committed = CommittedChange(self._revision, change)
         self._recent.append(committed)
@@ -158,6 +186,7 @@
         """Replace all state by a snapshot's."""
         self._revision = snapshot.revision
         self._documents = dict(snapshot.documents)
+        self._version = version_of(self._documents)
         self._answered = OrderedDict((a.change, a) for a in snapshot.answered)
         self._recent = deque(snapshot.recent, maxlen=KEPT_CHANGES)
 
--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Any, ClassVar
@@ -12,8 +11,9 @@
     Controller,
     Origin,
 )
+from wasabitray_core.controllers.retry_budget import RetryBudget, RetryLimits
+from wasabitray_core.controllers.waiting import Queues, Waiter
 from wasabitray_core.ids import (
-    OrganisationName,
     RegionName,
     Seconds,
     ServiceName,
@@ -22,123 +22,50 @@
 from wasabitray_core.local import (
     Acquire,
     ControllerName,
+    FleetSize,
     GetStatus,
     Grant,
     Refusal,
     Release,
+    Spread,
     Tick,
     UsableTargets,
 )
-from wasabitray_core.messages import LongOccupancy
+from wasabitray_core.messages import LongOccupancy, Pause
+from wasabitray_core.placement import Need, TargetState, choose
 from wasabitray_core.requests import LoadReport, Target
-from wasabitray_core.states import AttemptStatus, RefusalReason, WorkClass
+from wasabitray_core.states import (
+    AttemptStatus,
+    PauseCause,
+    RefusalReason,
+    WorkClass,
+)
 
 PUMP_INTERVAL_S = 0.02
 IDLE_INTERVAL_S = 1.0
-# Other entries' work shows only in reported load, which ages quickly.
-LOAD_REPORT_TTL_S = 0.25
 AVOID_FIRST_S = 0.5
 AVOID_MAX_S = 8.0
 RAMP_S = 5.0
-TRIAL_CHANCE = 0.1
-RETRY_BURST = 10.0
-MAX_QUEUE_PER_ORGANISATION = 256
 HOLD_TIME_WEIGHT = 0.05
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 5.0
-
-
-@dataclass(slots=True)
-class _TargetState:
-    """One target as this entry uses it.
-
-    Attributes:
-        busy: slots in use by this entry.
-        busy_long: those of them with long work.
-        long_held: slots with long work of all entries.
-        reported: load of the last answer, with its time.
-        avoid_until: end of this entry's own avoidance of the path.
-        ramp_until: until then a new target gets one request at a time.
-    """
-
-    target: Target
-    probation: bool
-    ramp_until: Seconds
-    busy: int = 0
-    busy_long: int = 0
-    long_held: int = 0
-    reported: LoadReport | None = None
-    reported_at: Seconds = Seconds(0.0)
-    avoid_until: Seconds = Seconds(0.0)
-    path_failures: int = 0
-
-    def slots(self, now: Seconds) -> int:
-        if self.probation or now < self.ramp_until:
-            return 1
-        return self.target.slots
-
-    def load(self, now: Seconds) -> float:
-        """Return the estimated slots in use by all entries."""
-        short = self.busy - self.busy_long
-        known = short + max(self.busy_long, self.long_held)
-        if self.reported is None:
-            return known
-        age = now - self.reported_at
-        trust = max(0.0, 1.0 - age / LOAD_REPORT_TTL_S)
-        return max(known, self.reported.busy * trust)
-
-    def has_room(self, now: Seconds) -> bool:
-        return self.load(now) + 1 <= self.slots(now) + 1e-9
-
-
-@dataclass(slots=True)
-class _Waiter:
-    ask: Acquire
-    origin: Origin
-    since: Seconds
-
-
-@dataclass(slots=True)
-class _Queues:
-    """Waiting requests of one class, fair between organisations."""
-
-    by_organisation: dict[OrganisationName, deque[_Waiter]] = field(
-        default_factory=dict
-    )
-
-    def __len__(self) -> int:
-        return sum(len(q) for q in self.by_organisation.values())
-
-    def append(self, waiter: _Waiter) -> bool:
-        """Queue a request; False when its organisation's queue is full."""
-        queue = self.by_organisation.setdefault(
-            waiter.ask.organisation, deque()
-        )
-        if len(queue) >= MAX_QUEUE_PER_ORGANISATION:
-            return False
-        queue.append(waiter)
-        return True
-
-    def in_turn(self) -> list[OrganisationName]:
-        """Return the organisations, the longest unserved first."""
-        return list(self.by_organisation)
-
-    def served(self, organisation: OrganisationName) -> None:
-        """Remove an organisation's first request and end its turn."""
-        queue = self.by_organisation.pop(organisation)
-        queue.popleft()
-        if queue:
-            self.by_organisation[organisation] = queue
+# What an attempt's end says against its target, and seconds of pause.
+# docs/DESIGN.md tells how the durations were measured.
+PAUSE_RULES: dict[AttemptStatus, tuple[PauseCause, float]] = {
+    AttemptStatus.FAILED: (PauseCause.BROKEN, 12.0),
+    AttemptStatus.TRUNCATED: (PauseCause.BROKEN, 12.0),
+    AttemptStatus.TIMED_OUT: (PauseCause.SILENT, 4.0),
+}
 
 
 @dataclass(slots=True)
 class _Service:
-    targets: dict[TargetId, _TargetState] = field(default_factory=dict)
-    queues: dict[WorkClass, _Queues] = field(
-        default_factory=lambda: {work: _Queues() for work in WorkClass}
+    budget: RetryBudget
+    targets: dict[TargetId, TargetState] = field(default_factory=dict)
+    queues: dict[WorkClass, Queues] = field(
+        default_factory=lambda: {work: Queues() for work in WorkClass}
     )
     hold_time: dict[WorkClass, float] = field(default_factory=dict)
-    retry_tokens: float = RETRY_BURST
 
     def waiting(self) -> int:
         return sum(len(q) for q in self.queues.values())
@@ -147,23 +74,34 @@
 class DispatchController(Controller):
     """Owns this entry's use of slots.
 
-    A request gets the less loaded of two random targets with room
-    (Mitzenmacher, "The power of two choices in randomized load balancing",
-    2001), or waits in a queue of its class and organisation. A request that
-    can't finish before its deadline is refused while it waits.
+    A request gets a target with room, or waits in a queue of its class and
+    organisation. A request that can't finish before its deadline is refused
+    while it waits. A target that breaks an attempt is paused for the whole
+    fleet at once.
     """
 
     name: ClassVar[ControllerName] = ControllerName.DISPATCH
 
-    def __init__(self, context: Context, region: RegionName) -> None:
+    def __init__(
+        self,
+        context: Context,
+        region: RegionName,
+        retries: RetryLimits | None = None,
+        pauses: bool = False,
+    ) -> None:
         """Start without targets.
 
         Args:
             context: shared by all controllers.
             region: this entry's region, preferred for targets.
+            retries: bounds on retries.
+            pauses: whether targets that fail are paused for the fleet.
         """
         super().__init__(context)
         self._region = region
+        self._retries = retries or RetryLimits()
+        self._pauses = pauses
+        self._burst = self._retries.burst(1)
         self._services: dict[ServiceName, _Service] = {}
 
     @property
@@ -193,8 +131,8 @@
         for usable in message.usable:
             name = usable.target.target
             state = service.targets.get(name)
-            if state is None:
-                state = _TargetState(usable.target, usable.probation, ramp)
+            if state is None or _is_new_run(state.target, usable.target):
+                state = TargetState(usable.target, usable.probation, ramp)
             state.target = usable.target
             state.probation = usable.probation
             targets[name] = state
@@ -214,7 +152,7 @@
             refusal = Refusal(RefusalReason.OVERLOAD, self._retry_after(0.0))
             self._reply(origin, refusal)
             return
-        waiter = _Waiter(message, origin, self._now())
+        waiter = Waiter(message, origin, self._now())
         if self._refuse_early(service, waiter):
             return
         queues = service.queues[message.work]
@@ -236,6 +174,7 @@
                 state.busy_long = max(0, state.busy_long - 1)
             self._note_load(state, message, now)
             self._note_path(state, message, now)
+            self._pause_if_failed(state, message)
         if message.status is AttemptStatus.ANSWERED:
             old = service.hold_time.get(message.work, message.elapsed)
             change = HOLD_TIME_WEIGHT * (message.elapsed - old)
@@ -265,20 +204,58 @@
         )
 
     def _service(self, name: ServiceName) -> _Service:
-        return self._services.setdefault(name, _Service())
-
-    # Retry budget
+        service = self._services.get(name)
+        if service is None:
+            service = _Service(RetryBudget(self._burst))
+            self._services[name] = service
+        return service
 
     def _take_retry_token(self, service: _Service, ask: Acquire) -> bool:
-        if not ask.retry:
-            tokens = service.retry_tokens + ask.retry_share
-            service.retry_tokens = min(RETRY_BURST, tokens)
-            return True
-        if service.retry_tokens < 1.0:
-            return False
-        service.retry_tokens -= 1.0
+        if ask.retry:
+            return service.budget.take()
+        share = self._retries.share
+        service.budget.earn(
+            ask.retry_share if share is None else share, self._burst
+        )
         return True
 
+    # Pauses
+
+    @receive.register
+    def _(self, message: Pause, origin: Origin) -> None:
+        for service in self._services.values():
+            state = service.targets.get(message.target)
+            if state is not None and message.number > state.pause_number:
+                self._apply_pause(state, message)
+
+    @receive.register
+    def _(self, message: FleetSize, origin: Origin) -> None:
+        self._burst = self._retries.burst(message.entries)
+
+    def _apply_pause(self, state: TargetState, pause: Pause) -> None:
+        state.pause_number = pause.number
+        state.paused_until = Seconds(self._now() + pause.duration_s)
+        state.pause_cause = pause.cause
+
+    def _pause_if_failed(self, state: TargetState, release: Release) -> None:
+        """Pause a target after an attempt that speaks against it."""
+        rule = PAUSE_RULES.get(release.status)
+        if rule is None or not self._pauses:
+            return
+        cause, duration = rule
+        number = state.pause_number + 1
+        pause = Pause(release.target, number, duration, cause)
+        self._apply_pause(state, pause)
+        self._outbox.tell(ControllerName.MEMBERSHIP, Spread(pause))
+        self._outbox.report(
+            "target paused",
+            target=release.target,
+            service=release.service,
+            cause=cause.name.lower(),
+            number=number,
+            duration_s=duration,
+        )
+
     # Queues
 
     def _pump(self, service: _Service) -> None:
@@ -288,7 +265,7 @@
             while self._pump_round(service, queues):
                 pass  # another round while slots are left
 
-    def _pump_round(self, service: _Service, queues: _Queues) -> bool:
+    def _pump_round(self, service: _Service, queues: Queues) -> bool:
         """Give each organisation one slot; tell whether any got one."""
         granted = False
         for organisation in queues.in_turn():
@@ -302,7 +279,7 @@
                 granted = True
         return granted
 
-    def _refuse_early(self, service: _Service, waiter: _Waiter) -> bool:
+    def _refuse_early(self, service: _Service, waiter: Waiter) -> bool:
         """Refuse a request that its queue can't serve in time."""
         pinned = waiter.ask.pinned
         if not service.targets or (pinned and pinned not in service.targets):
@@ -316,7 +293,7 @@
         self._reply(waiter.origin, refusal)
         return True
 
-    def _refuse_late(self, service: _Service, waiter: _Waiter) -> bool:
+    def _refuse_late(self, service: _Service, waiter: Waiter) -> bool:
         """Refuse a waiting request whose answer would come too late."""
         hold = service.hold_time.get(waiter.ask.work, 0.0)
         if self._now() + hold < waiter.ask.deadline:
@@ -340,69 +317,33 @@
 
     # Choice
 
-    def _try_grant(self, service: _Service, waiter: _Waiter) -> bool:
-        state = self._choose(service, waiter.ask)
-        if state is None:
+    def _try_grant(self, service: _Service, waiter: Waiter) -> bool:
+        ask = waiter.ask
+        need = Need(
+            self._region,
+            ask.excluded,
+            ask.pinned,
+            ask.idempotent and ask.work is WorkClass.SHORT and not ask.retry,
+        )
+        now = self._now()
+        choice = choose(service.targets, need, now, self._context.random)
+        if choice is None:
             return False
+        state = choice.state
+        load = state.load(now)
         state.busy += 1
-        if waiter.ask.work is WorkClass.LONG:
+        if ask.work is WorkClass.LONG:
             state.busy_long += 1
-        self._reply(waiter.origin, Grant(state.target))
+        waited = Seconds(now - waiter.since)
+        self._reply(
+            waiter.origin, Grant(state.target, choice.basis, load, waited)
+        )
         return True
 
-    def _choose(self, service: _Service, ask: Acquire) -> _TargetState | None:
-        now = self._now()
-        if ask.pinned is not None:
-            # The coordinator of long work has already found the room.
-            return service.targets.get(ask.pinned)
-        allowed = [
-            s
-            for t, s in service.targets.items()
-            if t not in ask.excluded and s.has_room(now)
-        ]
-        trial = self._choose_trial(allowed, ask)
-        if trial is not None:
-            return trial
-        candidates = [s for s in allowed if not s.probation]
-        candidates = self._prefer_open_paths(candidates, now)
-        candidates = self._prefer_own_region(candidates)
-        if not candidates:
-            return None
-        count = min(2, len(candidates))
-        pair = self._context.random.sample(candidates, count)
-        return min(pair, key=lambda s: s.load(now) / s.target.slots)
-
-    def _choose_trial(
-        self, allowed: list[_TargetState], ask: Acquire
-    ) -> _TargetState | None:
-        """Now and then send repeatable short work to a target on trial."""
-        if not ask.idempotent or ask.work is not WorkClass.SHORT or ask.retry:
-            return None
-        if self._context.random.random() >= TRIAL_CHANCE:
-            return None
-        trials = [s for s in allowed if s.probation and not s.busy]
-        return self._context.random.choice(trials) if trials else None
-
-    @staticmethod
-    def _prefer_open_paths(
-        states: list[_TargetState], now: Seconds
-    ) -> list[_TargetState]:
-        open_paths = [s for s in states if s.avoid_until <= now]
-        return open_paths or states
-
-    def _prefer_own_region(
-        self, states: list[_TargetState]
-    ) -> list[_TargetState]:
-        """Keep to the own region: links between regions are narrow."""
-        near = [s for s in states if s.target.region == self._region]
-        return near or states
-
     # Feedback
 
     @staticmethod
-    def _note_load(
-        state: _TargetState, release: Release, now: Seconds
-    ) -> None:
+    def _note_load(state: TargetState, release: Release, now: Seconds) -> None:
         if release.status is AttemptStatus.SHED:
             slots = state.target.slots
             state.reported = LoadReport(slots, slots)
@@ -412,17 +353,21 @@
             state.reported_at = now
 
     @staticmethod
-    def _note_path(
-        state: _TargetState, release: Release, now: Seconds
-    ) -> None:
+    def _note_path(state: TargetState, release: Release, now: Seconds) -> None:
         """Avoid a target that this entry can't reach, for a while."""
         if release.status is AttemptStatus.ANSWERED:
             state.path_failures = 0
             state.avoid_until = now
         elif release.status in (
             AttemptStatus.REFUSED,
+            AttemptStatus.UNREACHABLE,
+            AttemptStatus.MISDIRECTED,
             AttemptStatus.TIMED_OUT,
         ):
             pause = AVOID_FIRST_S * 2**state.path_failures
             state.avoid_until = Seconds(now + min(AVOID_MAX_S, pause))
             state.path_failures += 1
+
+
+def _is_new_run(old: Target, new: Target) -> bool:
+    return old.generation != new.generation or old.address != new.address
--- a/packages/core/src/wasabitray_core/controllers/membership.py
+++ b/packages/core/src/wasabitray_core/controllers/membership.py
@@ -37,6 +37,7 @@
     Ejection,
     Gossip,
     HostStatus,
+    Pause,
     Quarantine,
 )
 from wasabitray_core.states import HostFlag, TargetPhase
@@ -144,6 +145,8 @@
     @receive.register
     def _(self, message: Spread, origin: Origin) -> None:
         item = message.item
+        if isinstance(item, Pause):
+            return  # entries that gossip eject targets instead
         key = (type(item), _subject(item))
         self._news[key] = _News(item, self._rounds())
         if _is_urgent(item):
--- a/packages/core/src/wasabitray_core/controllers/targets.py
+++ b/packages/core/src/wasabitray_core/controllers/targets.py
@@ -11,6 +11,7 @@
     Controller,
     Origin,
 )
+from wasabitray_core.controllers.feed_table import is_newer
 from wasabitray_core.ids import Seconds, ServiceName, TargetId
 from wasabitray_core.local import (
     ControllerName,
@@ -55,9 +56,13 @@
     began: Seconds
 
     def lapsed(self, now: Seconds) -> bool:
+        if not self.announcement.lease_s:
+            return False
         return now - self.renewed > self.announcement.lease_s
 
     def forgotten(self, now: Seconds) -> bool:
+        if not self.announcement.lease_s:
+            return False
         limit = self.announcement.lease_s * FORGET_AFTER_LEASES
         return now - self.renewed > limit
 
@@ -121,7 +126,7 @@
     @receive.register
     def _(self, message: Announcement, origin: Origin) -> None:
         known = self._entries.get(message.target)
-        if known is not None and _rank(message) <= _rank(known.announcement):
+        if known is not None and not is_newer(message, known.announcement):
             self._reply(origin, False)
             return
         now = self._now()
@@ -204,6 +209,7 @@
             for _, entry in sorted(self._entries.items())
             if entry.announcement.service == service
             and entry.announcement.phase is TargetPhase.ACTIVE
+            and not self._is_replaced(entry.announcement)
         ]
         ejected = {
             t
@@ -232,6 +238,17 @@
             ),
         )
 
+    def _is_replaced(self, announcement: Announcement) -> bool:
+        """Tell whether a later run of any target has the address."""
+        if not announcement.address:
+            return False
+        return any(
+            other.announcement.address == announcement.address
+            and other.announcement.target != announcement.target
+            and other.announcement.generation > announcement.generation
+            for other in self._entries.values()
+        )
+
     def _phase(self, target: TargetId) -> EjectionPhase | None:
         ejected = self._ejected.get(target)
         return ejected.ejection.phase if ejected else None
@@ -257,19 +274,18 @@
 _EJECTED = EjectionPhase.EJECTED
 
 
-def _rank(announcement: Announcement) -> tuple[int, int, int]:
-    """Order announcements; leaving wins within one generation."""
-    return (
-        announcement.generation,
-        announcement.phase,
-        announcement.sequence,
-    )
-
-
 def _is_same_run(one: Announcement, other: Announcement) -> bool:
     return one.generation == other.generation
 
 
 def _target_of(entry: _Entry) -> Target:
     a = entry.announcement
-    return Target(a.target, a.service, a.region, a.failure_domain, a.slots)
+    return Target(
+        a.target,
+        a.service,
+        a.region,
+        a.failure_domain,
+        a.slots,
+        a.address or a.target,
+        a.generation,
+    )
--- a/packages/core/src/wasabitray_core/documents.py
+++ b/packages/core/src/wasabitray_core/documents.py
@@ -26,7 +26,9 @@
 MAX_DEADLINE_MS = 3_600_000
 
 
-class _Document(BaseModel):
+class Document(BaseModel):
+    """Base of every document."""
+
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
@@ -38,7 +40,7 @@
     BOOLEAN = "boolean"
 
 
-class Parameter(_Document):
+class Parameter(Document):
     """A typed parameter with its bounds.
 
     `minimum` and `maximum` bound an integer's value and a string's length.
@@ -72,7 +74,7 @@
         return None
 
 
-class GoodAnswer(_Document):
+class GoodAnswer(Document):
     """What a correct answer of a route looks like."""
 
     statuses: tuple[int, ...] = ()
@@ -81,15 +83,29 @@
     max_bytes: int | None = Field(default=None, ge=0)
 
 
-class Route(_Document):
-    """Requests under one path prefix and how they are handled."""
+class Route(Document):
+    """Requests under one path prefix and how they are handled.
+
+    Attributes:
+        name: names the route in logs, if it has a name.
+        target_ms: time within which an answer is worth most, 0 if not said.
+        priority: rank under load, 0 is served first.
+        attempts: targets that one request may be sent to at most.
+        claimed: whether requests that are not idempotent carry a key which
+            is claimed, since a caller may send the same request again.
+    """
 
+    name: str = ""
     path: str = Field(pattern=r"^/")
     service: str = Field(pattern=NAME_PATTERN)
     methods: tuple[str, ...] = ("GET",)
     idempotent: bool = True
     work: WorkClass = WorkClass.SHORT
-    deadline_ms: int = Field(default=2_000, ge=1, le=MAX_DEADLINE_MS)
+    deadline_ms: float = Field(default=2_000, ge=1, le=MAX_DEADLINE_MS)
+    target_ms: float = Field(default=0, ge=0, le=MAX_DEADLINE_MS)
+    priority: int = Field(default=0, ge=0)
+    attempts: int = Field(default=3, ge=1)
+    claimed: bool = True
     good_answer: GoodAnswer = GoodAnswer()
 
     def matches(self, method: str, path: str) -> bool:
@@ -100,7 +116,7 @@
         return path == prefix or path.startswith(prefix + "/")
 
 
-class ServicePolicy(_Document):
+class ServicePolicy(Document):
     """Limits that hold for a whole service.
 
     Attributes:
@@ -114,7 +130,7 @@
     long_share: float = Field(default=0.5, ge=0, le=1)
 
 
-class FilledTemplate(_Document):
+class FilledTemplate(Document):
     """A template with one organisation's parameters put in."""
 
     services: dict[str, ServicePolicy]
@@ -126,7 +142,7 @@
         return max(matching, key=lambda r: len(r.path), default=None)
 
 
-class Template(_Document):
+class Template(Document):
     """A template as the operator writes it, with `{placeholders}`."""
 
     name: str = Field(pattern=NAME_PATTERN)
@@ -135,7 +151,7 @@
     routes: tuple[dict[str, Any], ...]
 
 
-class Organisation(_Document):
+class Organisation(Document):
     """An organisation and the parameters of its template."""
 
     name: str = Field(pattern=NAME_PATTERN)
@@ -143,7 +159,7 @@
     parameters: dict[str, int | str | bool] = {}
 
 
-class EntryHost(_Document):
+class EntryHost(Document):
     """An entry host as the fleet document lists it."""
 
     host: str = Field(pattern=NAME_PATTERN)
@@ -153,7 +169,7 @@
     caller_address: str
 
 
-class Fleet(_Document):
+class Fleet(Document):
     """The entry hosts and the groups that grant claims.
 
     `claim_groups` holds one group, or two while a group is replaced: then
@@ -181,7 +197,7 @@
     ]
 
 
-def parse_document(key: str, body: str) -> Result[_Document, Faults]:
+def parse_document(key: str, body: str) -> Result[Document, Faults]:
     """Parse a stored document by its key.
 
     Args:
@@ -191,6 +207,13 @@
     kind = _kind_of(key)
     if kind is None:
         return Err([f"{key}: unknown kind of document"])
+    return parse_as(kind, key, body)
+
+
+def parse_as(
+    kind: type[Document], key: str, body: str
+) -> Result[Document, Faults]:
+    """Parse a document of a known kind; its name must equal its key's."""
     try:
         document = kind.model_validate_json(body)
     except ValidationError as error:
@@ -201,7 +224,7 @@
     return Ok(document)
 
 
-def _kind_of(key: str) -> type[_Document] | None:
+def _kind_of(key: str) -> type[Document] | None:
     if key == FLEET_KEY:
         return Fleet
     if key.startswith(TEMPLATE_PREFIX):
--- a/packages/core/src/wasabitray_core/filters/claim.py
+++ b/packages/core/src/wasabitray_core/filters/claim.py
@@ -47,7 +47,7 @@
 
     def handle(self, exchange: Exchange, proceed: Proceed) -> Steps:
         """Claim the key of a non-idempotent request."""
-        if exchange.matched.idempotent:
+        if exchange.matched.idempotent or not exchange.matched.claimed:
             return (yield from proceed(exchange))
         request = exchange.request
         if not request.key:
--- a/packages/core/src/wasabitray_core/filters/quarantine.py
+++ b/packages/core/src/wasabitray_core/filters/quarantine.py
@@ -32,6 +32,8 @@
         if request.key
         else (
             request.organisation,
+            request.authority,
+            request.caller,
             request.method,
             request.path,
             request.query,
--- a/packages/core/src/wasabitray_core/filters/retry.py
+++ b/packages/core/src/wasabitray_core/filters/retry.py
@@ -9,7 +9,6 @@
 from wasabitray_core.requests import Answer, Exchange
 from wasabitray_core.states import Outcome, RefusalReason
 
-MAX_ATTEMPTS = 3
 # A request that breaks targets may be the cause: it is not spread further.
 MAX_BREAKS = 2
 MAX_BREAKS_IF_SUSPECT = 1
@@ -47,7 +46,9 @@
     def _may_retry(self, exchange: Exchange, answer: Answer) -> bool:
         if answer.refusal not in RETRIED_REASONS and answer.fault is None:
             return False
-        if exchange.attempts >= MAX_ATTEMPTS or _breaks_targets(exchange):
+        if exchange.attempts >= exchange.matched.attempts or _breaks_targets(
+            exchange
+        ):
             return False
         if self._clock() >= exchange.deadline:
             return False
--- a/packages/core/src/wasabitray_core/filters/routing.py
+++ b/packages/core/src/wasabitray_core/filters/routing.py
@@ -28,7 +28,12 @@
     def handle(self, exchange: Exchange, proceed: Proceed) -> Steps:
         """Put the route into the exchange, or refuse."""
         request = exchange.request
-        resolve = Resolve(request.organisation, request.method, request.path)
+        resolve = Resolve(
+            request.organisation,
+            request.method,
+            request.path,
+            request.authority,
+        )
         found = yield AskController(ControllerName.CONFIGURATION, resolve)
         if isinstance(found, Unresolved):
             status = STATUS_OF_REASON[found.reason]
--- a/packages/core/src/wasabitray_core/local.py
+++ b/packages/core/src/wasabitray_core/local.py
@@ -7,8 +7,11 @@
 
 from wasabitray_core.documents import FilledTemplate, Fleet, Route
 from wasabitray_core.ids import (
+    AuthorityName,
+    ChangeId,
     ClaimId,
     ClaimKey,
+    FailureDomainName,
     Fingerprint,
     HostId,
     OrganisationName,
@@ -24,10 +27,15 @@
     Change,
     CommittedChange,
     Ejection,
+    EntryState,
+    HostAddress,
+    Pause,
     Quarantine,
     Snapshot,
 )
+from wasabitray_core.placement import Basis
 from wasabitray_core.requests import LoadReport, Target
+from wasabitray_core.route_table import RouteTableSource, TrafficLimits
 from wasabitray_core.states import (
     AttemptStatus,
     HostFlag,
@@ -68,11 +76,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Resolve:
-    """Asks for the route of a request."""
+    """Asks for the route of a request.
+
+    Attributes:
+        authority: host name that the request is addressed to, if its route
+            is in the route table and not in an organisation's template.
+    """
 
     organisation: OrganisationName
     method: str
     path: str
+    authority: AuthorityName = AuthorityName("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,10 +132,15 @@
 
 @dataclass(frozen=True, slots=True)
 class InForce:
-    """A revision came into force on this host."""
+    """A revision came into force on this host.
+
+    Attributes:
+        limits: what callers may send, if there is a route table.
+    """
 
     revision: Revision
     fleet: Fleet | None
+    limits: TrafficLimits | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +162,44 @@
     change: Change
 
 
+@dataclass(frozen=True, slots=True)
+class ReplaceTable:
+    """Asks the leader to put a whole route table in force.
+
+    The highest version wins; a table that is not newer than the one in
+    force is accepted and changes nothing.
+    """
+
+    change: ChangeId
+    author: str
+    wall_time: str
+    source: RouteTableSource
+
+
+@dataclass(frozen=True, slots=True)
+class ReadDocuments:
+    """Asks the leader for the newest documents there are.
+
+    The reply is a ConfigState that holds every change accepted before, or
+    an error when that can't be proved.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class GroupContact:
+    """How this member of the control group sees the group.
+
+    Attributes:
+        in_contact: whether it leads, or heard the leader lately.
+        leader: the leader's host, empty if it is not known.
+        voters: hosts whose majority decides.
+    """
+
+    in_contact: bool
+    leader: HostId
+    voters: tuple[HostId, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Proposed:
     """The answer to a change that is committed.
@@ -175,9 +232,49 @@
 
 @dataclass(frozen=True, slots=True)
 class Spread:
-    """Passes news to other hosts with the next rounds of gossip."""
+    """Passes news to other hosts."""
 
-    item: Announcement | Ejection | Quarantine
+    item: Announcement | Ejection | Quarantine | Pause
+
+
+@dataclass(frozen=True, slots=True)
+class Register:
+    """A target's own word, given to a hub.
+
+    The reply is true once the word may be acknowledged: at once for a
+    target that serves, and when a majority of the hubs holds it for one
+    that leaves.
+    """
+
+    announcement: Announcement
+
+
+@dataclass(frozen=True, slots=True)
+class SeedsChanged:
+    """The settings name other hosts to contact first."""
+
+    seeds: tuple[HostId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAddresses:
+    """Where the peer listeners of some hosts are."""
+
+    addresses: tuple[HostAddress, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EntriesView:
+    """All entries as the hubs see them now."""
+
+    entries: tuple[EntryState, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSize:
+    """How many entries share the fleet's budgets."""
+
+    entries: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,6 +317,7 @@
     """Asks which entries a caller should use."""
 
     region: RegionName
+    failure_domain: FailureDomainName = FailureDomainName("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -283,9 +381,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """A slot on a target."""
+    """A slot on a target.
+
+    Attributes:
+        basis: why this target was chosen.
+        load: slots that it had in use, as known here.
+        waited: seconds in the queue.
+    """
 
     target: Target
+    basis: Basis = Basis.LOAD
+    load: float = 0.0
+    waited: Seconds = Seconds(0.0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -12,7 +12,9 @@
     ChangeId,
     ClaimId,
     ClaimKey,
+    ConfigVersion,
     FailureDomainName,
+    FeedPosition,
     Fingerprint,
     HostId,
     Incarnation,
@@ -29,6 +31,7 @@
     EjectionPhase,
     GrantStatus,
     HostFlag,
+    PauseCause,
     TargetPhase,
 )
 
@@ -71,7 +74,9 @@
     Attributes:
         generation: start of the target's process; a later one wins.
         sequence: rises with each announcement of one generation.
-        lease_s: seconds after which the word is stale.
+        lease_s: seconds after which the word is stale; 0 if it holds
+            until the target leaves or another one has its address.
+        address: `IP:PORT`, if the target has another name than that.
     """
 
     target: TargetId
@@ -83,6 +88,7 @@
     sequence: int
     phase: TargetPhase
     lease_s: float
+    address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +117,42 @@
     targets: tuple[TargetId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """A target that just failed; all entries rest it for a while.
+
+    Attributes:
+        number: rises with each pause of the target.
+        duration_s: seconds that it lasts, counted from its receipt.
+    """
+
+    target: TargetId
+    number: int
+    duration_s: float
+    cause: PauseCause
+
+
+@dataclass(frozen=True, slots=True)
+class EntryState:
+    """An entry as the hub that it listens to last saw it.
+
+    Attributes:
+        counter: rises with each word of the entry, also over restarts.
+        present: false once its hub has not heard of it for a while.
+        caller_address: where callers reach it.
+        hub: the control host that it listens to.
+    """
+
+    host: HostId
+    counter: int
+    present: bool
+    flags: HostFlag
+    region: RegionName
+    failure_domain: FailureDomainName
+    caller_address: str
+    hub: HostId
+
+
 @dataclass(frozen=True, slots=True)
 class Gossip:
     """Heartbeats and news, sent to a few peers at a time."""
@@ -121,6 +163,95 @@
     quarantines: tuple[Quarantine, ...] = ()
 
 
+# Feeds of hubs
+
+
+@dataclass(frozen=True, slots=True)
+class HostAddress:
+    """A host, where its peer listener is and the region it is in."""
+
+    host: HostId
+    address: str
+    region: RegionName
+
+
+@dataclass(frozen=True, slots=True)
+class FeedMark:
+    """How far a host has read a hub's feed.
+
+    Attributes:
+        incarnation: run of the hub; a feed starts anew with each.
+    """
+
+    hub: HostId
+    incarnation: Incarnation
+    position: FeedPosition
+
+
+@dataclass(frozen=True, slots=True)
+class Presence:
+    """A heartbeat to a hub; it acknowledges what was read.
+
+    Attributes:
+        counter: rises with each heartbeat, also over restarts.
+        revision: newest configuration in force on the host.
+        marks: an entry has one for its hub, a hub one for each other hub.
+    """
+
+    counter: int
+    revision: Revision
+    flags: HostFlag
+    region: RegionName
+    failure_domain: FailureDomainName
+    caller_address: str
+    marks: tuple[FeedMark, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Unsubscribe:
+    """Ends the feed to an entry that listens to another hub now."""
+
+
+@dataclass(frozen=True, slots=True)
+class Feed:
+    """News from a hub; without any it is the hub's heartbeat.
+
+    Attributes:
+        origin: hub whose feed this is; another hub can pass it on.
+        incarnation: run of that hub.
+        after: place that this message continues from.
+        position: the feed is complete up to this place with this message.
+        revision: newest configuration in force on the sender.
+        in_contact: whether the sender hears the leader of its group.
+        entries: number of entries that are present.
+        hubs: all control hosts that the sender knows, now and then.
+    """
+
+    origin: HostId
+    incarnation: Incarnation
+    after: FeedPosition
+    position: FeedPosition
+    revision: Revision
+    in_contact: bool
+    entries: int
+    hubs: tuple[HostAddress, ...] = ()
+    announcements: tuple[Announcement, ...] = ()
+    ejections: tuple[Ejection, ...] = ()
+    quarantines: tuple[Quarantine, ...] = ()
+    pauses: tuple[Pause, ...] = ()
+    entry_states: tuple[EntryState, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """News of an entry to its hub."""
+
+    announcements: tuple[Announcement, ...] = ()
+    ejections: tuple[Ejection, ...] = ()
+    quarantines: tuple[Quarantine, ...] = ()
+    pauses: tuple[Pause, ...] = ()
+
+
 # Configuration
 
 
@@ -141,6 +272,9 @@
         expected: newest revision that the operator has seen.
         wall_time: when the operator's client made it, for the history.
         forced: the operator vouches that unreachable entries are stopped.
+        version: the operator's number of the whole configuration that
+            this change leads to, 0 if none. Such a change is not tied to a
+            revision; the highest version wins.
     """
 
     change: ChangeId
@@ -149,6 +283,7 @@
     wall_time: str
     edits: tuple[DocumentEdit, ...]
     forced: bool = False
+    version: ConfigVersion = ConfigVersion(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -275,7 +410,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendRequest:
-    """Log records for a follower; empty ones are the heartbeat."""
+    """Log records for a follower; empty ones are the heartbeat.
+
+    Attributes:
+        round: the leader's newest round of confirming its lead.
+    """
 
     term: Term
     leader: MemberId
@@ -283,6 +422,7 @@
     previous_term: Term
     records: tuple[LogRecord, ...]
     commit: LogIndex
+    round: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -291,12 +431,14 @@
 
     Attributes:
         index: last agreeing record, or a hint where to try next.
+        round: that of the request answered.
     """
 
     term: Term
     member: MemberId
     accepted: bool
     index: LogIndex
+    round: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -484,6 +626,10 @@
 
 PeerMessage = (
     Gossip
+    | Presence
+    | Unsubscribe
+    | Feed
+    | News
     | ConfigPull
     | ConfigPush
     | ConfigState
--- /dev/null
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -0,0 +1,156 @@
+"""Which target gets a request: a function of what an entry knows."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from wasabitray_core.ids import RegionName, Seconds, TargetId
+from wasabitray_core.requests import LoadReport, Target
+from wasabitray_core.states import PauseCause
+
+# Other entries' work shows only in reported load, which ages quickly.
+LOAD_REPORT_TTL_S = 0.25
+TRIAL_CHANCE = 0.1
+
+
+class Basis(Enum):
+    """Why a target was chosen."""
+
+    PINNED = "pinned"
+    """The coordinator of long work chose it."""
+    TRIAL = "trial"
+    """It is on its way back and gets a trickle."""
+    LOAD = "load"
+    """The less loaded of two."""
+    LONGEST_PAUSED = "longest-paused"
+    """All are paused; this one for the longest time."""
+
+
+@dataclass(slots=True)
+class TargetState:
+    """One target as this entry uses it.
+
+    Attributes:
+        busy: slots in use by this entry.
+        busy_long: those of them with long work.
+        long_held: slots with long work of all entries.
+        reported: load of the last answer, with its time.
+        avoid_until: end of this entry's own avoidance of the path.
+        ramp_until: until then a new target gets one request at a time.
+        paused_until: end of the fleet's pause.
+        pause_number: number of the newest pause.
+    """
+
+    target: Target
+    probation: bool
+    ramp_until: Seconds
+    busy: int = 0
+    busy_long: int = 0
+    long_held: int = 0
+    reported: LoadReport | None = None
+    reported_at: Seconds = Seconds(0.0)
+    avoid_until: Seconds = Seconds(0.0)
+    path_failures: int = 0
+    paused_until: Seconds = Seconds(0.0)
+    pause_number: int = 0
+    pause_cause: PauseCause | None = None
+
+    def slots(self, now: Seconds) -> int:
+        """Return the slots that may be used now."""
+        if self.probation or now < self.ramp_until:
+            return 1
+        return self.target.slots
+
+    def load(self, now: Seconds) -> float:
+        """Return the estimated slots in use by all entries."""
+        short = self.busy - self.busy_long
+        known = short + max(self.busy_long, self.long_held)
+        if self.reported is None:
+            return known
+        age = now - self.reported_at
+        trust = max(0.0, 1.0 - age / LOAD_REPORT_TTL_S)
+        return max(known, self.reported.busy * trust)
+
+    def has_room(self, now: Seconds) -> bool:
+        """Tell whether another request would find a free slot."""
+        return self.load(now) + 1 <= self.slots(now) + 1e-9
+
+    def is_paused(self, now: Seconds) -> bool:
+        """Tell whether the fleet rests it."""
+        return now < self.paused_until
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """What a request asks of its target.
+
+    Attributes:
+        excluded: targets already tried.
+        pinned: the only target allowed.
+        trial: whether a target on trial may get it.
+    """
+
+    region: RegionName
+    excluded: Collection[TargetId] = ()
+    pinned: TargetId | None = None
+    trial: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """A target and why it was chosen."""
+
+    state: TargetState
+    basis: Basis
+
+
+def choose(
+    targets: dict[TargetId, TargetState],
+    need: Need,
+    now: Seconds,
+    source: random.Random,
+) -> Choice | None:
+    """Choose a target for a request, or None if none has room.
+
+    A request gets the less loaded of two random targets (Mitzenmacher, "The
+    power of two choices in randomized load balancing", 2001) in the entry's
+    own region if one has room there. A target that is unreachable from here
+    gets work when no other has room, a paused one when all are paused.
+    """
+    if need.pinned is not None:
+        pinned = targets.get(need.pinned)
+        return Choice(pinned, Basis.PINNED) if pinned else None
+    left = [s for t, s in targets.items() if t not in need.excluded]
+    allowed = [s for s in left if s.has_room(now)]
+    if need.trial and source.random() < TRIAL_CHANCE:
+        trials = [s for s in allowed if s.probation and not s.busy]
+        if trials:
+            return Choice(source.choice(trials), Basis.TRIAL)
+    unpaused = [s for s in left if not s.probation and not s.is_paused(now)]
+    if not unpaused:
+        return _choose_paused(allowed)
+    free = [s for s in unpaused if s.has_room(now)]
+    reachable = [s for s in free if s.avoid_until <= now] or free
+    near = [s for s in reachable if s.target.region == need.region]
+    return _less_loaded(near or reachable, now, source)
+
+
+def _choose_paused(states: Iterable[TargetState]) -> Choice | None:
+    candidates = [s for s in states if not s.probation]
+    if not candidates:
+        return None
+    longest = min(candidates, key=lambda s: s.paused_until)
+    return Choice(longest, Basis.LONGEST_PAUSED)
+
+
+def _less_loaded(
+    states: list[TargetState], now: Seconds, source: random.Random
+) -> Choice | None:
+    if not states:
+        return None
+    pair = source.sample(states, min(2, len(states)))
+    chosen = min(pair, key=lambda s: s.load(now) / s.target.slots)
+    return Choice(chosen, Basis.LOAD)
--- a/packages/core/src/wasabitray_core/requests.py
+++ b/packages/core/src/wasabitray_core/requests.py
@@ -8,6 +8,8 @@
 
 from wasabitray_core.documents import FilledTemplate, Route, ServicePolicy
 from wasabitray_core.ids import (
+    AuthorityName,
+    CallerRequestId,
     FailureDomainName,
     Fingerprint,
     OrganisationName,
@@ -30,8 +32,12 @@
         query: text after the question mark, without it.
         body: the body, if it was small enough to be read whole.
         stream: a larger body in pieces, readable once.
-        length: bytes of the body.
+        length: bytes of the body, None if only its end will tell.
         key: idempotency key given by the caller, empty if none.
+        id: names this request in logs; a caller's resend has another.
+        authority: host name that it is addressed to, if that selects its
+            route.
+        caller: where it came from.
     """
 
     organisation: OrganisationName
@@ -41,8 +47,11 @@
     headers: Headers = ()
     body: bytes = b""
     stream: Iterator[bytes] | None = None
-    length: int = 0
+    length: int | None = 0
     key: str = ""
+    id: CallerRequestId = CallerRequestId("")
+    authority: AuthorityName = AuthorityName("")
+    caller: str = ""
 
     def __repr__(self) -> str:
         return f"<Request [{self.method} {self.path}]>"
@@ -50,13 +59,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Target:
-    """A target as it announced itself."""
+    """A target as it announced itself.
+
+    Attributes:
+        address: `IP:PORT` where it listens.
+        generation: its run; connections to an earlier one are dead.
+    """
 
     target: TargetId
     service: ServiceName
     region: RegionName
     failure_domain: FailureDomainName
     slots: int
+    address: str = ""
+    generation: int = 0
 
     def __repr__(self) -> str:
         return f"<Target [{self.target}]>"
@@ -64,10 +80,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load a target reported on an answer."""
+    """Load a target reported on an answer.
+
+    Attributes:
+        waiting: requests queued at the target.
+    """
 
     busy: int
     slots: int
+    waiting: int = 0
 
 
 @dataclass(slots=True)
@@ -103,6 +124,16 @@
         return f"<Answer [{self.status}]>"
 
 
+_NEVER_RAN = frozenset(
+    {
+        AttemptStatus.REFUSED,
+        AttemptStatus.SHED,
+        AttemptStatus.UNREACHABLE,
+        AttemptStatus.MISDIRECTED,
+    }
+)
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
     """How one attempt at a target ended."""
@@ -116,7 +147,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether the target can have started the work."""
-        return self.status not in (AttemptStatus.REFUSED, AttemptStatus.SHED)
+        return self.status not in _NEVER_RAN
 
 
 @dataclass(slots=True)
--- a/packages/core/src/wasabitray_core/states.py
+++ b/packages/core/src/wasabitray_core/states.py
@@ -17,6 +17,44 @@
     LONG = "long"
 
 
+class RequestKind(Enum):
+    """What may be repeated of a route's requests."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    UPLOAD = "upload"
+    """A large body; never repeated once it may have run."""
+
+
+class Topology(Enum):
+    """How hosts spread heartbeats and news."""
+
+    MESH = "mesh"
+    """Gossip between all hosts."""
+    HUBS = "hubs"
+    """Each entry listens to one control host; those exchange feeds."""
+
+
+class IsolationPolicy(Enum):
+    """What an entry does that is cut off from the fleet."""
+
+    REFUSE = "refuse"
+    SERVE = "serve"
+
+
+class PauseCause(IntEnum):
+    """Why a target gets no work for a short while."""
+
+    BROKEN = 1
+    """It broke off an attempt, or its answer was no answer."""
+    SILENT = 2
+    """It did not answer in time."""
+    UNREACHABLE = 3
+    """Nothing listens at its address."""
+    ERRORS = 4
+    """It answered with errors of its own."""
+
+
 class Outcome(Enum):
     """What is known about a request that got no answer of a target."""
 
@@ -88,6 +126,10 @@
     """A reused connection failed; it may have run."""
     CANCELLED = "cancelled"
     """The caller went away; it may have run."""
+    UNREACHABLE = "unreachable"
+    """No connection within its timeout, so nothing was sent."""
+    MISDIRECTED = "misdirected"
+    """Another target has the address; it did not run."""
 
 
 class RefusalReason(Enum):
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -9,13 +9,37 @@
 struct HostStatus { 1: string host, 2: i64 counter, 3: i64 revision, 4: i32 flags }
 struct Announcement {
   1: string target, 2: string service_, 3: string region, 4: string failure_domain,
-  5: i32 slots, 6: i64 generation, 7: i64 sequence, 8: i32 phase, 9: double lease_s
+  5: i32 slots, 6: i64 generation, 7: i64 sequence, 8: i32 phase, 9: double lease_s,
+  10: string address
 }
 struct Ejection {
   1: string target, 2: string service_, 3: i64 version, 4: i32 phase,
   5: double duration_s, 6: string evidence
 }
 struct Quarantine { 1: string fingerprint, 2: list<string> targets }
+struct Pause { 1: string target, 2: i64 number, 3: double duration_s, 4: i32 cause }
+struct EntryState {
+  1: string host, 2: i64 counter, 3: bool present, 4: i32 flags, 5: string region,
+  6: string failure_domain, 7: string caller_address, 8: string hub
+}
+struct HostAddress { 1: string host, 2: string address, 3: string region }
+struct FeedMark { 1: string hub, 2: string incarnation, 3: i64 position }
+struct Presence {
+  1: i64 counter, 2: i64 revision, 3: i32 flags, 4: string region,
+  5: string failure_domain, 6: string caller_address, 7: list<FeedMark> marks
+}
+struct Unsubscribe {}
+struct Feed {
+  1: string origin, 2: string incarnation, 3: i64 after, 4: i64 position,
+  5: i64 revision, 6: bool in_contact, 7: i32 entries, 8: list<HostAddress> hubs,
+  9: list<Announcement> announcements, 10: list<Ejection> ejections,
+  11: list<Quarantine> quarantines, 12: list<Pause> pauses,
+  13: list<EntryState> entry_states
+}
+struct News {
+  1: list<Announcement> announcements, 2: list<Ejection> ejections,
+  3: list<Quarantine> quarantines, 4: list<Pause> pauses
+}
 struct Gossip {
   1: list<HostStatus> statuses, 2: list<Announcement> announcements,
   3: list<Ejection> ejections, 4: list<Quarantine> quarantines
@@ -24,7 +48,7 @@
 struct DocumentEdit { 1: string key, 2: optional string body }
 struct Change {
   1: string change, 2: i64 expected, 3: string author, 4: string wall_time,
-  5: list<DocumentEdit> edits, 6: bool forced
+  5: list<DocumentEdit> edits, 6: bool forced, 7: i64 version
 }
 struct CommittedChange { 1: i64 revision, 2: Change change }
 struct ConfigPull { 1: i64 after }
@@ -50,9 +74,11 @@
 struct VoteReply { 1: i64 term, 2: string voter, 3: bool granted, 4: bool pre }
 struct AppendRequest {
   1: i64 term, 2: string leader, 3: i64 previous_index, 4: i64 previous_term,
-  5: list<LogRecord> records, 6: i64 commit
+  5: list<LogRecord> records, 6: i64 commit, 7: i64 round
+}
+struct AppendReply {
+  1: i64 term, 2: string member, 3: bool accepted, 4: i64 index, 5: i64 round
 }
-struct AppendReply { 1: i64 term, 2: string member, 3: bool accepted, 4: i64 index }
 struct InstallSnapshot { 1: i64 term, 2: string leader, 3: Snapshot snapshot }
 struct CampaignNow { 1: i64 term, 2: string leader }
 struct JoinRequest { 1: Member member }
@@ -96,7 +122,8 @@
   18: RecallState recall_state, 19: Evidence evidence,
   20: LongSlotRequest long_slot_request, 21: LongSlotReply long_slot_reply,
   22: LongSlotRelease long_slot_release,
-  23: CampaignNow campaign_now, 24: LongOccupancy long_occupancy
+  23: CampaignNow campaign_now, 24: LongOccupancy long_occupancy,
+  25: Presence presence, 26: Unsubscribe unsubscribe, 27: Feed feed, 28: News news
 }
 
 union StoredItem { 1: Ballot ballot, 2: LogRecord log_record, 3: Snapshot snapshot, 4: Member member }
--- a/packages/wire/src/wasabitray_wire/gen/Peer.py
+++ b/packages/wire/src/wasabitray_wire/gen/Peer.py
@@ -310,11 +310,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype147, _size144) = iprot.readListBegin()
-                    for _i148 in range(_size144):
-                        _elem149 = PeerMessage()
-                        _elem149.read(iprot)
-                        self.messages.append(_elem149)
+                    (_etype224, _size221) = iprot.readListBegin()
+                    for _i225 in range(_size221):
+                        _elem226 = PeerMessage()
+                        _elem226.read(iprot)
+                        self.messages.append(_elem226)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -331,8 +331,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter150 in self.messages:
-                iter150.write(oprot)
+            for iter227 in self.messages:
+                iter227.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -197,11 +197,12 @@
      - sequence
      - phase
      - lease_s
+     - address
 
     """
 
 
-    def __init__(self, target=None, service_=None, region=None, failure_domain=None, slots=None, generation=None, sequence=None, phase=None, lease_s=None,):
+    def __init__(self, target=None, service_=None, region=None, failure_domain=None, slots=None, generation=None, sequence=None, phase=None, lease_s=None, address=None,):
         self.target = target
         self.service_ = service_
         self.region = region
@@ -211,6 +212,7 @@
         self.sequence = sequence
         self.phase = phase
         self.lease_s = lease_s
+        self.address = address
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -266,6 +268,11 @@
                     self.lease_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -312,6 +319,752 @@
             oprot.writeFieldBegin('lease_s', TType.DOUBLE, 9)
             oprot.writeDouble(self.lease_s)
             oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 10)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Ejection(object):
+    """
+    Attributes:
+     - target
+     - service_
+     - version
+     - phase
+     - duration_s
+     - evidence
+
+    """
+
+
+    def __init__(self, target=None, service_=None, version=None, phase=None, duration_s=None, evidence=None,):
+        self.target = target
+        self.service_ = service_
+        self.version = version
+        self.phase = phase
+        self.duration_s = duration_s
+        self.evidence = evidence
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_ = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.phase = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.duration_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.evidence = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Ejection')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.service_ is not None:
+            oprot.writeFieldBegin('service_', TType.STRING, 2)
+            oprot.writeString(self.service_.encode('utf-8') if sys.version_info[0] == 2 else self.service_)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.phase is not None:
+            oprot.writeFieldBegin('phase', TType.I32, 4)
+            oprot.writeI32(self.phase)
+            oprot.writeFieldEnd()
+        if self.duration_s is not None:
+            oprot.writeFieldBegin('duration_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.duration_s)
+            oprot.writeFieldEnd()
+        if self.evidence is not None:
+            oprot.writeFieldBegin('evidence', TType.STRING, 6)
+            oprot.writeString(self.evidence.encode('utf-8') if sys.version_info[0] == 2 else self.evidence)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Quarantine(object):
+    """
+    Attributes:
+     - fingerprint
+     - targets
+
+    """
+
+
+    def __init__(self, fingerprint=None, targets=None,):
+        self.fingerprint = fingerprint
+        self.targets = targets
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.targets = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.targets.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Quarantine')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.targets))
+            for iter6 in self.targets:
+                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Pause(object):
+    """
+    Attributes:
+     - target
+     - number
+     - duration_s
+     - cause
+
+    """
+
+
+    def __init__(self, target=None, number=None, duration_s=None, cause=None,):
+        self.target = target
+        self.number = number
+        self.duration_s = duration_s
+        self.cause = cause
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.duration_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.cause = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Pause')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.duration_s is not None:
+            oprot.writeFieldBegin('duration_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.duration_s)
+            oprot.writeFieldEnd()
+        if self.cause is not None:
+            oprot.writeFieldBegin('cause', TType.I32, 4)
+            oprot.writeI32(self.cause)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EntryState(object):
+    """
+    Attributes:
+     - host
+     - counter
+     - present
+     - flags
+     - region
+     - failure_domain
+     - caller_address
+     - hub
+
+    """
+
+
+    def __init__(self, host=None, counter=None, present=None, flags=None, region=None, failure_domain=None, caller_address=None, hub=None,):
+        self.host = host
+        self.counter = counter
+        self.present = present
+        self.flags = flags
+        self.region = region
+        self.failure_domain = failure_domain
+        self.caller_address = caller_address
+        self.hub = hub
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.counter = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.present = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.flags = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.caller_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.hub = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EntryState')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.counter is not None:
+            oprot.writeFieldBegin('counter', TType.I64, 2)
+            oprot.writeI64(self.counter)
+            oprot.writeFieldEnd()
+        if self.present is not None:
+            oprot.writeFieldBegin('present', TType.BOOL, 3)
+            oprot.writeBool(self.present)
+            oprot.writeFieldEnd()
+        if self.flags is not None:
+            oprot.writeFieldBegin('flags', TType.I32, 4)
+            oprot.writeI32(self.flags)
+            oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 5)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 6)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.caller_address is not None:
+            oprot.writeFieldBegin('caller_address', TType.STRING, 7)
+            oprot.writeString(self.caller_address.encode('utf-8') if sys.version_info[0] == 2 else self.caller_address)
+            oprot.writeFieldEnd()
+        if self.hub is not None:
+            oprot.writeFieldBegin('hub', TType.STRING, 8)
+            oprot.writeString(self.hub.encode('utf-8') if sys.version_info[0] == 2 else self.hub)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HostAddress(object):
+    """
+    Attributes:
+     - host
+     - address
+     - region
+
+    """
+
+
+    def __init__(self, host=None, address=None, region=None,):
+        self.host = host
+        self.address = address
+        self.region = region
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostAddress')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 3)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FeedMark(object):
+    """
+    Attributes:
+     - hub
+     - incarnation
+     - position
+
+    """
+
+
+    def __init__(self, hub=None, incarnation=None, position=None,):
+        self.hub = hub
+        self.incarnation = incarnation
+        self.position = position
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.hub = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.position = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FeedMark')
+        if self.hub is not None:
+            oprot.writeFieldBegin('hub', TType.STRING, 1)
+            oprot.writeString(self.hub.encode('utf-8') if sys.version_info[0] == 2 else self.hub)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.position is not None:
+            oprot.writeFieldBegin('position', TType.I64, 3)
+            oprot.writeI64(self.position)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Presence(object):
+    """
+    Attributes:
+     - counter
+     - revision
+     - flags
+     - region
+     - failure_domain
+     - caller_address
+     - marks
+
+    """
+
+
+    def __init__(self, counter=None, revision=None, flags=None, region=None, failure_domain=None, caller_address=None, marks=None,):
+        self.counter = counter
+        self.revision = revision
+        self.flags = flags
+        self.region = region
+        self.failure_domain = failure_domain
+        self.caller_address = caller_address
+        self.marks = marks
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.counter = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.flags = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.caller_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.marks = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = FeedMark()
+                        _elem12.read(iprot)
+                        self.marks.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Presence')
+        if self.counter is not None:
+            oprot.writeFieldBegin('counter', TType.I64, 1)
+            oprot.writeI64(self.counter)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.flags is not None:
+            oprot.writeFieldBegin('flags', TType.I32, 3)
+            oprot.writeI32(self.flags)
+            oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 4)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 5)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.caller_address is not None:
+            oprot.writeFieldBegin('caller_address', TType.STRING, 6)
+            oprot.writeString(self.caller_address.encode('utf-8') if sys.version_info[0] == 2 else self.caller_address)
+            oprot.writeFieldEnd()
+        if self.marks is not None:
+            oprot.writeFieldBegin('marks', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.marks))
+            for iter13 in self.marks:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Unsubscribe(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Unsubscribe')
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -330,26 +1083,40 @@
         return not (self == other)
 
 
-class Ejection(object):
+class Feed(object):
     """
     Attributes:
-     - target
-     - service_
-     - version
-     - phase
-     - duration_s
-     - evidence
+     - origin
+     - incarnation
+     - after
+     - position
+     - revision
+     - in_contact
+     - entries
+     - hubs
+     - announcements
+     - ejections
+     - quarantines
+     - pauses
+     - entry_states
 
     """
 
 
-    def __init__(self, target=None, service_=None, version=None, phase=None, duration_s=None, evidence=None,):
-        self.target = target
-        self.service_ = service_
-        self.version = version
-        self.phase = phase
-        self.duration_s = duration_s
-        self.evidence = evidence
+    def __init__(self, origin=None, incarnation=None, after=None, position=None, revision=None, in_contact=None, entries=None, hubs=None, announcements=None, ejections=None, quarantines=None, pauses=None, entry_states=None,):
+        self.origin = origin
+        self.incarnation = incarnation
+        self.after = after
+        self.position = position
+        self.revision = revision
+        self.in_contact = in_contact
+        self.entries = entries
+        self.hubs = hubs
+        self.announcements = announcements
+        self.ejections = ejections
+        self.quarantines = quarantines
+        self.pauses = pauses
+        self.entry_states = entry_states
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -362,32 +1129,103 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.service_ = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I64:
-                    self.version = iprot.readI64()
+                    self.after = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I32:
-                    self.phase = iprot.readI32()
+                if ftype == TType.I64:
+                    self.position = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.DOUBLE:
-                    self.duration_s = iprot.readDouble()
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.STRING:
-                    self.evidence = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.BOOL:
+                    self.in_contact = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.entries = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.hubs = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = HostAddress()
+                        _elem19.read(iprot)
+                        self.hubs.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.announcements = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = Announcement()
+                        _elem25.read(iprot)
+                        self.announcements.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.ejections = []
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = Ejection()
+                        _elem31.read(iprot)
+                        self.ejections.append(_elem31)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.quarantines = []
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = Quarantine()
+                        _elem37.read(iprot)
+                        self.quarantines.append(_elem37)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.pauses = []
+                    (_etype41, _size38) = iprot.readListBegin()
+                    for _i42 in range(_size38):
+                        _elem43 = Pause()
+                        _elem43.read(iprot)
+                        self.pauses.append(_elem43)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.entry_states = []
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = EntryState()
+                        _elem49.read(iprot)
+                        self.entry_states.append(_elem49)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -399,30 +1237,76 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Ejection')
-        if self.target is not None:
-            oprot.writeFieldBegin('target', TType.STRING, 1)
-            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+        oprot.writeStructBegin('Feed')
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 1)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
             oprot.writeFieldEnd()
-        if self.service_ is not None:
-            oprot.writeFieldBegin('service_', TType.STRING, 2)
-            oprot.writeString(self.service_.encode('utf-8') if sys.version_info[0] == 2 else self.service_)
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I64, 3)
-            oprot.writeI64(self.version)
+        if self.after is not None:
+            oprot.writeFieldBegin('after', TType.I64, 3)
+            oprot.writeI64(self.after)
             oprot.writeFieldEnd()
-        if self.phase is not None:
-            oprot.writeFieldBegin('phase', TType.I32, 4)
-            oprot.writeI32(self.phase)
+        if self.position is not None:
+            oprot.writeFieldBegin('position', TType.I64, 4)
+            oprot.writeI64(self.position)
             oprot.writeFieldEnd()
-        if self.duration_s is not None:
-            oprot.writeFieldBegin('duration_s', TType.DOUBLE, 5)
-            oprot.writeDouble(self.duration_s)
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 5)
+            oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
-        if self.evidence is not None:
-            oprot.writeFieldBegin('evidence', TType.STRING, 6)
-            oprot.writeString(self.evidence.encode('utf-8') if sys.version_info[0] == 2 else self.evidence)
+        if self.in_contact is not None:
+            oprot.writeFieldBegin('in_contact', TType.BOOL, 6)
+            oprot.writeBool(self.in_contact)
+            oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.I32, 7)
+            oprot.writeI32(self.entries)
+            oprot.writeFieldEnd()
+        if self.hubs is not None:
+            oprot.writeFieldBegin('hubs', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.hubs))
+            for iter50 in self.hubs:
+                iter50.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.announcements is not None:
+            oprot.writeFieldBegin('announcements', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.announcements))
+            for iter51 in self.announcements:
+                iter51.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ejections is not None:
+            oprot.writeFieldBegin('ejections', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.ejections))
+            for iter52 in self.ejections:
+                iter52.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.quarantines is not None:
+            oprot.writeFieldBegin('quarantines', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.quarantines))
+            for iter53 in self.quarantines:
+                iter53.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.pauses is not None:
+            oprot.writeFieldBegin('pauses', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.pauses))
+            for iter54 in self.pauses:
+                iter54.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.entry_states is not None:
+            oprot.writeFieldBegin('entry_states', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.entry_states))
+            for iter55 in self.entry_states:
+                iter55.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -442,18 +1326,22 @@
         return not (self == other)
 
 
-class Quarantine(object):
+class News(object):
     """
     Attributes:
-     - fingerprint
-     - targets
+     - announcements
+     - ejections
+     - quarantines
+     - pauses
 
     """
 
 
-    def __init__(self, fingerprint=None, targets=None,):
-        self.fingerprint = fingerprint
-        self.targets = targets
+    def __init__(self, announcements=None, ejections=None, quarantines=None, pauses=None,):
+        self.announcements = announcements
+        self.ejections = ejections
+        self.quarantines = quarantines
+        self.pauses = pauses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -465,17 +1353,46 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.LIST:
+                    self.announcements = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Announcement()
+                        _elem61.read(iprot)
+                        self.announcements.append(_elem61)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
-                    self.targets = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.targets.append(_elem5)
+                    self.ejections = []
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = Ejection()
+                        _elem67.read(iprot)
+                        self.ejections.append(_elem67)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.quarantines = []
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = Quarantine()
+                        _elem73.read(iprot)
+                        self.quarantines.append(_elem73)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.pauses = []
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = Pause()
+                        _elem79.read(iprot)
+                        self.pauses.append(_elem79)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -488,16 +1405,33 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Quarantine')
-        if self.fingerprint is not None:
-            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
-            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+        oprot.writeStructBegin('News')
+        if self.announcements is not None:
+            oprot.writeFieldBegin('announcements', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.announcements))
+            for iter80 in self.announcements:
+                iter80.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.targets is not None:
-            oprot.writeFieldBegin('targets', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRING, len(self.targets))
-            for iter6 in self.targets:
-                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+        if self.ejections is not None:
+            oprot.writeFieldBegin('ejections', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.ejections))
+            for iter81 in self.ejections:
+                iter81.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.quarantines is not None:
+            oprot.writeFieldBegin('quarantines', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.quarantines))
+            for iter82 in self.quarantines:
+                iter82.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.pauses is not None:
+            oprot.writeFieldBegin('pauses', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.pauses))
+            for iter83 in self.pauses:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -547,44 +1481,44 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.statuses = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = HostStatus()
-                        _elem12.read(iprot)
-                        self.statuses.append(_elem12)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = HostStatus()
+                        _elem89.read(iprot)
+                        self.statuses.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.announcements = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = Announcement()
-                        _elem18.read(iprot)
-                        self.announcements.append(_elem18)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = Announcement()
+                        _elem95.read(iprot)
+                        self.announcements.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.ejections = []
-                    (_etype22, _size19) = iprot.readListBegin()
-                    for _i23 in range(_size19):
-                        _elem24 = Ejection()
-                        _elem24.read(iprot)
-                        self.ejections.append(_elem24)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = Ejection()
+                        _elem101.read(iprot)
+                        self.ejections.append(_elem101)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.quarantines = []
-                    (_etype28, _size25) = iprot.readListBegin()
-                    for _i29 in range(_size25):
-                        _elem30 = Quarantine()
-                        _elem30.read(iprot)
-                        self.quarantines.append(_elem30)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = Quarantine()
+                        _elem107.read(iprot)
+                        self.quarantines.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -601,29 +1535,29 @@
         if self.statuses is not None:
             oprot.writeFieldBegin('statuses', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.statuses))
-            for iter31 in self.statuses:
-                iter31.write(oprot)
+            for iter108 in self.statuses:
+                iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.announcements is not None:
             oprot.writeFieldBegin('announcements', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.announcements))
-            for iter32 in self.announcements:
-                iter32.write(oprot)
+            for iter109 in self.announcements:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ejections is not None:
             oprot.writeFieldBegin('ejections', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.ejections))
-            for iter33 in self.ejections:
-                iter33.write(oprot)
+            for iter110 in self.ejections:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.quarantines is not None:
             oprot.writeFieldBegin('quarantines', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantines))
-            for iter34 in self.quarantines:
-                iter34.write(oprot)
+            for iter111 in self.quarantines:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -721,17 +1655,19 @@
      - wall_time
      - edits
      - forced
+     - version
 
     """
 
 
-    def __init__(self, change=None, expected=None, author=None, wall_time=None, edits=None, forced=None,):
+    def __init__(self, change=None, expected=None, author=None, wall_time=None, edits=None, forced=None, version=None,):
         self.change = change
         self.expected = expected
         self.author = author
         self.wall_time = wall_time
         self.edits = edits
         self.forced = forced
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -765,11 +1701,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.edits = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = DocumentEdit()
-                        _elem40.read(iprot)
-                        self.edits.append(_elem40)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = DocumentEdit()
+                        _elem117.read(iprot)
+                        self.edits.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -778,6 +1714,11 @@
                     self.forced = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -807,14 +1748,18 @@
         if self.edits is not None:
             oprot.writeFieldBegin('edits', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.edits))
-            for iter41 in self.edits:
-                iter41.write(oprot)
+            for iter118 in self.edits:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.forced is not None:
             oprot.writeFieldBegin('forced', TType.BOOL, 6)
             oprot.writeBool(self.forced)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 7)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -982,11 +1927,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = CommittedChange()
-                        _elem47.read(iprot)
-                        self.changes.append(_elem47)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = CommittedChange()
+                        _elem124.read(iprot)
+                        self.changes.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1003,8 +1948,8 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter48 in self.changes:
-                iter48.write(oprot)
+            for iter125 in self.changes:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1055,11 +2000,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.documents = {}
-                    (_ktype50, _vtype51, _size49) = iprot.readMapBegin()
-                    for _i53 in range(_size49):
-                        _key54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.documents[_key54] = _val55
+                    (_ktype127, _vtype128, _size126) = iprot.readMapBegin()
+                    for _i130 in range(_size126):
+                        _key131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val132 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.documents[_key131] = _val132
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1080,9 +2025,9 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.documents))
-            for kiter56, viter57 in self.documents.items():
-                oprot.writeString(kiter56.encode('utf-8') if sys.version_info[0] == 2 else kiter56)
-                oprot.writeString(viter57.encode('utf-8') if sys.version_info[0] == 2 else viter57)
+            for kiter133, viter134 in self.documents.items():
+                oprot.writeString(kiter133.encode('utf-8') if sys.version_info[0] == 2 else kiter133)
+                oprot.writeString(viter134.encode('utf-8') if sys.version_info[0] == 2 else viter134)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1196,22 +2141,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.voters = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = Member()
-                        _elem63.read(iprot)
-                        self.voters.append(_elem63)
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = Member()
+                        _elem140.read(iprot)
+                        self.voters.append(_elem140)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.learners = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = Member()
-                        _elem69.read(iprot)
-                        self.learners.append(_elem69)
+                    (_etype144, _size141) = iprot.readListBegin()
+                    for _i145 in range(_size141):
+                        _elem146 = Member()
+                        _elem146.read(iprot)
+                        self.learners.append(_elem146)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1228,15 +2173,15 @@
         if self.voters is not None:
             oprot.writeFieldBegin('voters', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.voters))
-            for iter70 in self.voters:
-                iter70.write(oprot)
+            for iter147 in self.voters:
+                iter147.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.learners is not None:
             oprot.writeFieldBegin('learners', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.learners))
-            for iter71 in self.learners:
-                iter71.write(oprot)
+            for iter148 in self.learners:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1594,33 +2539,33 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.documents = {}
-                    (_ktype73, _vtype74, _size72) = iprot.readMapBegin()
-                    for _i76 in range(_size72):
-                        _key77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.documents[_key77] = _val78
+                    (_ktype150, _vtype151, _size149) = iprot.readMapBegin()
+                    for _i153 in range(_size149):
+                        _key154 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val155 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.documents[_key154] = _val155
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.answered = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = AnsweredChange()
-                        _elem84.read(iprot)
-                        self.answered.append(_elem84)
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = AnsweredChange()
+                        _elem161.read(iprot)
+                        self.answered.append(_elem161)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.recent = []
-                    (_etype88, _size85) = iprot.readListBegin()
-                    for _i89 in range(_size85):
-                        _elem90 = CommittedChange()
-                        _elem90.read(iprot)
-                        self.recent.append(_elem90)
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = CommittedChange()
+                        _elem167.read(iprot)
+                        self.recent.append(_elem167)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1653,23 +2598,23 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.documents))
-            for kiter91, viter92 in self.documents.items():
-                oprot.writeString(kiter91.encode('utf-8') if sys.version_info[0] == 2 else kiter91)
-                oprot.writeString(viter92.encode('utf-8') if sys.version_info[0] == 2 else viter92)
+            for kiter168, viter169 in self.documents.items():
+                oprot.writeString(kiter168.encode('utf-8') if sys.version_info[0] == 2 else kiter168)
+                oprot.writeString(viter169.encode('utf-8') if sys.version_info[0] == 2 else viter169)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.answered is not None:
             oprot.writeFieldBegin('answered', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.answered))
-            for iter93 in self.answered:
-                iter93.write(oprot)
+            for iter170 in self.answered:
+                iter170.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.recent is not None:
             oprot.writeFieldBegin('recent', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.recent))
-            for iter94 in self.recent:
-                iter94.write(oprot)
+            for iter171 in self.recent:
+                iter171.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1969,17 +2914,19 @@
      - previous_term
      - records
      - commit
+     - round
 
     """
 
 
-    def __init__(self, term=None, leader=None, previous_index=None, previous_term=None, records=None, commit=None,):
+    def __init__(self, term=None, leader=None, previous_index=None, previous_term=None, records=None, commit=None, round=None,):
         self.term = term
         self.leader = leader
         self.previous_index = previous_index
         self.previous_term = previous_term
         self.records = records
         self.commit = commit
+        self.round = round
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2013,11 +2960,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = LogRecord()
-                        _elem100.read(iprot)
-                        self.records.append(_elem100)
+                    (_etype175, _size172) = iprot.readListBegin()
+                    for _i176 in range(_size172):
+                        _elem177 = LogRecord()
+                        _elem177.read(iprot)
+                        self.records.append(_elem177)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2026,6 +2973,11 @@
                     self.commit = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.round = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2055,14 +3007,18 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter101 in self.records:
-                iter101.write(oprot)
+            for iter178 in self.records:
+                iter178.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit is not None:
             oprot.writeFieldBegin('commit', TType.I64, 6)
             oprot.writeI64(self.commit)
             oprot.writeFieldEnd()
+        if self.round is not None:
+            oprot.writeFieldBegin('round', TType.I64, 7)
+            oprot.writeI64(self.round)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2088,15 +3044,17 @@
      - member
      - accepted
      - index
+     - round
 
     """
 
 
-    def __init__(self, term=None, member=None, accepted=None, index=None,):
+    def __init__(self, term=None, member=None, accepted=None, index=None, round=None,):
         self.term = term
         self.member = member
         self.accepted = accepted
         self.index = index
+        self.round = round
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2127,6 +3085,11 @@
                     self.index = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.round = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2153,6 +3116,10 @@
             oprot.writeFieldBegin('index', TType.I64, 4)
             oprot.writeI64(self.index)
             oprot.writeFieldEnd()
+        if self.round is not None:
+            oprot.writeFieldBegin('round', TType.I64, 5)
+            oprot.writeI64(self.round)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2586,11 +3553,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = MemberIncarnation()
-                        _elem107.read(iprot)
-                        self.known.append(_elem107)
+                    (_etype182, _size179) = iprot.readListBegin()
+                    for _i183 in range(_size179):
+                        _elem184 = MemberIncarnation()
+                        _elem184.read(iprot)
+                        self.known.append(_elem184)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2623,8 +3590,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter108 in self.known:
-                iter108.write(oprot)
+            for iter185 in self.known:
+                iter185.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3024,22 +3991,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.claims = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = HeldClaim()
-                        _elem114.read(iprot)
-                        self.claims.append(_elem114)
+                    (_etype189, _size186) = iprot.readListBegin()
+                    for _i190 in range(_size186):
+                        _elem191 = HeldClaim()
+                        _elem191.read(iprot)
+                        self.claims.append(_elem191)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype118, _size115) = iprot.readListBegin()
-                    for _i119 in range(_size115):
-                        _elem120 = MemberIncarnation()
-                        _elem120.read(iprot)
-                        self.known.append(_elem120)
+                    (_etype195, _size192) = iprot.readListBegin()
+                    for _i196 in range(_size192):
+                        _elem197 = MemberIncarnation()
+                        _elem197.read(iprot)
+                        self.known.append(_elem197)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3064,15 +4031,15 @@
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter121 in self.claims:
-                iter121.write(oprot)
+            for iter198 in self.claims:
+                iter198.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter122 in self.known:
-                iter122.write(oprot)
+            for iter199 in self.known:
+                iter199.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3209,11 +4176,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.samples = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = TargetSample()
-                        _elem128.read(iprot)
-                        self.samples.append(_elem128)
+                    (_etype203, _size200) = iprot.readListBegin()
+                    for _i204 in range(_size200):
+                        _elem205 = TargetSample()
+                        _elem205.read(iprot)
+                        self.samples.append(_elem205)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3238,8 +4205,8 @@
         if self.samples is not None:
             oprot.writeFieldBegin('samples', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.samples))
-            for iter129 in self.samples:
-                iter129.write(oprot)
+            for iter206 in self.samples:
+                iter206.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3311,10 +4278,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype133, _size130) = iprot.readListBegin()
-                    for _i134 in range(_size130):
-                        _elem135 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem135)
+                    (_etype210, _size207) = iprot.readListBegin()
+                    for _i211 in range(_size207):
+                        _elem212 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem212)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3347,8 +4314,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter136 in self.excluded:
-                oprot.writeString(iter136.encode('utf-8') if sys.version_info[0] == 2 else iter136)
+            for iter213 in self.excluded:
+                oprot.writeString(iter213.encode('utf-8') if sys.version_info[0] == 2 else iter213)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3592,11 +4559,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype140, _size137) = iprot.readListBegin()
-                    for _i141 in range(_size137):
-                        _elem142 = LongHeld()
-                        _elem142.read(iprot)
-                        self.held.append(_elem142)
+                    (_etype217, _size214) = iprot.readListBegin()
+                    for _i218 in range(_size214):
+                        _elem219 = LongHeld()
+                        _elem219.read(iprot)
+                        self.held.append(_elem219)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3617,8 +4584,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter143 in self.held:
-                iter143.write(oprot)
+            for iter220 in self.held:
+                iter220.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3665,11 +4632,15 @@
      - long_slot_release
      - campaign_now
      - long_occupancy
+     - presence
+     - unsubscribe
+     - feed
+     - news
 
     """
 
 
-    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None, long_occupancy=None,):
+    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None, long_occupancy=None, presence=None, unsubscribe=None, feed=None, news=None,):
         self.gossip = gossip
         self.config_pull = config_pull
         self.config_push = config_push
@@ -3693,6 +4664,10 @@
         self.long_slot_release = long_slot_release
         self.campaign_now = campaign_now
         self.long_occupancy = long_occupancy
+        self.presence = presence
+        self.unsubscribe = unsubscribe
+        self.feed = feed
+        self.news = news
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3841,6 +4816,30 @@
                     self.long_occupancy.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.STRUCT:
+                    self.presence = Presence()
+                    self.presence.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.STRUCT:
+                    self.unsubscribe = Unsubscribe()
+                    self.unsubscribe.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 27:
+                if ftype == TType.STRUCT:
+                    self.feed = Feed()
+                    self.feed.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 28:
+                if ftype == TType.STRUCT:
+                    self.news = News()
+                    self.news.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3943,6 +4942,22 @@
             oprot.writeFieldBegin('long_occupancy', TType.STRUCT, 24)
             self.long_occupancy.write(oprot)
             oprot.writeFieldEnd()
+        if self.presence is not None:
+            oprot.writeFieldBegin('presence', TType.STRUCT, 25)
+            self.presence.write(oprot)
+            oprot.writeFieldEnd()
+        if self.unsubscribe is not None:
+            oprot.writeFieldBegin('unsubscribe', TType.STRUCT, 26)
+            self.unsubscribe.write(oprot)
+            oprot.writeFieldEnd()
+        if self.feed is not None:
+            oprot.writeFieldBegin('feed', TType.STRUCT, 27)
+            self.feed.write(oprot)
+            oprot.writeFieldEnd()
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.STRUCT, 28)
+            self.news.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4080,6 +5095,7 @@
     (7, TType.I64, 'sequence', None, None, ),  # 7
     (8, TType.I32, 'phase', None, None, ),  # 8
     (9, TType.DOUBLE, 'lease_s', None, None, ),  # 9
+    (10, TType.STRING, 'address', 'UTF8', None, ),  # 10
 )
 all_structs.append(Ejection)
 Ejection.thrift_spec = (
@@ -4097,6 +5113,79 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'targets', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
+all_structs.append(Pause)
+Pause.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.DOUBLE, 'duration_s', None, None, ),  # 3
+    (4, TType.I32, 'cause', None, None, ),  # 4
+)
+all_structs.append(EntryState)
+EntryState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'counter', None, None, ),  # 2
+    (3, TType.BOOL, 'present', None, None, ),  # 3
+    (4, TType.I32, 'flags', None, None, ),  # 4
+    (5, TType.STRING, 'region', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'caller_address', 'UTF8', None, ),  # 7
+    (8, TType.STRING, 'hub', 'UTF8', None, ),  # 8
+)
+all_structs.append(HostAddress)
+HostAddress.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'region', 'UTF8', None, ),  # 3
+)
+all_structs.append(FeedMark)
+FeedMark.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'hub', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'position', None, None, ),  # 3
+)
+all_structs.append(Presence)
+Presence.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'counter', None, None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.I32, 'flags', None, None, ),  # 3
+    (4, TType.STRING, 'region', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'caller_address', 'UTF8', None, ),  # 6
+    (7, TType.LIST, 'marks', (TType.STRUCT, [FeedMark, None], False), None, ),  # 7
+)
+all_structs.append(Unsubscribe)
+Unsubscribe.thrift_spec = (
+)
+all_structs.append(Feed)
+Feed.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'origin', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'after', None, None, ),  # 3
+    (4, TType.I64, 'position', None, None, ),  # 4
+    (5, TType.I64, 'revision', None, None, ),  # 5
+    (6, TType.BOOL, 'in_contact', None, None, ),  # 6
+    (7, TType.I32, 'entries', None, None, ),  # 7
+    (8, TType.LIST, 'hubs', (TType.STRUCT, [HostAddress, None], False), None, ),  # 8
+    (9, TType.LIST, 'announcements', (TType.STRUCT, [Announcement, None], False), None, ),  # 9
+    (10, TType.LIST, 'ejections', (TType.STRUCT, [Ejection, None], False), None, ),  # 10
+    (11, TType.LIST, 'quarantines', (TType.STRUCT, [Quarantine, None], False), None, ),  # 11
+    (12, TType.LIST, 'pauses', (TType.STRUCT, [Pause, None], False), None, ),  # 12
+    (13, TType.LIST, 'entry_states', (TType.STRUCT, [EntryState, None], False), None, ),  # 13
+)
+all_structs.append(News)
+News.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'announcements', (TType.STRUCT, [Announcement, None], False), None, ),  # 1
+    (2, TType.LIST, 'ejections', (TType.STRUCT, [Ejection, None], False), None, ),  # 2
+    (3, TType.LIST, 'quarantines', (TType.STRUCT, [Quarantine, None], False), None, ),  # 3
+    (4, TType.LIST, 'pauses', (TType.STRUCT, [Pause, None], False), None, ),  # 4
+)
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
     None,  # 0
@@ -4120,6 +5209,7 @@
     (4, TType.STRING, 'wall_time', 'UTF8', None, ),  # 4
     (5, TType.LIST, 'edits', (TType.STRUCT, [DocumentEdit, None], False), None, ),  # 5
     (6, TType.BOOL, 'forced', None, None, ),  # 6
+    (7, TType.I64, 'version', None, None, ),  # 7
 )
 all_structs.append(CommittedChange)
 CommittedChange.thrift_spec = (
@@ -4223,6 +5313,7 @@
     (4, TType.I64, 'previous_term', None, None, ),  # 4
     (5, TType.LIST, 'records', (TType.STRUCT, [LogRecord, None], False), None, ),  # 5
     (6, TType.I64, 'commit', None, None, ),  # 6
+    (7, TType.I64, 'round', None, None, ),  # 7
 )
 all_structs.append(AppendReply)
 AppendReply.thrift_spec = (
@@ -4231,6 +5322,7 @@
     (2, TType.STRING, 'member', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'accepted', None, None, ),  # 3
     (4, TType.I64, 'index', None, None, ),  # 4
+    (5, TType.I64, 'round', None, None, ),  # 5
 )
 all_structs.append(InstallSnapshot)
 InstallSnapshot.thrift_spec = (
@@ -4384,6 +5476,10 @@
     (22, TType.STRUCT, 'long_slot_release', [LongSlotRelease, None], None, ),  # 22
     (23, TType.STRUCT, 'campaign_now', [CampaignNow, None], None, ),  # 23
     (24, TType.STRUCT, 'long_occupancy', [LongOccupancy, None], None, ),  # 24
+    (25, TType.STRUCT, 'presence', [Presence, None], None, ),  # 25
+    (26, TType.STRUCT, 'unsubscribe', [Unsubscribe, None], None, ),  # 26
+    (27, TType.STRUCT, 'feed', [Feed, None], None, ),  # 27
+    (28, TType.STRUCT, 'news', [News, None], None, ),  # 28
 )
 all_structs.append(StoredItem)
 StoredItem.thrift_spec = (
--- a/tests/core/controllers/test_dispatch.py
+++ b/tests/core/controllers/test_dispatch.py
@@ -3,9 +3,9 @@
 from support.fakes import Bed
 
 from wasabitray_core.controllers.dispatch import (
-    RETRY_BURST,
     DispatchController,
 )
+from wasabitray_core.controllers.retry_budget import RETRY_BURST
 from wasabitray_core.local import (
     Acquire,
     Grant,
