--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,13 @@
+# Puts all that the processes need under target/deps.
+set -eu
+deps=target/deps
+if ! cmp -s deploy/requirements.txt target/requirements.txt; then
+    rm -rf "$deps"
+    python3 -m pip install --quiet --require-hashes --target "$deps" \
+        -r deploy/requirements.txt
+    cp deploy/requirements.txt target/requirements.txt
+fi
+for source in packages/core/src packages/wire/src packages/node/src platform
+do
+    cp -R "$source/." "$deps"
+done
--- a/packages/core/src/wasabitray_core/controllers/configuration.py
+++ b/packages/core/src/wasabitray_core/controllers/configuration.py
@@ -39,6 +39,7 @@
     GetStatus,
     InForce,
     Isolation,
+    IsServing,
     Resolve,
     Resolved,
     Restored,
@@ -197,6 +198,10 @@
             },
         )
 
+    @receive.register
+    def _(self, message: IsServing, origin: Origin) -> None:
+        self._reply(origin, self._serving)
+
     @receive.register
     def _(self, message: Resolve, origin: Origin) -> None:
         self._reply(origin, self._resolve(message))
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
@@ -27,8 +27,11 @@
     FeedPosition,
     HostId,
     Incarnation,
+    RegionName,
     Revision,
     Seconds,
+    ServiceName,
+    TargetId,
 )
 from wasabitray_core.local import (
     ControllerName,
@@ -44,6 +47,7 @@
     SetFlag,
     Spread,
     Tick,
+    Withdraw,
 )
 from wasabitray_core.messages import (
     Announcement,
@@ -236,7 +240,24 @@
 
     @receive.register
     def _(self, message: Register, origin: Origin) -> None:
-        announcement = message.announcement
+        self._register(message.announcement, origin)
+
+    @receive.register
+    def _(self, message: Withdraw, origin: Origin) -> None:
+        held = self._table.find(Announcement, message.target)
+        known = held.item if held else None
+        if not isinstance(known, Announcement):
+            known = _unknown_target(message.target)
+        generation = message.generation
+        if generation is None:
+            generation = known.generation
+        if generation < known.generation:
+            self._reply(origin, True)  # a later run has the name
+            return
+        gone = replace(known, generation=generation, phase=TargetPhase.LEAVING)
+        self._register(gone, origin)
+
+    def _register(self, announcement: Announcement, origin: Origin) -> None:
         known = self._table.find(Announcement, announcement.target)
         fresh = self._table.put(announcement, self.host, self._now())
         if fresh is not None:
@@ -582,3 +603,18 @@
         view = EntriesView(tuple(self._entries()))
         self._present = sum(1 for e in view.entries if e.present)
         self._outbox.tell(ControllerName.ADDRESSES, view)
+
+
+def _unknown_target(target: TargetId) -> Announcement:
+    """Return a word for a target that this hub has not heard of."""
+    return Announcement(
+        target,
+        ServiceName(""),
+        RegionName(""),
+        _NO_DOMAIN,
+        1,
+        0,
+        0,
+        TargetPhase.LEAVING,
+        0.0,
+    )
--- a/packages/core/src/wasabitray_core/filters/chain.py
+++ b/packages/core/src/wasabitray_core/filters/chain.py
@@ -56,7 +56,15 @@
     tell: TellController
 
 
-Effect = AskController | TellController | Attempt | AtEnd
+@dataclass(frozen=True, slots=True)
+class Note:
+    """Log a decision about the request."""
+
+    event: str
+    facts: dict[str, Any]
+
+
+Effect = AskController | TellController | Attempt | AtEnd | Note
 Steps = Generator[Effect, Any, Answer]
 Proceed = Callable[[Exchange], Steps]
 
--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -11,6 +11,7 @@
     Attempt,
     Effect,
     Filter,
+    Note,
     Proceed,
     Steps,
     TellController,
@@ -46,6 +47,7 @@
     RefusalReason.NO_TARGET: 503,
     RefusalReason.OVERLOAD: 503,
     RefusalReason.DEADLINE: 504,
+    RefusalReason.CALLER_GONE: 503,
 }
 
 
@@ -87,11 +89,15 @@
         if not isinstance(granted, Grant):
             return _refuse(exchange, granted)
         target = granted.target
-        if self._clock() >= min(exchange.deadline, exchange.start_by):
+        now = self._clock()
+        if now >= min(exchange.deadline, exchange.start_by):
             # This process may have been frozen while it waited.
             yield self._release(exchange, target, _NOT_SENT)
             refusal = Refusal(RefusalReason.DEADLINE)
             return _refuse(exchange, refusal)
+        if not exchange.is_wanted():
+            yield self._release(exchange, target, _NOT_SENT)
+            return _refuse(exchange, Refusal(RefusalReason.CALLER_GONE))
         exchange.attempts += 1
         exchange.tried.append(target.target)
         # A reused connection can be dead already, and a request lost on it
@@ -99,6 +105,7 @@
         fresh = not exchange.matched.idempotent or exchange.attempts > 1
         timeout = self._attempt_timeout(exchange)
         result = yield Attempt(target, exchange.request, timeout, fresh)
+        yield _describe(exchange, granted, result)
         exchange.ran = exchange.ran or result.may_have_run
         fault = find_fault(exchange, result)
         answer = self._to_answer(exchange, target, result, fault)
@@ -148,6 +155,8 @@
             and self._clock() >= exchange.deadline
         ):
             return exchange.refuse(RefusalReason.DEADLINE, 504, detail)
+        if result.status is AttemptStatus.CANCELLED:
+            return exchange.refuse(RefusalReason.CALLER_GONE, 502, detail)
         if result.status is AttemptStatus.ANSWERED:
             return exchange.refuse(RefusalReason.BAD_ANSWER, 502, detail)
         if result.may_have_run:
@@ -194,6 +203,29 @@
             yield TellController(ControllerName.HEALTH, sample)
 
 
+def _describe(
+    exchange: Exchange, granted: Grant, result: AttemptResult
+) -> Note:
+    """Return the log line of an attempt: its choice and its end."""
+    return Note(
+        "attempt",
+        {
+            "request": exchange.request.id,
+            "number": exchange.attempts,
+            "target": granted.target.target,
+            "address": granted.target.address,
+            "service": exchange.service,
+            "basis": granted.basis.value,
+            "load": round(granted.load, 2),
+            "waited_ms": round(granted.waited * 1_000, 1),
+            "status": result.status.value,
+            "detail": result.detail,
+            "answer": result.answer.status if result.answer else None,
+            "elapsed_ms": round(result.elapsed * 1_000, 1),
+        },
+    )
+
+
 def _speaks_for_target(result: AttemptResult) -> bool:
     """Tell whether an attempt is evidence about its target.
 
--- a/packages/core/src/wasabitray_core/ids.py
+++ b/packages/core/src/wasabitray_core/ids.py
@@ -19,7 +19,7 @@
 
 RouteName = NewType("RouteName", str)
 AuthorityName = NewType("AuthorityName", str)
-"""Host name that a request is addressed to, without a port."""
+"""Host name that a request is addressed to, and its port if given."""
 
 ConfigVersion = NewType("ConfigVersion", int)
 """The operator's own number of a whole configuration."""
--- a/packages/core/src/wasabitray_core/local.py
+++ b/packages/core/src/wasabitray_core/local.py
@@ -111,6 +111,11 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class IsServing:
+    """Asks whether this host serves requests; the reply is a bool."""
+
+
 @dataclass(frozen=True, slots=True)
 class GetDocuments:
     """Asks for the documents in force; the reply is a ConfigState."""
@@ -249,6 +254,20 @@
     announcement: Announcement
 
 
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """A target's word that it is gone, given to a hub.
+
+    The reply is that of a Register.
+
+    Attributes:
+        generation: the run that is gone, None for any.
+    """
+
+    target: TargetId
+    generation: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class SeedsChanged:
     """The settings name other hosts to contact first."""
--- a/packages/core/src/wasabitray_core/requests.py
+++ b/packages/core/src/wasabitray_core/requests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Generator, Iterator
+from collections.abc import Callable, Generator, Iterator
 from dataclasses import dataclass, field
 
 from wasabitray_core.documents import FilledTemplate, Route, ServicePolicy
@@ -150,6 +150,10 @@
         return self.status not in _NEVER_RAN
 
 
+def _always() -> bool:
+    return True
+
+
 @dataclass(slots=True)
 class Exchange:
     """One request on its way through the filter chain.
@@ -164,6 +168,7 @@
         breaks: targets that it broke this time.
         start_by: monotonic time after which work must not start, because
             its claim may expire while it runs.
+        is_wanted: tells whether the caller still waits.
     """
 
     request: Request
@@ -182,6 +187,7 @@
     suspect: bool = False
     breaks: int = 0
     start_by: Seconds = Seconds(math.inf)
+    is_wanted: Callable[[], bool] = _always
 
     @property
     def matched(self) -> Route:
--- a/packages/core/src/wasabitray_core/route_table.py
+++ b/packages/core/src/wasabitray_core/route_table.py
@@ -303,7 +303,8 @@
 
     def find(self, host: AuthorityName, path: str) -> Route | None:
         """Return the part of the longest matching route, or None."""
-        for route in self._by_host.get(host.lower(), ()):
+        name = host.partition(":")[0].lower()
+        for route in self._by_host.get(name, ()):
             if path.startswith(route.source.path_prefix):
                 return route.next_part()
         return None
--- a/packages/core/src/wasabitray_core/states.py
+++ b/packages/core/src/wasabitray_core/states.py
@@ -128,6 +128,8 @@
     """The caller went away; it may have run."""
     UNREACHABLE = "unreachable"
     """No connection within its timeout, so nothing was sent."""
+    INVALID = "invalid"
+    """What came back is no answer to this request; it may have run."""
     MISDIRECTED = "misdirected"
     """Another target has the address; it did not run."""
 
@@ -146,6 +148,7 @@
     NO_TARGET = "no-target"
     OVERLOAD = "overload"
     DEADLINE = "deadline"
+    CALLER_GONE = "caller-gone"
     TARGET_FAILED = "target-failed"
     BAD_ANSWER = "bad-answer"
     BAD_REQUEST = "bad-request"
--- /dev/null
+++ b/packages/node/src/wasabitray_node/assembly.py
@@ -0,0 +1,287 @@
+"""Builds the controllers of a process, each with its task."""
+
+from __future__ import annotations
+
+import os
+import random
+import secrets
+import time
+from typing import Any
+
+import gevent
+
+from wasabitray_core.controllers.addresses import AddressesController
+from wasabitray_core.controllers.claims import ClaimsController
+from wasabitray_core.controllers.configuration import ConfigurationController
+from wasabitray_core.controllers.consensus.controller import (
+    ConsensusController,
+)
+from wasabitray_core.controllers.controller import Context, Controller
+from wasabitray_core.controllers.dispatch import DispatchController
+from wasabitray_core.controllers.grants import GrantsController
+from wasabitray_core.controllers.health import HealthController
+from wasabitray_core.controllers.hub import HubController
+from wasabitray_core.controllers.long_slots import LongSlotsController
+from wasabitray_core.controllers.membership import MembershipController
+from wasabitray_core.controllers.quarantine import QuarantineController
+from wasabitray_core.controllers.subscriber import (
+    EntryProfile,
+    SubscriberController,
+)
+from wasabitray_core.controllers.targets import TargetsController
+from wasabitray_core.errors import CorruptLogError
+from wasabitray_core.ids import (
+    FailureDomainName,
+    HostId,
+    Incarnation,
+    MemberId,
+    RegionName,
+    Seconds,
+)
+from wasabitray_core.local import ControllerName, SeedsChanged
+from wasabitray_core.messages import Hello, HostAddress, Member, Members
+from wasabitray_core.states import HostFlag, Role, Topology
+from wasabitray_node.fleet_directory import DirectoryController
+from wasabitray_node.links import PeerLinks
+from wasabitray_node.logs import flush_logs, log_change, log_fault
+from wasabitray_node.settings import Settings, split_address
+from wasabitray_node.storage import Storage, StoredState
+from wasabitray_node.tasks import ControllerTask, Router, TaskOutbox
+
+EXIT_TASK_FAILED = 3
+# A hub pushes a new configuration to every entry that listens to it.
+EVERY_ENTRY = 1_000_000
+
+
+def monotonic() -> Seconds:
+    """Return the process's clock."""
+    return Seconds(time.monotonic())
+
+
+class Assembly:
+    """The controllers of one process and the links between hosts."""
+
+    def __init__(self, settings: Settings, initialise: bool) -> None:
+        """Build the controllers that the role and the topology need."""
+        self._settings = settings
+        self._initialise = initialise
+        self._host = HostId(settings.host)
+        self._random = random.Random(secrets.randbits(64))
+        # Counters of a restarted host go on above those of its last run.
+        self._first_number = time.time_ns() // 1_000_000
+        self._secret = settings.read_secret().unwrap_or("")
+        self.router = Router(self._host)
+        self.links = PeerLinks(
+            self._hello(),
+            settings.peer_seeds(),
+            split_address(settings.listen.peers)[0],
+        )
+        self.router.connect_peers(self.links.send)
+        self.storage: Storage | None = None
+        if settings.topology is Topology.HUBS:
+            self._build_hubs()
+        else:
+            self._build_mesh()
+
+    @property
+    def secret(self) -> str:
+        """The shared secret, empty if none is set."""
+        return self._secret
+
+    def tell_seeds(self, settings: Settings) -> None:
+        """Pass on the hosts to contact first."""
+        seeds = settings.peer_seeds()
+        for host, address in seeds.items():
+            self.links.learn(host, address)
+        if settings.topology is Topology.HUBS:
+            news = SeedsChanged(tuple(seeds))
+            self.router.tell(ControllerName.MEMBERSHIP, news)
+
+    def _hello(self) -> Hello:
+        listen = self._settings.listen.peers
+        advertised = self._settings.advertised_peers or listen
+        return Hello(self._host, advertised, self._secret)
+
+    # Topologies
+
+    def _build_mesh(self) -> None:
+        if self._settings.role is Role.CONTROL:
+            self._add_membership(
+                HostFlag.CONTROL,
+                (ControllerName.CONFIGURATION, ControllerName.CONSENSUS),
+            )
+            self._add(ConfigurationController, (ControllerName.DIRECTORY,))
+            self._add_consensus()
+        else:
+            self._add_membership(
+                HostFlag.NONE,
+                (
+                    ControllerName.CONFIGURATION,
+                    ControllerName.ADDRESSES,
+                    ControllerName.HEALTH,
+                    ControllerName.LONG_SLOTS,
+                ),
+            )
+            self._add_mesh_entry()
+        self._add(DirectoryController, self.links)
+
+    def _add_membership(
+        self, flags: HostFlag, audience: tuple[ControllerName, ...]
+    ) -> None:
+        self._add(
+            MembershipController,
+            tuple(self._settings.peer_seeds()),
+            flags,
+            audience,
+            self._first_number,
+        )
+
+    def _add_mesh_entry(self) -> None:
+        region = RegionName(self._settings.region)
+        told = (
+            ControllerName.DIRECTORY,
+            ControllerName.ADDRESSES,
+            ControllerName.TARGETS,
+            ControllerName.HEALTH,
+            ControllerName.CLAIMS,
+            ControllerName.GRANTS,
+        )
+        self._add(ConfigurationController, told)
+        self._add_addresses()
+        self._add_dispatch()
+        self._add(HealthController, region)
+        self._add(ClaimsController)
+        self._add(GrantsController, Incarnation(secrets.token_hex(12)))
+        self._add(LongSlotsController)
+
+    def _build_hubs(self) -> None:
+        settings = self._settings
+        region = RegionName(settings.region)
+        if settings.role is Role.CONTROL:
+            hello = self._hello()
+            self._add(
+                HubController,
+                HostAddress(hello.host, hello.address, region),
+                Incarnation(secrets.token_hex(4)),
+                self._first_number,
+            )
+            self._add(ConfigurationController, (), EVERY_ENTRY)
+            self._add_addresses()
+            self._add_consensus()
+        else:
+            domain = FailureDomainName(settings.failure_domain)
+            profile = EntryProfile(
+                region, domain, settings.listen.callers or ""
+            )
+            self._add(SubscriberController, profile, self._first_number)
+            self._add(
+                ConfigurationController,
+                (ControllerName.TARGETS,),
+                0,
+                settings.when_isolated,
+            )
+            self._add_dispatch()
+        self._add(DirectoryController, self.links)
+
+    # Controllers
+
+    def _add_addresses(self) -> None:
+        chosen = self._settings.addresses
+        self._add(
+            AddressesController, chosen.limit, chosen.ttl_s, chosen.spread
+        )
+
+    def _add_dispatch(self) -> None:
+        settings = self._settings
+        self._add(TargetsController, self._first_number)
+        self._add(
+            DispatchController,
+            RegionName(settings.region),
+            settings.retries.to_limits(),
+            settings.pauses,
+        )
+        self._add(QuarantineController)
+
+    def _add_consensus(self) -> None:
+        settings = self._settings
+        assert settings.data_folder is not None
+        self.storage = Storage(settings.data_folder)
+        state = self._load_state(self.storage)
+        log_change("disk loaded", member=state.member.member)
+        self._add(
+            ConsensusController,
+            state.member.member,
+            tuple(settings.peer_seeds()),
+            state.ballot,
+            state.snapshot,
+            tuple(state.records),
+            storage=self.storage,
+        )
+
+    def _add(
+        self, build: Any, *args: Any, storage: Storage | None = None
+    ) -> Controller:
+        """Build a controller and its task."""
+        outbox = TaskOutbox()
+        context = Context(self._host, monotonic, self._random, outbox)
+        controller = build(context, *args)
+        sync = None
+        if storage is not None:
+            pool = gevent.get_hub().threadpool
+
+            def sync(items: list[Any]) -> None:
+                error = pool.apply(_try_sync, (storage, items))
+                if error is not None:
+                    exit_at_once(error)
+
+        task = ControllerTask(controller, outbox, self.router, monotonic, sync)
+        self.router.add(task)
+        return controller
+
+    # Stored state
+
+    def _load_state(self, storage: Storage) -> StoredState:
+        """Return the disk's state, as a new member if it has none.
+
+        A damaged disk is set aside: its member never votes again, and the
+        host joins as a new one.
+        """
+        initialise = self._initialise
+        if storage.exists():
+            try:
+                return storage.load()
+            except CorruptLogError as error:
+                aside = storage.set_aside()
+                log_change(
+                    "disk damaged", reason=str(error), moved_to=aside.name
+                )
+                initialise = False
+        founders = self._settings.founders()
+        if initialise and self._host in founders:
+            members = Members(tuple(_founder(h) for h in founders))
+            return storage.create(_founder(self._host), members)
+        name = MemberId(f"{self._host}.{secrets.token_hex(6)}")
+        return storage.create(Member(name, self._host), Members(()))
+
+
+def _try_sync(storage: Storage, items: list[Any]) -> Exception | None:
+    """Sync on a thread; an error is returned, not printed there."""
+    try:
+        storage.sync(items)
+    except Exception as error:
+        return error
+    return None
+
+
+def exit_at_once(error: BaseException) -> None:
+    """End the process when a task fails, such as on a disk error.
+
+    A member that can't sync must not go on to vote or acknowledge.
+    """
+    log_fault("task failed", error)
+    flush_logs()
+    os._exit(EXIT_TASK_FAILED)
+
+
+def _founder(host: HostId) -> Member:
+    return Member(MemberId(f"{host}.0"), host)
--- a/packages/node/src/wasabitray_node/callers.py
+++ b/packages/node/src/wasabitray_node/callers.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+import secrets
 from collections.abc import Callable, Iterator
 from functools import singledispatchmethod
 from typing import Any
 
 import falcon
-from gevent import Timeout
 from gevent.event import Event
 
 from wasabitray_core.filters.chain import (
@@ -16,28 +16,35 @@
     Attempt,
     Effect,
     FilterChain,
+    Note,
     TellController,
     drive,
 )
-from wasabitray_core.ids import OrganisationName, RegionName, Seconds
+from wasabitray_core.ids import CallerRequestId, RegionName, Seconds
 from wasabitray_core.local import ControllerName, GetAddresses
 from wasabitray_core.requests import Answer, Exchange, Request
-from wasabitray_core.states import Outcome, RefusalReason, WorkClass
+from wasabitray_core.states import RefusalReason, WorkClass
 from wasabitray_node import headers as h
-from wasabitray_node.http import REQUEST_TARGET
-from wasabitray_node.logs import log_fault
+from wasabitray_node.bodies import Body, BodyFault, BodyReader
+from wasabitray_node.dialects import CallerDialect, CallerFacts
+from wasabitray_node.http import CALLER_SOCKET, REQUEST_TARGET
+from wasabitray_node.logs import log_decision, log_fault
 from wasabitray_node.metrics import Metrics
 from wasabitray_node.settings import Limits
 from wasabitray_node.tasks import Router
-from wasabitray_node.upstream import CallerGoneError, Upstream
+from wasabitray_node.upstream import Upstream
+from wasabitray_node.watch import CallerWatch
 
 ADDRESSES_PATH = "/.well-known/wasabitray/addresses"
-READ_BYTES = 65_536
 BODYLESS_STATUSES = frozenset({204, 304})
 
 
 class Work:
-    """Counts requests in flight, so that a stop can wait for them."""
+    """Counts requests in flight, so that a stop can wait for them.
+
+    Attributes:
+        closing: a stop has begun; connections end with their answers.
+    """
 
     def __init__(self) -> None:
         """Start with none."""
@@ -57,9 +64,9 @@
         if not self._in_flight:
             self._idle.set()
 
-    def wait_idle(self) -> None:
-        """Wait until no request is in flight."""
-        self._idle.wait()
+    def wait_idle(self, timeout: float | None = None) -> None:
+        """Wait until no request is in flight, at most `timeout` seconds."""
+        self._idle.wait(timeout)
 
 
 class AddressesResource:
@@ -90,10 +97,13 @@
 class Performer:
     """Performs the effects of one exchange's filters."""
 
-    def __init__(self, router: Router, upstream: Upstream) -> None:
-        """Take the tasks and the way to targets."""
+    def __init__(
+        self, router: Router, upstream: Upstream, watch: CallerWatch
+    ) -> None:
+        """Take the tasks, the way to targets and the watch on the caller."""
         self._router = router
         self._upstream = upstream
+        self._watch = watch
         self.at_end: list[TellController] = []
 
     @singledispatchmethod
@@ -111,14 +121,19 @@
 
     @perform.register
     def _(self, effect: Attempt) -> Any:
-        return self._upstream.attempt(effect)
+        return self._upstream.attempt(effect, self._watch)
 
     @perform.register
     def _(self, effect: AtEnd) -> None:
         self.at_end.append(effect.tell)
 
+    @perform.register
+    def _(self, effect: Note) -> None:
+        log_decision(effect.event, **effect.facts)
+
     def finish(self) -> None:
         """Tell what waited for the end of the answer."""
+        self._watch.stop()
         for tell in self.at_end:
             self._router.tell(tell.controller, tell.message)
         self.at_end.clear()
@@ -129,7 +144,6 @@
 
     def __init__(
         self,
-        host: str,
         chain: FilterChain,
         router: Router,
         upstream: Upstream,
@@ -137,16 +151,17 @@
         limits: Limits,
         clock: Callable[[], Seconds],
         work: Work,
+        dialect: CallerDialect,
     ) -> None:
         """Take the parts that requests pass."""
-        self._host = host
         self._chain = chain
         self._router = router
         self._upstream = upstream
         self._metrics = metrics
-        self._limits = limits
+        self._bodies = BodyReader(limits)
         self._clock = clock
         self._work = work
+        self._dialect = dialect
 
     def handle(
         self, req: falcon.Request, resp: falcon.Response, **_: Any
@@ -165,21 +180,22 @@
     def _serve(
         self, req: falcon.Request, arrived: Seconds
     ) -> tuple[Answer, Exchange, Performer]:
-        performer = Performer(self._router, self._upstream)
-        request, refusal = self._read_request(req)
+        watch = CallerWatch(req.env.get(CALLER_SOCKET))
+        performer = Performer(self._router, self._upstream, watch)
+        facts = self._dialect.read(req)
+        request, fault = self._read_request(req, facts, watch)
         exchange = Exchange(request, arrived, arrived)
-        if refusal is not None:
-            status, detail = refusal
-            return (
-                exchange.refuse(RefusalReason.BAD_REQUEST, status, detail),
-                exchange,
-                performer,
+        if fault is not None:
+            refusal = exchange.refuse(
+                RefusalReason.BAD_REQUEST, fault.status, fault.detail
             )
-        exchange.caller_timeout = _read_timeout(req)
+            return refusal, exchange, performer
+        exchange.caller_timeout = facts.timeout
+        exchange.is_wanted = lambda: not watch.gone
         try:
             answer = drive(self._chain.run(exchange), performer.perform)
         except Exception as error:
-            log_fault("request failed", error, path=request.path)
+            log_fault("request failed", error, request=request.id)
             exchange.ran = True  # nothing better is known
             answer = exchange.refuse(
                 RefusalReason.TARGET_FAILED, 500, "internal error"
@@ -187,59 +203,40 @@
         return answer, exchange, performer
 
     def _read_request(
-        self, req: falcon.Request
-    ) -> tuple[Request, tuple[int, str] | None]:
-        """Return the request, and a status and text if it is refused."""
-        organisation = OrganisationName(
-            req.get_header(h.ORGANISATION_HEADER) or ""
-        )
+        self, req: falcon.Request, facts: CallerFacts, watch: CallerWatch
+    ) -> tuple[Request, BodyFault | None]:
+        """Return the request, and what is wrong if it is refused."""
         path, _, query = req.env[REQUEST_TARGET].partition("?")
-        body, stream, length = b"", None, req.content_length or 0
-        refusal = None
+        body = Body()
+        fault: BodyFault | None = None
         if not path.startswith("/"):
-            refusal = 400, "the request target must begin with a slash"
-        elif not organisation:
-            refusal = 400, f"{h.ORGANISATION_HEADER} is missing"
-        elif length > self._limits.max_body_bytes:
-            refusal = 413, "the body is too large"
-        elif length > self._limits.hold_bytes:
-            stream = _pieces(req, length)
+            detail = "the request target must begin with a slash"
+            fault = BodyFault(400, detail)
+        elif facts.fault:
+            fault = BodyFault(400, facts.fault)
         else:
-            body, refusal = self._read_body(req)
-            length = len(body)
+            read = self._bodies.read(req, watch.start)
+            if isinstance(read, BodyFault):
+                fault = read
+            else:
+                body = read
+        if body.stream is None:
+            watch.start()
         request = Request(
-            organisation,
+            facts.organisation,
             req.method,
             path,
             query,
             h.strip_hop_by_hop(_end_to_end(req)),
-            body,
-            stream,
-            length,
-            req.get_header(h.KEY_HEADER) or "",
+            body.held,
+            body.stream,
+            body.length,
+            facts.key,
+            facts.id or new_request_id(),
+            facts.authority,
+            req.remote_addr or "",
         )
-        return request, refusal
-
-    def _read_body(
-        self, req: falcon.Request
-    ) -> tuple[bytes, tuple[int, str] | None]:
-        """Read a body that is small, or of unknown length."""
-        chunked = bool(req.get_header("Transfer-Encoding"))
-        if not req.content_length and not chunked:
-            return b"", None
-        limit = self._limits.hold_bytes
-        stream = req.env["wsgi.input"]
-        try:
-            with Timeout(self._limits.body_timeout_s):
-                size = limit + 1 if chunked else req.content_length
-                body = _read_fully(stream, size)
-        except (Timeout, OSError) as error:
-            return b"", (400, f"the body can't be read: {error}")
-        if chunked and len(body) > limit:
-            return b"", (411, "state the Content-Length of a large body")
-        if not chunked and len(body) < (req.content_length or 0):
-            return b"", (400, "the body ended early")
-        return body, None
+        return request, fault
 
     def _write(
         self,
@@ -249,17 +246,13 @@
         ending: _Ending,
     ) -> None:
         resp.status = answer.status
-        resp.set_header(h.ENTRY_HEADER, self._host)
-        if exchange.revision:
-            resp.set_header(h.REVISION_HEADER, str(exchange.revision))
         if self._work.closing:
             resp.set_header("Connection", "close")
         if answer.refusal is not None:
-            _write_refusal(resp, answer)
+            self._dialect.write_refusal(resp, answer, exchange)
             ending.close()
             return
-        resp.set_header(h.TARGET_HEADER, answer.target or "")
-        resp.set_header(h.ATTEMPTS_HEADER, str(answer.attempts))
+        self._dialect.write_facts(resp, answer, exchange)
         resp.content_type = answer.header("Content-Type") or None
         for name, value in answer.headers:
             lowered = name.lower()
@@ -285,14 +278,32 @@
     def end(
         self, exchange: Exchange, performer: Performer, answer: Answer
     ) -> None:
-        """Count a request after its last byte."""
+        """Count and log a request after its last byte."""
         performer.finish()
         self._work.end()
         work = exchange.route.work if exchange.route else WorkClass.SHORT
         known = exchange.route is not None
+        subject = exchange.route.name if exchange.route else ""
         organisation = exchange.request.organisation if known else ""
         elapsed = self._clock() - exchange.arrived
-        self._metrics.record(organisation, work, answer, elapsed)
+        self._metrics.record(organisation or subject, work, answer, elapsed)
+        log_decision(
+            "request answered"
+            if answer.refusal is None
+            else "request refused",
+            request=exchange.request.id,
+            route=subject,
+            service=exchange.route.service if exchange.route else None,
+            revision=exchange.revision,
+            status=answer.status,
+            reason=answer.refusal.value if answer.refusal else None,
+            detail=answer.detail or answer.fault,
+            outcome=answer.outcome.value if answer.outcome else None,
+            target=answer.target,
+            attempts=answer.attempts,
+            retry_after_s=answer.retry_after,
+            elapsed_ms=round(elapsed * 1_000, 1),
+        )
 
 
 class _Ending:
@@ -319,12 +330,12 @@
                 self._answer.chunks.close()
             self._app.end(self._exchange, self._performer, self._answer)
 
-    def stream(self) -> _Body:
+    def stream(self) -> _StreamedBody:
         """Return the body of a large answer."""
-        return _Body(self._answer, self)
+        return _StreamedBody(self._answer, self)
 
 
-class _Body:
+class _StreamedBody:
     """A large answer's body; an early end breaks the connection."""
 
     def __init__(self, answer: Answer, ending: _Ending) -> None:
@@ -341,61 +352,28 @@
         self._ending.close()
 
 
-def _write_refusal(resp: falcon.Response, answer: Answer) -> None:
-    assert answer.refusal is not None
-    outcome = answer.outcome or Outcome.UNKNOWN
-    resp.set_header(h.OUTCOME_HEADER, outcome.value)
-    resp.set_header(h.REASON_HEADER, answer.refusal.value)
-    if answer.retry_after is not None:
-        resp.set_header("Retry-After", f"{max(1, round(answer.retry_after))}")
-    resp.media = {
-        "outcome": outcome.value,
-        "reason": answer.refusal.value,
-        "detail": answer.detail,
-        "retry_after_s": answer.retry_after,
-    }
-
-
 def _end_to_end(req: falcon.Request) -> Iterator[tuple[str, str]]:
     for name, value in req.headers.items():
         if name not in ("HOST", "CONTENT-LENGTH", "EXPECT"):
             yield name.title(), value
 
 
-def _read_timeout(req: falcon.Request) -> Seconds | None:
-    value = req.get_header(h.TIMEOUT_HEADER) or ""
-    return Seconds(int(value) / 1_000) if value.isdigit() else None
-
-
-def _read_fully(stream: Any, size: int) -> bytes:
-    pieces = []
-    while size > 0:
-        piece = stream.read(min(size, READ_BYTES))
-        if not piece:
-            break
-        pieces.append(piece)
-        size -= len(piece)
-    return b"".join(pieces)
-
-
-def _pieces(req: falcon.Request, length: int) -> Iterator[bytes]:
-    stream = req.env["wsgi.input"]
-    while length > 0:
-        try:
-            piece = stream.read(min(length, READ_BYTES))
-        except OSError as error:
-            raise CallerGoneError(str(error)) from error
-        if not piece:
-            raise CallerGoneError("the caller's body ended early")
-        length -= len(piece)
-        yield piece
+def new_request_id() -> CallerRequestId:
+    """Return an id for a request that came without one."""
+    return CallerRequestId(secrets.token_hex(8))
 
 
 def build_callers_app(
-    app: CallersApp, addresses: AddressesResource
+    app: CallersApp, addresses: AddressesResource | None
 ) -> falcon.App:
-    """Return the WSGI application for callers."""
+    """Return the WSGI application for callers.
+
+    Args:
+        app: serves requests.
+        addresses: answers questions for addresses, if this host does.
+    """
     wsgi = falcon.App()
-    wsgi.add_route(ADDRESSES_PATH, addresses)
+    if addresses is not None:
+        wsgi.add_route(ADDRESSES_PATH, addresses)
     wsgi.add_sink(app.handle, "/")
     return wsgi
--- a/packages/node/src/wasabitray_node/daemon.py
+++ b/packages/node/src/wasabitray_node/daemon.py
@@ -17,7 +17,8 @@
 
 from wasabitray_node.app import App
 from wasabitray_node.logs import configure_logs
-from wasabitray_node.settings import load_settings
+from wasabitray_node.reload import SettingsWatch
+from wasabitray_node.settings import Settings, load_settings
 
 EXIT_BAD_SETTINGS = 2
 
@@ -43,6 +44,16 @@
     return parser.parse_args()
 
 
+def run_until_stopped(app: App, path: Path, settings: Settings) -> None:
+    """Run a process with its signals and its settings file watched."""
+    watch = SettingsWatch(path, settings, app.reload)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, app.stop)
+    gevent.signal_handler(signal.SIGHUP, watch.reload)
+    watch.start()
+    app.run()
+
+
 def main() -> int:
     """Run until SIGTERM or SIGINT and stop gracefully."""
     arguments = _parse_arguments()
@@ -55,10 +66,9 @@
         return 0
     settings = loaded.ok_value
     configure_logs(settings.host)
-    app = App(settings, arguments.initialise)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, app.stop)
-    app.run()
+    run_until_stopped(
+        App(settings, arguments.initialise), arguments.settings, settings
+    )
     return 0
 
 
--- a/packages/node/src/wasabitray_node/fleet_directory.py
+++ b/packages/node/src/wasabitray_node/fleet_directory.py
@@ -10,12 +10,17 @@
     Origin,
 )
 from wasabitray_core.ids import HostId
-from wasabitray_core.local import ControllerName, GetStatus, InForce
+from wasabitray_core.local import (
+    ControllerName,
+    GetStatus,
+    InForce,
+    PeerAddresses,
+)
 from wasabitray_node.links import PeerLinks
 
 
 class DirectoryController(Controller):
-    """Tells the links where the fleet document places each entry."""
+    """Tells the links where the other hosts are."""
 
     name: ClassVar[ControllerName] = ControllerName.DIRECTORY
     tick_interval_s = 60.0
@@ -26,9 +31,12 @@
         self._links = links
 
     def receive(self, message: Any, origin: Origin) -> None:
-        """Handle one message; only a new fleet document matters."""
+        """Handle one message; only addresses of hosts matter."""
         if isinstance(message, GetStatus):
             self._reply(origin, self._links.describe())
         if isinstance(message, InForce) and message.fleet is not None:
             for entry in message.fleet.entries:
                 self._links.learn(HostId(entry.host), entry.peer_address)
+        if isinstance(message, PeerAddresses):
+            for address in message.addresses:
+                self._links.learn(address.host, address.address)
--- a/packages/node/src/wasabitray_node/headers.py
+++ b/packages/node/src/wasabitray_node/headers.py
@@ -16,6 +16,7 @@
 REVISION_HEADER = "Wasabitray-Revision"
 ATTEMPTS_HEADER = "Wasabitray-Attempts"
 KEY_HEADER = "Idempotency-Key"
+REQUEST_ID_HEADER = "Request-Id"
 
 _HOP_BY_HOP = frozenset(
     {
@@ -32,6 +33,11 @@
 )
 
 
+def is_own(name: str) -> bool:
+    """Tell whether a header is one that only the fleet sets."""
+    return name.lower().startswith(OWN_PREFIX)
+
+
 def strip_hop_by_hop(
     headers: Iterable[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
@@ -52,5 +58,5 @@
         for name, value in headers
         if name.lower() not in _HOP_BY_HOP
         and name.lower() not in named
-        and not name.lower().startswith(OWN_PREFIX)
+        and not is_own(name)
     )
--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -8,11 +8,21 @@
 from typing import Any
 
 import falcon
+import gevent
 from gevent.pywsgi import LoggingLogAdapter, WSGIHandler, WSGIServer
 
 from wasabitray_node.settings import split_address
 
 REQUEST_TARGET = "REQUEST_URI"
+CALLER_SOCKET = "wasabitray.socket"
+# Probes of an idle connection: a caller that lost its power is noticed after
+# about 20 s, and costs a descriptor until then.
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_INTERVAL_S = 3
+KEEPALIVE_PROBES = 3
+# Unacknowledged bytes end a connection after this.
+USER_TIMEOUT_MS = 10_000
+DEFAULT_IDLE_TIMEOUT_S = 75.0
 
 
 # RFC 9110 section 5.6.2, without the underscore: the application could not
@@ -48,28 +58,83 @@
                 raise ValueError("a folded header line")
         return headers
 
+    def read_requestline(self) -> Any:
+        """Wait for the next request; the connection is idle meanwhile."""
+        self.server.note_idle(self)
+        try:
+            with gevent.Timeout(self.server.idle_timeout_s, False):
+                return super().read_requestline()
+            return ""
+        finally:
+            self.server.note_busy(self)
+
+    def close_idle(self) -> None:
+        """End an idle connection: its reader finds the end at once."""
+        try:
+            self.socket.shutdown(socket.SHUT_RD)
+        except OSError:
+            return  # the caller closed it already
+
     def get_environ(self) -> dict[str, Any]:
         """Return the environment with the target as it was sent.
 
         The path in the environment is decoded, and could carry line breaks
         into a request to a target.
         """
-        return {**super().get_environ(), REQUEST_TARGET: self.path}
+        return {
+            **super().get_environ(),
+            REQUEST_TARGET: self.path,
+            CALLER_SOCKET: self.socket,
+        }
 
 
 class NoDelayServer(WSGIServer):
-    """Sends small writes at once.
+    """Sends small writes at once and notices callers that are gone.
 
     The server writes head and body apart; with Nagle's algorithm the body
     would wait for a delayed acknowledgement, about 40 ms.
+
+    Attributes:
+        idle_timeout_s: seconds after which an idle connection is closed.
     """
 
+    idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        """Start without connections."""
+        super().__init__(*args, **options)
+        self._idle: set[StrictHandler] = set()
+
+    def note_idle(self, handler: StrictHandler) -> None:
+        """Note that a connection waits for its next request."""
+        self._idle.add(handler)
+
+    def note_busy(self, handler: StrictHandler) -> None:
+        """Note that a connection has a request, or has ended."""
+        self._idle.discard(handler)
+
+    def close_idle(self) -> None:
+        """End all connections that carry no request now."""
+        for handler in tuple(self._idle):
+            handler.close_idle()
+
     def handle(self, sock: Any, address: Any) -> None:
         """Serve one connection."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        watch_peer(sock)
         super().handle(sock, address)
 
 
+def watch_peer(sock: Any) -> None:
+    """Make the kernel notice a peer that is gone without a word."""
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
 def build_server(address: str, app: falcon.App) -> NoDelayServer:
     """Return a server that is not started yet."""
     errors = LoggingLogAdapter(logging.getLogger("wasabitray.http"))
--- /dev/null
+++ b/packages/node/src/wasabitray_node/interfaces.py
@@ -0,0 +1,60 @@
+"""What a process speaks to callers, targets and operators."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wasabitray_core.states import Role
+from wasabitray_node.announcements import build_targets_app
+from wasabitray_node.dialects import (
+    CallerDialect,
+    NativeCallerDialect,
+    NativeTargetDialect,
+    TargetDialect,
+)
+from wasabitray_node.http import NoDelayServer, build_server
+from wasabitray_node.settings import Settings
+from wasabitray_node.tasks import Router
+
+
+@dataclass(frozen=True, slots=True)
+class ServerParts:
+    """What the listeners of another interface are built from.
+
+    Attributes:
+        is_ready: whether an entry may get callers.
+    """
+
+    settings: Settings
+    router: Router
+    is_ready: Callable[[], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class Interfaces:
+    """The dialects of a process and its listeners beside its own.
+
+    Attributes:
+        servers: builds the listeners for targets, addresses and so on.
+    """
+
+    callers: CallerDialect
+    targets: TargetDialect
+    servers: Callable[[ServerParts], list[NoDelayServer]]
+
+
+def native_interfaces(settings: Settings) -> Interfaces:
+    """Return the project's own interfaces."""
+    return Interfaces(
+        NativeCallerDialect(settings.host),
+        NativeTargetDialect(),
+        _build_native_servers,
+    )
+
+
+def _build_native_servers(parts: ServerParts) -> list[NoDelayServer]:
+    address = parts.settings.listen.targets
+    if parts.settings.role is not Role.ENTRY or address is None:
+        return []
+    return [build_server(address, build_targets_app(parts.router))]
--- a/packages/node/src/wasabitray_node/links.py
+++ b/packages/node/src/wasabitray_node/links.py
@@ -33,10 +33,11 @@
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 MAX_WAITING_MESSAGES = 1_024
 MAX_BATCH = 128
-CONNECT_TIMEOUT_S = 1.0
-ACK_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 0.5
+# A batch crosses to another region and back in well under this.
+ACK_TIMEOUT_S = 1.0
 RECONNECT_FIRST_S = 0.1
-RECONNECT_MAX_S = 2.0
+RECONNECT_MAX_S = 1.0
 
 _LINK_ERRORS = (TException, OSError, EOFError)
 
--- /dev/null
+++ b/packages/node/src/wasabitray_node/reload.py
@@ -0,0 +1,81 @@
+"""Reading the settings again while the process runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent.event import Event
+from result import Err
+
+from wasabitray_node.logs import log_change
+from wasabitray_node.settings import Settings, load_settings
+
+# The file can change without a signal; it is small and cheap to read.
+POLL_INTERVAL_S = 1.0
+
+
+class SettingsWatch:
+    """A task that applies changes of the settings file.
+
+    A file that is not valid is refused as a whole: the settings in force
+    stay.
+    """
+
+    def __init__(
+        self,
+        path: Path,
+        settings: Settings,
+        apply: Callable[[Settings], None],
+    ) -> None:
+        """Take the file, what was read from it, and who takes changes."""
+        self._path = path
+        self._settings = settings
+        self._apply = apply
+        self._text = self._read()
+        self._signalled = Event()
+
+    def reload(self) -> None:
+        """Read the file now (called on a signal)."""
+        self._signalled.set()
+
+    def run(self) -> None:
+        """Look for changes until the task is killed."""
+        while True:
+            signalled = self._signalled.wait(POLL_INTERVAL_S)
+            self._signalled.clear()
+            text = self._read()
+            if signalled or text != self._text:
+                self._text = text
+                self._load()
+
+    def _read(self) -> str:
+        try:
+            return self._path.read_text()
+        except (OSError, UnicodeDecodeError) as error:
+            log_change("settings unreadable", reason=str(error))
+            return ""
+
+    def _load(self) -> None:
+        loaded = load_settings(self._path)
+        if isinstance(loaded, Err):
+            log_change("settings refused", faults=loaded.err_value)
+            return
+        settings = loaded.ok_value
+        changed = _changed_keys(self._settings, settings)
+        self._settings = settings
+        log_change("settings reloaded", changed=changed)
+        if changed:
+            self._apply(settings)
+
+    def start(self) -> gevent.Greenlet:
+        """Start the task."""
+        return gevent.spawn(self.run)
+
+
+def _changed_keys(old: Settings, new: Settings) -> list[str]:
+    before: dict[str, Any] = old.model_dump()
+    after: dict[str, Any] = new.model_dump()
+    return sorted(k for k in after if before[k] != after[k])
--- a/packages/node/src/wasabitray_node/settings.py
+++ b/packages/node/src/wasabitray_node/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import re
 import tomllib
 from pathlib import Path
 from typing import Annotated
@@ -10,6 +11,7 @@
 from pydantic import (
     AfterValidator,
     BaseModel,
+    BeforeValidator,
     ConfigDict,
     Field,
     ValidationError,
@@ -17,10 +19,20 @@
 )
 from result import Err, Ok, Result
 
+from wasabitray_core.controllers.addresses import (
+    ADDRESS_TTL_S,
+    MAX_ADDRESSES,
+)
+from wasabitray_core.controllers.retry_budget import RetryLimits
 from wasabitray_core.documents import NAME_PATTERN, Faults, describe_faults
-from wasabitray_core.states import Role
+from wasabitray_core.ids import HostId
+from wasabitray_core.states import IsolationPolicy, Role, Topology
 
 MIN_SECRET_LENGTH = 16
+# A name, or an IP number.
+_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_SECONDS_PER = {"ms": 0.001, "s": 1.0}
+HOST_PATTERN = r"^[a-z0-9][a-z0-9.-]{0,62}$"
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -44,7 +56,16 @@
     return address
 
 
+def _read_duration(value: object) -> object:
+    """Return seconds of a text such as `1500ms` or `2.5s`."""
+    match = _DURATION.fullmatch(value) if isinstance(value, str) else None
+    if match is None:
+        return value
+    return float(match[1]) * _SECONDS_PER[match[2]]
+
+
 Address = Annotated[str, AfterValidator(_check_address)]
+Duration = Annotated[float, BeforeValidator(_read_duration)]
 HostName = Annotated[str, Field(pattern=NAME_PATTERN)]
 
 
@@ -53,16 +74,37 @@
 
 
 class Listeners(_Section):
-    """Addresses that the process listens on."""
+    """Addresses that the process listens on.
+
+    Attributes:
+        peers: other hosts of the fleet.
+        operators: the project's own interface for operators, and metrics.
+        callers: requests.
+        targets: the project's own announcements.
+        readiness: checks whether an entry may get callers.
+        registry: targets and operators of another interface.
+        directory: questions for addresses in another interface.
+    """
 
     peers: Address
     operators: Address
     callers: Address | None = None
     targets: Address | None = None
+    readiness: Address | None = None
+    registry: Address | None = None
+    directory: Address | None = None
 
     def all(self) -> list[str]:
         """Return the addresses that are set."""
-        found = (self.peers, self.operators, self.callers, self.targets)
+        found = (
+            self.peers,
+            self.operators,
+            self.callers,
+            self.targets,
+            self.readiness,
+            self.registry,
+            self.directory,
+        )
         return [address for address in found if address is not None]
 
 
@@ -78,6 +120,39 @@
     idle_connection_s: float = Field(default=30.0, ge=0)
 
 
+class AddressSettings(_Section):
+    """What address answers hold.
+
+    Attributes:
+        limit: entries in one answer.
+        ttl_s: seconds that a caller keeps an answer.
+        spread: cover failure domains and regions, for callers that try one
+            entry after the other; false for callers that choose at random.
+    """
+
+    limit: int = Field(default=MAX_ADDRESSES, ge=1)
+    ttl_s: float = Field(default=ADDRESS_TTL_S, gt=0)
+    spread: bool = True
+
+
+class RetrySettings(_Section):
+    """Bounds on retries over all entries together.
+
+    Attributes:
+        share: retries for each first attempt; without it the policy of the
+            service holds.
+        fleet_burst: retries of a service beyond its share at one time, over
+            all entries.
+    """
+
+    share: float | None = Field(default=None, ge=0, le=1)
+    fleet_burst: float | None = Field(default=None, ge=0)
+
+    def to_limits(self) -> RetryLimits:
+        """Return the bounds as the decisions take them."""
+        return RetryLimits(self.share, self.fleet_burst)
+
+
 class Settings(_Section):
     """All settings of one process.
 
@@ -88,14 +163,35 @@
             is another address.
         secret_file: file with the secret that peers and operators prove.
         data_folder: a control host's durable state.
+        topology: how hosts spread heartbeats and news.
+        contacts: addresses of control hosts, instead of seeds, in a fleet
+            that names hosts by their IP number; their peer listeners have
+            the port of this one's.
+        initialise: found the fleet with the contacts as first members, if
+            the data folder is empty.
+        trusted_network: peers and operators need no secret.
+        when_isolated: what an entry does that is cut off from the fleet.
+        pauses: rest targets that break attempts, in the whole fleet.
+        failure_domains: the region of each failure domain.
+        grace_s: seconds for a planned stop, as long as it needs if not set.
     """
 
-    host: HostName
+    host: Annotated[str, Field(pattern=HOST_PATTERN)]
     role: Role
     region: str = Field(min_length=1)
     failure_domain: str = Field(min_length=1)
     listen: Listeners
-    seeds: dict[HostName, Address]
+    seeds: dict[HostName, Address] = {}
+    contacts: tuple[Address, ...] = ()
+    initialise: bool = False
+    topology: Topology = Topology.MESH
+    when_isolated: IsolationPolicy = IsolationPolicy.REFUSE
+    pauses: bool = False
+    trusted_network: bool = False
+    failure_domains: dict[str, str] = {}
+    grace_s: Duration | None = Field(default=None, gt=0)
+    addresses: AddressSettings = AddressSettings()
+    retries: RetrySettings = RetrySettings()
     advertised_peers: Address | None = None
     initial_control: tuple[HostName, ...] = ()
     secret_file: Path | None = None
@@ -106,18 +202,24 @@
     def _check_role(self) -> Settings:
         if self.role is Role.CONTROL and self.data_folder is None:
             raise ValueError("a control host needs data_folder")
-        if self.role is Role.ENTRY and not (
-            self.listen.callers and self.listen.targets
-        ):
+        if self.role is Role.ENTRY and not self.listen.callers:
+            raise ValueError("an entry host needs listen.callers")
+        mesh = self.topology is Topology.MESH
+        if self.role is Role.ENTRY and mesh and not self.listen.targets:
             raise ValueError(
-                "an entry host needs listen.callers and listen.targets"
+                "an entry host needs listen.targets, unless targets announce "
+                "themselves to hubs"
             )
+        if not self.seeds and not self.contacts:
+            raise ValueError("seeds or contacts are needed")
         unknown = sorted(set(self.initial_control) - set(self.seeds))
         if unknown:
             raise ValueError(f"initial_control hosts not in seeds: {unknown}")
-        if self.secret_file is None and not self._is_loopback():
+        open_network = self.trusted_network or self._is_loopback()
+        if self.secret_file is None and not open_network:
             raise ValueError(
-                "secret_file is needed unless every listener is on loopback"
+                "secret_file is needed unless every listener is on loopback "
+                "or trusted_network is set"
             )
         return self
 
@@ -125,6 +227,21 @@
         hosts = (split_address(a)[0] for a in self.listen.all())
         return all(ipaddress.ip_address(h).is_loopback for h in hosts)
 
+    def peer_seeds(self) -> dict[HostId, str]:
+        """Return the peer addresses of the hosts to contact first."""
+        _, port = split_address(self.listen.peers)
+        found = {HostId(h): a for h, a in self.seeds.items()}
+        for contact in self.contacts:
+            number, _ = split_address(contact)
+            found[HostId(number)] = f"{number}:{port}"
+        return found
+
+    def founders(self) -> tuple[HostId, ...]:
+        """Return the hosts that found the control group."""
+        if self.initial_control:
+            return tuple(HostId(h) for h in self.initial_control)
+        return tuple(sorted(self.peer_seeds()))
+
     def read_secret(self) -> Result[str, Faults]:
         """Return the shared secret; empty when none is set."""
         if self.secret_file is None:
--- a/packages/node/src/wasabitray_node/tasks.py
+++ b/packages/node/src/wasabitray_node/tasks.py
@@ -28,6 +28,10 @@
 # the membership controller.
 CONTROLLER_OF_MESSAGE: dict[type, ControllerName] = {
     m.Gossip: ControllerName.MEMBERSHIP,
+    m.Presence: ControllerName.MEMBERSHIP,
+    m.Unsubscribe: ControllerName.MEMBERSHIP,
+    m.Feed: ControllerName.MEMBERSHIP,
+    m.News: ControllerName.MEMBERSHIP,
     m.ConfigPull: ControllerName.CONFIGURATION,
     m.ConfigPush: ControllerName.CONFIGURATION,
     m.ConfigState: ControllerName.CONFIGURATION,
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -1,135 +1,44 @@
-"""Connections to targets and exchanges over them."""
+"""Exchanges with targets."""
 
 from __future__ import annotations
 
+import errno
 import socket
-from collections import deque
 from collections.abc import Callable, Generator
-from dataclasses import dataclass
-from functools import singledispatchmethod
-from typing import Any
 
+import gevent
 import gevent.socket
 from gevent import Timeout
-from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
+from geventhttpclient.response import HTTPParseError
 
 from wasabitray_core.errors import TruncatedAnswerError
 from wasabitray_core.filters.chain import Attempt
-from wasabitray_core.ids import Seconds, TargetId
-from wasabitray_core.requests import (
-    Answer,
-    AttemptResult,
-    LoadReport,
-    Request,
-)
+from wasabitray_core.ids import Seconds
+from wasabitray_core.requests import Answer, AttemptResult
 from wasabitray_core.states import AttemptStatus
-from wasabitray_node.headers import (
-    DEADLINE_HEADER,
-    LOAD_HEADER,
-    ORGANISATION_HEADER,
-    OUTCOME_HEADER,
-    strip_hop_by_hop,
+from wasabitray_node.answers import SingleResponse
+from wasabitray_node.connections import (
+    Borrow,
+    Connection,
+    ConnectionPool,
+    DropIdle,
+    GiveBack,
+    place_of,
 )
+from wasabitray_node.dialects import TargetDialect, TargetFacts
+from wasabitray_node.headers import strip_hop_by_hop
 from wasabitray_node.settings import Limits, split_address
+from wasabitray_node.watch import CallerGoneError, CallerWatch
 
-NOT_RUN = "not-run"
-SHED_STATUSES = frozenset({429, 503})
 READ_BYTES = 65_536
+# A body up to this size fits the socket's buffer, so that it can be sent
+# before the answer is read.
+SEND_AT_ONCE_BYTES = 16_384
+# Bytes that a target has not acknowledged end the connection after this.
+USER_TIMEOUT_MS = 2_000
 
 _TRANSPORT_ERRORS = (OSError, HTTPParseError)
-
-
-class CallerGoneError(Exception):
-    """The caller's body ended early or could not be read."""
-
-
-@dataclass(slots=True)
-class Connection:
-    """A connection to a target; one task owns it at a time.
-
-    Attributes:
-        reused: whether it has carried an exchange before.
-    """
-
-    target: TargetId
-    socket: Any
-    opened: Seconds
-    idle_since: Seconds
-    reused: bool = False
-
-    def close(self) -> None:
-        """Close the socket."""
-        self.socket.close()
-
-
-@dataclass(frozen=True, slots=True)
-class Borrow:
-    """Asks the pool for an idle connection; the reply may be None."""
-
-    target: TargetId
-
-
-@dataclass(frozen=True, slots=True)
-class GiveBack:
-    """Hands a connection that is clean to the pool."""
-
-    connection: Connection
-
-
-@dataclass(frozen=True, slots=True)
-class DropIdle:
-    """Closes a target's idle connections: their path may be dead."""
-
-    target: TargetId
-
-
-class ConnectionPool:
-    """Owns the idle connections to all targets and takes messages.
-
-    It never waits, so it needs no greenlet of its own.
-    """
-
-    def __init__(self, limits: Limits, clock: Callable[[], Seconds]) -> None:
-        """Start without connections."""
-        self._limits = limits
-        self._clock = clock
-        self._idle: dict[TargetId, deque[Connection]] = {}
-
-    @singledispatchmethod
-    def receive(self, message: Any) -> Connection | None:
-        """Handle one message."""
-        raise TypeError(f"{self!r} can't take {message!r}")
-
-    @receive.register
-    def _(self, message: Borrow) -> Connection | None:
-        return self._take(message.target)
-
-    @receive.register
-    def _(self, message: GiveBack) -> None:
-        self._keep(message.connection)
-
-    @receive.register
-    def _(self, message: DropIdle) -> None:
-        for connection in self._idle.pop(message.target, ()):
-            connection.close()
-
-    def _take(self, target: TargetId) -> Connection | None:
-        idle = self._idle.get(target)
-        while idle:
-            connection = idle.pop()
-            age = self._clock() - connection.idle_since
-            if age <= self._limits.idle_connection_s:
-                return connection
-            connection.close()
-        return None
-
-    def _keep(self, connection: Connection) -> None:
-        idle = self._idle.setdefault(connection.target, deque())
-        connection.reused = True
-        connection.idle_since = self._clock()
-        idle.append(connection)
-        if len(idle) > self._limits.idle_connections_per_target:
-            idle.popleft().close()
+_NO_REPLY_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
 
 
 class Upstream:
@@ -145,52 +54,67 @@
         pool: ConnectionPool,
         limits: Limits,
         clock: Callable[[], Seconds],
+        dialect: TargetDialect,
     ) -> None:
         """Take the pool that owns idle connections."""
         self._tell_pool = pool.receive
         self._limits = limits
         self._clock = clock
+        self._dialect = dialect
 
-    def attempt(self, attempt: Attempt) -> AttemptResult:
-        """Send a request to a target and read the answer."""
+    def attempt(self, attempt: Attempt, watch: CallerWatch) -> AttemptResult:
+        """Send a request to a target and read the answer.
+
+        Args:
+            attempt: what to send where.
+            watch: ends the attempt when the caller goes.
+        """
         started = self._clock()
-        exchange = _Exchange(attempt, self._limits)
+        exchange = _Exchange(attempt, self._limits, self._dialect)
         try:
-            with Timeout(max(0.001, attempt.timeout)):
+            with Timeout(max(0.001, attempt.timeout)), watch:
                 exchange.connection = self._connect(attempt)
-                exchange.send()
-                exchange.receive()
+                exchange.run()
             result = exchange.to_result()
         except Timeout:
             result = self._to_failure(exchange, "timed out", timed_out=True)
         except CallerGoneError as error:
             exchange.abandon()
             result = AttemptResult(AttemptStatus.CANCELLED, detail=str(error))
+        except _ConnectError as error:
+            result = AttemptResult(error.status, detail=str(error))
         except _TRANSPORT_ERRORS as error:
-            result = self._to_failure(exchange, str(error), timed_out=False)
+            silent = getattr(error, "errno", None) in _NO_REPLY_ERRORS
+            result = self._to_failure(exchange, str(error), timed_out=silent)
         elapsed = Seconds(self._clock() - started)
-        self._finish(exchange, result)
+        self._finish(exchange, result, watch)
         return AttemptResult(
             result.status, result.answer, result.load, elapsed, result.detail
         )
 
     def _connect(self, attempt: Attempt) -> Connection:
-        target = attempt.target.target
+        target = attempt.target
+        place = place_of(target)
         if not attempt.fresh:
-            connection = self._tell_pool(Borrow(target))
+            connection = self._tell_pool(Borrow(place))
             if connection is not None:
                 return connection
         timeout = min(self._limits.connect_timeout_s, attempt.timeout)
         try:
             sock = gevent.socket.create_connection(
-                split_address(target), timeout=timeout
+                split_address(target.address or target.target), timeout=timeout
             )
+        except ConnectionRefusedError as error:
+            raise _ConnectError(AttemptStatus.REFUSED, error) from error
         except OSError as error:
-            raise ConnectionRefusedError(str(error)) from error
+            raise _ConnectError(AttemptStatus.UNREACHABLE, error) from error
         sock.settimeout(None)  # the whole attempt has one timeout
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+        )
         now = self._clock()
-        return Connection(target, sock, now, now)
+        return Connection(place, sock, now, now)
 
     def _to_failure(
         self, exchange: _Exchange, detail: str, timed_out: bool
@@ -200,9 +124,9 @@
         exchange.abandon()
         if connection is None:
             # Not connected: no byte of the request has left.
-            return AttemptResult(AttemptStatus.REFUSED, detail=detail)
+            return AttemptResult(AttemptStatus.UNREACHABLE, detail=detail)
         if connection.reused and not exchange.answer_began:
-            self._tell_pool(DropIdle(connection.target))
+            self._tell_pool(DropIdle(connection.place))
             status = AttemptStatus.STALE_CONNECTION
         elif timed_out:
             status = AttemptStatus.TIMED_OUT
@@ -212,15 +136,16 @@
             status = AttemptStatus.FAILED
         return AttemptResult(status, detail=detail)
 
-    def _finish(self, exchange: _Exchange, result: AttemptResult) -> None:
-        connection = exchange.connection
-        if connection is None or result.answer is None:
+    def _finish(
+        self, exchange: _Exchange, result: AttemptResult, watch: CallerWatch
+    ) -> None:
+        if exchange.connection is None or result.answer is None:
             return
         if result.answer.chunks is None:
             self._give_back(exchange)
         else:
             rest = result.answer.chunks
-            result.answer.chunks = self._stream(exchange, rest)
+            result.answer.chunks = self._stream(exchange, rest, watch)
 
     def _give_back(self, exchange: _Exchange) -> None:
         connection = exchange.connection
@@ -232,7 +157,10 @@
             connection.close()
 
     def _stream(
-        self, exchange: _Exchange, rest: Generator[bytes, None, None]
+        self,
+        exchange: _Exchange,
+        rest: Generator[bytes, None, None],
+        watch: CallerWatch,
     ) -> Generator[bytes, None, None]:
         """Pass on the rest of a body; break if it ends early."""
         complete = False
@@ -240,7 +168,12 @@
         assert connection is not None
         connection.socket.settimeout(self._limits.stream_idle_s)
         try:
-            yield from rest
+            while True:
+                with watch:
+                    piece = next(rest, b"")
+                if not piece:
+                    break
+                yield piece
             complete = True
         finally:
             if complete:
@@ -249,14 +182,28 @@
                 exchange.abandon()
 
 
+class _ConnectError(Exception):
+    """No connection, so nothing was sent."""
+
+    def __init__(self, status: AttemptStatus, error: OSError) -> None:
+        super().__init__(f"connect: {error}")
+        self.status = status
+
+
 class _Exchange:
     """One request and its answer on one connection."""
 
-    def __init__(self, attempt: Attempt, limits: Limits) -> None:
+    def __init__(
+        self, attempt: Attempt, limits: Limits, dialect: TargetDialect
+    ) -> None:
         self._attempt = attempt
         self._limits = limits
-        self._response: HTTPSocketResponse | None = None
+        self._dialect = dialect
+        self._response: SingleResponse | None = None
         self._body = b""
+        self._sent = False
+        self._sender: gevent.Greenlet | None = None
+        self._send_error: BaseException | None = None
         self.connection: Connection | None = None
 
     @property
@@ -268,37 +215,81 @@
     def reusable(self) -> bool:
         """Whether the connection is clean after this exchange."""
         response = self._response
-        return response is not None and not response.should_close()
+        return (
+            self._sent and response is not None and not response.should_close()
+        )
+
+    def run(self) -> None:
+        """Send the request and read the answer.
 
-    def send(self) -> None:
-        """Send the request."""
+        A target may answer a long body before it has read it, so the two
+        go on at the same time.
+        """
+        request = self._attempt.request
+        if request.stream is None and len(request.body) <= SEND_AT_ONCE_BYTES:
+            self._send()
+            self._receive()
+            return
+        self._sender = gevent.spawn(self._send_aside)
+        try:
+            self._receive()
+        except _TRANSPORT_ERRORS as error:
+            if isinstance(self._send_error, CallerGoneError):
+                raise self._send_error from error
+            raise
+        finally:
+            self._sender.kill()
+
+    def _send_aside(self) -> None:
+        """Send, and wake the reader if the body can't be had."""
+        assert self.connection is not None
+        try:
+            self._send()
+        except CallerGoneError as error:
+            self._send_error = error
+            self._shut()
+        except OSError as error:
+            self._send_error = error  # the reader sees the broken connection
+
+    def _shut(self) -> None:
+        assert self.connection is not None
+        try:
+            self.connection.socket.shutdown(socket.SHUT_RDWR)
+        except OSError as error:
+            self._send_error = self._send_error or error
+
+    def _send(self) -> None:
         assert self.connection is not None
         sock = self.connection.socket
         request = self._attempt.request
-        sock.sendall(self._head(request) + request.body)
-        if request.stream is not None:
+        head = self._head()
+        if request.stream is None:
+            sock.sendall(head + request.body)
+        else:
+            sock.sendall(head)
             for piece in request.stream:
-                sock.sendall(piece)
+                sock.sendall(_frame(piece, request.length is None))
+            if request.length is None:
+                sock.sendall(b"0\r\n\r\n")
+        self._sent = True
 
-    def _head(self, request: Request) -> bytes:
-        target = self._attempt.target.target
+    def _head(self) -> bytes:
+        request = self._attempt.request
         path = request.path + (f"?{request.query}" if request.query else "")
-        lines = [f"{request.method} {path} HTTP/1.1", f"Host: {target}"]
-        lines += [f"{name}: {value}" for name, value in request.headers]
-        lines.append(f"{ORGANISATION_HEADER}: {request.organisation}")
-        deadline_ms = int(self._attempt.timeout * 1_000)
-        lines.append(f"{DEADLINE_HEADER}: {deadline_ms}")
-        if request.length or request.method not in ("GET", "HEAD"):
+        lines = [f"{request.method} {path} HTTP/1.1"]
+        headers = self._dialect.headers(self._attempt)
+        lines += [f"{name}: {value}" for name, value in headers]
+        if request.length is None:
+            lines.append("Transfer-Encoding: chunked")
+        elif request.length or request.method not in ("GET", "HEAD"):
             lines.append(f"Content-Length: {request.length}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
-    def receive(self) -> None:
+    def _receive(self) -> None:
         """Read the head and up to the held size of the body."""
         assert self.connection is not None
         method = self._attempt.request.method
-        response = HTTPSocketResponse(
-            self.connection.socket, READ_BYTES, method
-        )
+        response = SingleResponse(self.connection.socket, READ_BYTES, method)
         self._response = response
         # The response closes its socket when it is dropped; here the
         # connection's owner does that.
@@ -312,12 +303,12 @@
             size += len(piece)
         self._body = b"".join(pieces)
 
-    def _read(self, response: HTTPSocketResponse) -> bytes:
+    def _read(self, response: SingleResponse) -> bytes:
         try:
             piece = response.read(READ_BYTES)
         except HTTPParseError as error:
             raise TruncatedBodyError(str(error)) from error
-        if not piece and not response.message_complete:
+        if not piece and not response.whole:
             raise TruncatedBodyError("the answer ended early")
         return piece
 
@@ -327,25 +318,25 @@
         assert response is not None
         headers = tuple((n, v) for n, v in response.items())
         status = response.status_code
-        outcome = str(response.get(OUTCOME_HEADER, ""))
-        load = parse_load(str(response.get(LOAD_HEADER, "")))
-        if status in SHED_STATUSES and outcome == NOT_RUN:
-            self.abandon()
-            return AttemptResult(
-                AttemptStatus.SHED, load=load, detail=f"shed with {status}"
-            )
-        whole = response.message_complete
+        facts = self._dialect.read(self._attempt, status, headers)
+        if facts.status is not AttemptStatus.ANSWERED:
+            return self._to_refusal(facts)
         answer = Answer(
             status,
             strip_hop_by_hop(headers),
             self._body,
-            None if whole else self._rest(response),
+            None if response.whole else self._rest(response),
         )
-        return AttemptResult(AttemptStatus.ANSWERED, answer, load)
+        return AttemptResult(AttemptStatus.ANSWERED, answer, facts.load)
 
-    def _rest(
-        self, response: HTTPSocketResponse
-    ) -> Generator[bytes, None, None]:
+    def _to_refusal(self, facts: TargetFacts) -> AttemptResult:
+        """Return that the target did not answer this request."""
+        self.abandon()
+        return AttemptResult(
+            facts.status, load=facts.load, detail=facts.detail
+        )
+
+    def _rest(self, response: SingleResponse) -> Generator[bytes, None, None]:
         try:
             while piece := self._read(response):
                 yield piece
@@ -358,6 +349,8 @@
 
     def abandon(self) -> None:
         """Close the connection: it may still carry a late answer."""
+        if self._sender is not None:
+            self._sender.kill(block=False)
         if self.connection is not None:
             self.connection.close()
 
@@ -366,13 +359,7 @@
     """The answer's body ended before its stated end."""
 
 
-def parse_load(value: str) -> LoadReport | None:
-    """Parse `busy=1, slots=2` from a target's load header."""
-    fields = {}
-    for part in value.split(","):
-        name, _, number = part.strip().partition("=")
-        if number.isdigit():
-            fields[name] = int(number)
-    if "busy" in fields and "slots" in fields:
-        return LoadReport(fields["busy"], fields["slots"])
-    return None
+def _frame(piece: bytes, chunked: bool) -> bytes:
+    if not chunked:
+        return piece
+    return b"%x\r\n%b\r\n" % (len(piece), piece)
--- a/tests/core/filters/test_chain.py
+++ b/tests/core/filters/test_chain.py
@@ -10,6 +10,7 @@
 from wasabitray_core.filters.chain import (
     AskController,
     Attempt,
+    Note,
     TellController,
     drive,
 )
@@ -52,7 +53,7 @@
             idempotent=idempotent,
             **route,
         )
-        self.attempts, self.told = [], []
+        self.attempts, self.told, self.notes = [], [], []
         self.slots = itertools.count(1)
         self.freeze_s = 0.0
 
@@ -68,6 +69,9 @@
         if isinstance(effect, TellController):
             self.told.append(effect.message)
             return None
+        if isinstance(effect, Note):
+            self.notes.append(effect)
+            return None
         assert isinstance(effect, Attempt)
         self.attempts.append(effect)
         result = next(self.results)
