--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -86,13 +86,17 @@
         self.name = name
         self.command = command
         self.log = log
+        self.environment: dict[str, str] | None = None
         self.child: subprocess.Popen | None = None
 
     def start(self, *extra: str) -> None:
         """Start it."""
         with self.log.open("ab") as output:
             self.child = subprocess.Popen(
-                [*self.command, *extra], stdout=output, stderr=output
+                [*self.command, *extra],
+                stdout=output,
+                stderr=output,
+                env=self.environment,
             )
 
     def signal(self, number: int) -> None:
--- /dev/null
+++ b/tests/core/controllers/test_subscriber.py
@@ -0,0 +1,122 @@
+"""An entry and the hub that it listens to."""
+
+from support.fakes import Bed
+
+from wasabitray_core.controllers.subscriber import (
+    HUB_TIMEOUT_S,
+    EntryProfile,
+    SubscriberController,
+)
+from wasabitray_core.local import (
+    ControllerName,
+    InForce,
+    SeedsChanged,
+    SetFlag,
+    Spread,
+)
+from wasabitray_core.messages import (
+    ConfigPull,
+    Feed,
+    HostAddress,
+    News,
+    Pause,
+    Presence,
+    Unsubscribe,
+)
+from wasabitray_core.states import HostFlag, PauseCause
+
+PAUSE = Pause("i-1", 1, 12.0, PauseCause.BROKEN)
+SOUTH = HostAddress("c1", "10.0.0.1:1", "south")
+NORTH = HostAddress("c2", "10.0.0.2:1", "north")
+
+
+def entry_bed(*seeds):
+    profile = EntryProfile("south", "hobart", "10.0.0.9:80")
+    bed = Bed(SubscriberController, profile, 100)
+    bed.tell(SeedsChanged(seeds or ("c1", "c2")))
+    return bed
+
+
+def feed(hub, after=0, position=0, in_contact=True, **parts):
+    return Feed(hub, f"run-{hub}", after, position, 0, in_contact, 4, **parts)
+
+
+def sent(bed, kind):
+    return [(h, m) for h, m in bed.outbox.sent if isinstance(m, kind)]
+
+
+def test_entry_subscribes_to_a_seed_at_once():
+    bed = entry_bed("c1")
+    assert sent(bed, Presence)[0][0] == "c1"
+
+
+def test_entry_moves_to_a_hub_of_its_region():
+    bed = entry_bed("c2")
+    bed.receive("c2", feed("c2", hubs=(SOUTH, NORTH)))
+    for _ in range(10):
+        bed.tick(0.5)
+        bed.receive(bed.controller.hub, feed(bed.controller.hub))
+    assert bed.controller.hub == "c1"
+    assert sent(bed, Unsubscribe) == [("c2", Unsubscribe())]
+
+
+def test_silent_hub_is_left():
+    bed = entry_bed()
+    first = bed.controller.hub
+    bed.receive(first, feed(first))
+    bed.tick(HUB_TIMEOUT_S + 0.1)
+    assert bed.controller.hub not in (None, first)
+
+
+def test_hub_without_its_leader_is_left():
+    bed = entry_bed()
+    first = bed.controller.hub
+    for _ in range(4):
+        bed.receive(first, feed(first, in_contact=False))
+        bed.tick(0.5)
+    assert bed.controller.hub != first
+
+
+def test_item_of_the_feed_goes_to_its_controller_and_not_back():
+    bed = entry_bed("c1")
+    bed.receive("c1", feed("c1", position=1, pauses=(PAUSE,)))
+    assert (ControllerName.DISPATCH, PAUSE) in bed.outbox.told
+    bed.tell(Spread(PAUSE))
+    assert not sent(bed, News)
+
+
+def test_own_news_goes_to_the_hub():
+    bed = entry_bed("c1")
+    bed.tell(Spread(PAUSE))
+    assert sent(bed, News) == [("c1", News(pauses=(PAUSE,)))]
+
+
+def test_gap_in_the_feed_is_asked_for():
+    bed = entry_bed("c1")
+    bed.receive("c1", feed("c1", after=0, position=3))
+    bed.receive("c1", feed("c1", after=7, position=8))
+    mark = sent(bed, Presence)[-1][1].marks[0]
+    assert mark.position == 3
+
+
+def test_restarted_hub_is_read_from_the_start():
+    bed = entry_bed("c1")
+    bed.receive("c1", feed("c1", after=0, position=3))
+    again = Feed("c1", "run-new", 0, 2, 0, True, 4)
+    bed.receive("c1", again)
+    bed.tick(0.5)
+    mark = sent(bed, Presence)[-1][1].marks[0]
+    assert (mark.incarnation, mark.position) == ("run-new", 2)
+
+
+def test_newer_configuration_is_pulled():
+    bed = entry_bed("c1")
+    bed.tell(InForce(3, None))
+    bed.receive("c1", Feed("c1", "r", 0, 0, 5, True, 4))
+    assert sent(bed, ConfigPull) == [("c1", ConfigPull(3))]
+
+
+def test_planned_stop_is_told_at_once():
+    bed = entry_bed("c1")
+    bed.tell(SetFlag(HostFlag.LEAVING, True))
+    assert sent(bed, Presence)[-1][1].flags & HostFlag.LEAVING
--- /dev/null
+++ b/tests/core/test_route_table.py
@@ -0,0 +1,103 @@
+"""Routes by host name and path, splits and whole tables."""
+
+from collections import Counter
+
+import pytest
+from support.tables import make_route, make_table
+
+from wasabitray_core.route_table import (
+    RouteTable,
+    diff_documents,
+    read_source,
+    version_of,
+)
+from wasabitray_core.states import RequestKind
+
+
+def test_longest_prefix_of_the_host_wins():
+    short = make_route("short", path="/a/")
+    long = make_route("long", path="/a/b/")
+    other = make_route("other", host="other.example", path="/a/b/c/")
+    table = RouteTable(make_table(1, short, long, other), 0.0)
+    assert table.find("rota.example", "/a/b/x").name == "long"
+    assert table.find("ROTA.example:80", "/a/x").name == "short"
+    assert table.find("rota.example", "/b/") is None
+    assert table.find("nowhere.example", "/a/") is None
+
+
+def test_prefix_that_only_looks_alike_does_not_match():
+    table = RouteTable(make_table(1, make_route("r", path="/a/")), 0.0)
+    assert table.find("rota.example", "/ab") is None
+
+
+@pytest.mark.parametrize("phase", [0.0, 0.4, 0.99])
+@pytest.mark.parametrize("heavy", [50, 90, 97])
+def test_parts_of_a_split_get_their_weight(phase, heavy):
+    route = make_route("r", split=(("s1", heavy), ("s2", 100 - heavy)))
+    table = RouteTable(make_table(1, route), phase)
+    found = Counter(
+        table.find("rota.example", "/a/").service for _ in range(300)
+    )
+    assert abs(found["s1"] / 300 - heavy / 100) < 0.01
+
+
+def test_part_without_weight_gets_nothing():
+    route = make_route("r", split=(("s1", 0), ("s2", 3)))
+    table = RouteTable(make_table(1, route), 0.0)
+    assert {table.find("rota.example", "/a/").service for _ in range(50)} == {
+        "s2"
+    }
+
+
+def test_kind_decides_what_may_be_repeated():
+    routes = [
+        make_route(kind.value, path=f"/{kind.value}/", kind=kind)
+        for kind in RequestKind
+    ]
+    table = RouteTable(make_table(1, *routes), 0.0)
+    repeatable = {
+        kind: table.find("rota.example", f"/{kind.value}/").idempotent
+        for kind in RequestKind
+    }
+    assert repeatable == {
+        RequestKind.IDEMPOTENT: True,
+        RequestKind.NON_IDEMPOTENT: False,
+        RequestKind.UPLOAD: False,
+    }
+
+
+@pytest.mark.parametrize(
+    ("route", "fault"),
+    [
+        (make_route("r", split=(("gone", 1),)), "no service 'gone'"),
+        (make_route("r", split=(("s1", 0),)), "weights add up to 0"),
+    ],
+)
+def test_table_with_a_fault_is_refused_by_name(route, fault):
+    faults = make_table(1, route).check().err_value
+    assert len(faults) == 1
+    assert "routes.r" in faults[0]
+    assert fault in faults[0]
+
+
+def test_route_listed_twice_is_refused():
+    table = make_table(1, make_route("r"), make_route("r", path="/b/"))
+    assert "r is listed twice" in table.check().err_value[0]
+
+
+def test_table_survives_its_documents():
+    table = make_table(7, make_route("r", split=(("s1", 1), ("s2", 2.5))))
+    assert read_source(table.documents()) == table
+    assert version_of(table.documents()) == 7
+
+
+def test_new_version_costs_what_differs():
+    kept, changed, dropped = (make_route(n, path=f"/{n}/") for n in "kcd")
+    held = make_table(1, kept, changed, dropped).documents()
+    newer = make_route("c", path="/c/", timeout_ms=50)
+    edits = diff_documents(held, make_table(2, kept, newer).documents())
+    assert {(e.key, e.body is None) for e in edits} == {
+        ("route/c", False),
+        ("route/d", True),
+        ("table-version", False),
+    }
--- /dev/null
+++ b/tests/support/platform_fleet.py
@@ -0,0 +1,198 @@
+"""A fleet of real processes behind the platform's adapter."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+from fleet import Process, wait_for
+
+from support.platform_standins import Instance, call, send
+
+ROOT = Path(__file__).parent.parent.parent
+PEERS, OPERATORS, CALLERS, READINESS = 7200, 9100, 8381, 8388
+REGISTRY, DIRECTORY, INSTANCES = 8382, 8383, 8407
+REGION_OF_ZONE = {"hobart": "south", "launceston": "north"}
+ZONES = tuple(REGION_OF_ZONE)
+
+
+class PlatformFleet:
+    """Control hosts and entries as the platform would start them."""
+
+    def __init__(self, folder: Path, controls: int = 3, entries: int = 2):
+        self.folder = folder
+        self.number = 1 + os.getpid() % 250
+        self.controls = [f"c{n + 1}" for n in range(controls)]
+        self.entries = [f"e{n + 1}" for n in range(entries)]
+        self.processes: dict[str, Process] = {}
+        self.instances: dict[str, Instance] = {}
+        self.contacts = self.controls[:3]
+
+    def ip(self, name: str) -> str:
+        kind = {"c": 5, "e": 6, "i": 7}[name[0]]
+        return f"127.{self.number}.{kind}.{name[1:]}"
+
+    def zone(self, name: str) -> str:
+        return ZONES[(int(name[1:]) - 1) % len(ZONES)]
+
+    def registry(self, name: str) -> str:
+        return f"{self.ip(name)}:{REGISTRY}"
+
+    def callers(self, name: str) -> str:
+        return f"{self.ip(name)}:{CALLERS}"
+
+    # Life
+
+    def settings_file(self, name: str) -> Path:
+        return self.folder / f"{name}.toml"
+
+    def write_settings(self, name: str, initialise: bool) -> None:
+        """Write what the platform makes of the template."""
+        template = (ROOT / "deploy" / "settings.toml").read_text()
+        control = name in self.controls
+        listen = (
+            {"control": self.registry(name), "directory": self.directory(name)}
+            if control
+            else {"front": self.callers(name), "ready": self.readiness(name)}
+        )
+        fields = {
+            "ip": self.ip(name),
+            "role": "control" if control else "entry",
+            "region": REGION_OF_ZONE[self.zone(name)],
+            "zone": self.zone(name),
+            "bootstrap": initialise,
+            "bounds": {"grace": "6s", "retry_ratio": 0.2, "retry_slack": 56},
+            "data_dir": str(self.folder / f"{name}-data") if control else None,
+            "listen": listen,
+            "port_range": [PEERS, PEERS + 15],
+            "seeds": [self.registry(c) for c in self.contacts],
+            "zones": REGION_OF_ZONE,
+        }
+        self.settings_file(name).write_text(fill(template, fields))
+
+    def start_host(self, name: str, initialise: bool = False) -> None:
+        self.write_settings(name, initialise)
+        if name in self.controls:
+            (self.folder / f"{name}-data").mkdir(exist_ok=True)
+        command = [sys.executable, "-m", "wasabitray_platform"]
+        process = Process(name, command, self.folder / f"{name}.log")
+        process.environment = {
+            **os.environ,
+            "WASABITRAY_SETTINGS": str(self.settings_file(name)),
+            "PYTHONPATH": str(ROOT / "platform"),
+        }
+        self.processes[name] = process
+        process.start()
+
+    def start(self) -> None:
+        for name in (*self.controls, *self.entries):
+            self.start_host(name, initialise=True)
+
+    def start_instance(self, name: str, service: str, **fields) -> Instance:
+        address = f"{self.ip(name)}:{INSTANCES}"
+        control = [self.registry(c) for c in self.controls]
+        zone = self.zone(name)
+        instance = Instance(
+            f"i-{name}", service, address, zone, control, **fields
+        )
+        self.instances[name] = instance
+        return instance
+
+    def shut_down(self) -> None:
+        for instance in self.instances.values():
+            instance.stop()
+        for process in self.processes.values():
+            process.kill()
+
+    # Asking
+
+    def directory(self, name: str) -> str:
+        return f"{self.ip(name)}:{DIRECTORY}"
+
+    def readiness(self, name: str) -> str:
+        return f"{self.ip(name)}:{READINESS}"
+
+    def is_ready(self, name: str) -> bool:
+        return call(self.readiness(name), "GET", "/-/readyz").status == 200
+
+    def configure(self, body: dict, first: str = "c1") -> int:
+        """Put a configuration as the operator does; return the status."""
+        hosts = [first, *(c for c in self.controls if c != first)]
+
+        def attempt():
+            for name in hosts:
+                reply = self.follow(name, "PUT", body)
+                if reply is not None and reply.status < 500:
+                    return reply
+            return None
+
+        return wait_for(attempt, 15, "an answer to the operator").status
+
+    def follow(self, name: str, method: str, body=None):
+        """Call the configuration and follow redirections twice."""
+        address = self.registry(name)
+        for _ in range(3):
+            try:
+                reply = call(address, method, "/-/config", body)
+            except (OSError, EOFError):
+                return None
+            if reply.status != 307:
+                return reply
+            address = reply.headers["location"].split("/")[2]
+        return reply
+
+    def send(self, entry: str, method: str, path: str, **options):
+        headers = {
+            "Request-Id": options.pop("id", os.urandom(8).hex()),
+            "Deadline-Ms": "4000",
+            **options.pop("headers", {}),
+        }
+        address = self.callers(entry)
+        body = options.pop("body", b"")
+        return send(address, method, path, body, headers, **options)
+
+
+def fill(template: str, fields: dict) -> str:
+    """Fill a template as the platform's pages describe it."""
+    import json
+    import re
+
+    section = re.compile(r"\{\{#([\w.]+)\}\}\n?(.*?)\{\{/\1\}\}\n?", re.S)
+
+    def find(name: str, entry=None):
+        found = fields
+        for part in name.split("."):
+            if isinstance(found, list):
+                found = found[int(part)]
+            else:
+                found = found.get(part) if found else None
+        return found
+
+    def repeat(match):
+        value, inner = find(match[1]), match[2]
+        if not value:
+            return ""
+        pairs = (
+            list(value.items())
+            if isinstance(value, dict)
+            else list(enumerate(value))
+            if isinstance(value, list)
+            else [("", value)]
+        )
+        texts = []
+        for number, (key, item) in enumerate(pairs):
+            comma = "," if number + 1 < len(pairs) else ""
+            text = inner.replace("{{.}}", str(item))
+            text = text.replace("{{@}}", str(key)).replace("{{,}}", comma)
+            texts.append(text)
+        return "".join(texts)
+
+    def value_of(match):
+        value = find(match[1])
+        if match[2]:
+            return json.dumps(value)
+        return "" if value is None else str(value)
+
+    text = section.sub(repeat, template)
+    return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", value_of, text)
