Resend lost news under steady news; do not charge unsent attempts

Change: the resend timer follows the reader's progress; attempts without a connection are free; timeouts pause nobody; paused targets come back while the others can't carry the load; stops end inside the grace time.

--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -12,6 +12,7 @@
     Origin,
 )
 from wasabitray_core.controllers.retry_budget import RetryBudget, RetryLimits
+from wasabitray_core.controllers.usage import Usage
 from wasabitray_core.controllers.waiting import Queues, Waiter
 from wasabitray_core.ids import (
     RegionName,
@@ -53,8 +54,6 @@
 # docs/DESIGN.md tells how the durations were measured.
 PAUSE_RULES: dict[AttemptStatus, tuple[PauseCause, float]] = {
     AttemptStatus.FAILED: (PauseCause.BROKEN, 12.0),
-    AttemptStatus.TRUNCATED: (PauseCause.BROKEN, 12.0),
-    AttemptStatus.TIMED_OUT: (PauseCause.SILENT, 4.0),
 }
 
 
@@ -66,6 +65,7 @@
         default_factory=lambda: {work: Queues() for work in WorkClass}
     )
     hold_time: dict[WorkClass, float] = field(default_factory=dict)
+    usage: Usage = field(default_factory=Usage)
 
     def waiting(self) -> int:
         return sum(len(q) for q in self.queues.values())
@@ -101,6 +101,7 @@
         self._region = region
         self._retries = retries or RetryLimits()
         self._pauses = pauses
+        self._entries = 1
         self._burst = self._retries.burst(1)
         self._services: dict[ServiceName, _Service] = {}
 
@@ -168,6 +169,7 @@
         service = self._service(message.service)
         state = service.targets.get(message.target)
         now = self._now()
+        service.usage.change(-1, now)
         if state is not None:
             state.busy = max(0, state.busy - 1)
             if message.work is WorkClass.LONG:
@@ -230,6 +232,7 @@
 
     @receive.register
     def _(self, message: FleetSize, origin: Origin) -> None:
+        self._entries = max(1, message.entries)
         self._burst = self._retries.burst(message.entries)
 
     def _apply_pause(self, state: TargetState, pause: Pause) -> None:
@@ -324,6 +327,7 @@
             ask.excluded,
             ask.pinned,
             ask.idempotent and ask.work is WorkClass.SHORT and not ask.retry,
+            *self._demand(service),
         )
         now = self._now()
         choice = choose(service.targets, need, now, self._context.random)
@@ -332,6 +336,7 @@
         state = choice.state
         load = state.load(now)
         state.busy += 1
+        service.usage.change(+1, now)
         if ask.work is WorkClass.LONG:
             state.busy_long += 1
         waited = Seconds(now - waiter.since)
@@ -340,6 +345,17 @@
         )
         return True
 
+    def _demand(self, service: _Service) -> tuple[float, float]:
+        """Return the slots in use by all entries, and by this region's.
+
+        Entries are taken to be alike, and spread evenly over the regions
+        that the targets are in.
+        """
+        used = service.usage.value(self._now())
+        regions = {s.target.region for s in service.targets.values()}
+        fleet = used * self._entries
+        return fleet, fleet / max(1, len(regions))
+
     # Feedback
 
     @staticmethod
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -86,10 +86,16 @@
 
 @dataclass(slots=True)
 class _Subscriber:
-    """An entry that listens to this hub."""
+    """An entry that listens to this hub.
+
+    Attributes:
+        acked: how far it has read the feed.
+        progress_at: when it last read on, or was last sent what it lacks.
+    """
 
     sent: FeedPosition
-    sent_at: Seconds
+    acked: FeedPosition
+    progress_at: Seconds
     heard: Seconds
     told_hubs: bool = False
 
@@ -101,13 +107,16 @@
     Attributes:
         marks: how far it has read the feeds of all hubs.
         sent: how far this hub's own feed was sent to it.
+        acked: how far it has read that.
+        progress_at: when it last read on, or was last sent what it lacks.
         heard: when it was last heard of; never if minus infinity.
     """
 
     address: HostAddress
     marks: dict[HostId, FeedMark] = field(default_factory=dict)
     sent: FeedPosition = _START
-    sent_at: Seconds = Seconds(float("-inf"))
+    acked: FeedPosition = _START
+    progress_at: Seconds = Seconds(float("-inf"))
     heard: Seconds = Seconds(float("-inf"))
 
 
@@ -369,8 +378,8 @@
         feed = self._feed(mark, self._table.position, items, full)
         self._outbox.send(host, feed)
         subscriber.told_hubs = True
-        if items:
-            subscriber.sent_at = now
+        if subscriber.acked >= subscriber.sent:
+            subscriber.progress_at = now  # nothing was under way before
         subscriber.sent = self._table.position
 
     def _feed_hub(self, host: HostId, hub: _Hub) -> None:
@@ -385,7 +394,9 @@
         self._outbox.send(
             host, self._feed(mark, self._table.position, items, False)
         )
-        hub.sent, hub.sent_at = self._table.position, now
+        if hub.acked >= hub.sent:
+            hub.progress_at = now  # nothing was under way before
+        hub.sent = self._table.position
 
     def _relay(self, host: HostId, now: Seconds) -> None:
         """Pass a third hub's feed on to a hub that lags behind."""
@@ -452,9 +463,12 @@
         hub.heard = now
         hub.marks = {m.hub: m for m in presence.marks}
         read = self._read_by(host)
-        late = now - hub.sent_at > RESEND_AFTER_S
-        if read > hub.sent or (read < hub.sent and late):
-            hub.sent = read
+        if read > hub.acked:
+            hub.acked, hub.progress_at = read, now
+            hub.sent = max(read, hub.sent)
+        elif now - hub.progress_at > RESEND_AFTER_S:
+            hub.sent = min(read, hub.sent)
+            hub.acked, hub.progress_at = read, now
         self._feed_hub(host, hub)
         self._confirm()
         if presence.revision > self._revision:
@@ -514,11 +528,14 @@
             read = mark.position
         subscriber = self._subscribers.get(host)
         if subscriber is None:
-            subscriber = _Subscriber(read, now, now)
+            subscriber = _Subscriber(read, read, now, now)
             self._subscribers[host] = subscriber
             self._outbox.report("entry subscribed", peer=host, position=read)
-        elif now - subscriber.sent_at > RESEND_AFTER_S:
+        elif read > subscriber.acked:
+            subscriber.acked, subscriber.progress_at = read, now
+        elif now - subscriber.progress_at > RESEND_AFTER_S:
             subscriber.sent = min(read, subscriber.sent)
+            subscriber.acked, subscriber.progress_at = read, now
         subscriber.heard = now
         state = EntryState(
             host,
--- a/packages/core/src/wasabitray_core/filters/retry.py
+++ b/packages/core/src/wasabitray_core/filters/retry.py
@@ -9,6 +9,8 @@
 from wasabitray_core.requests import Answer, Exchange
 from wasabitray_core.states import Outcome, RefusalReason
 
+# Attempts without a connection cost nobody work, only the caller's time.
+MAX_UNSENT = 4
 # A request that breaks targets may be the cause: it is not spread further.
 MAX_BREAKS = 2
 MAX_BREAKS_IF_SUSPECT = 1
@@ -23,7 +25,8 @@
     A request that may have run is repeated only when it is idempotent. The
     budget is kept by the controller that grants slots: it refuses a slot
     for a retry when the service's budget is used up, and the answer of the
-    attempt before then stands.
+    attempt before then stands. An attempt for which there was no connection
+    is free: no target saw it.
     """
 
     def __init__(self, clock: Callable[[], Seconds]) -> None:
@@ -34,9 +37,9 @@
         """Make one or more attempts."""
         answer = yield from proceed(exchange)
         while self._may_retry(exchange, answer):
-            before = exchange.attempts
+            before = len(exchange.tried)
             retried = yield from proceed(exchange)
-            if exchange.attempts == before:
+            if len(exchange.tried) == before:
                 return answer  # no slot for a retry
             if answer.chunks is not None:
                 answer.chunks.close()
@@ -50,6 +53,8 @@
             exchange
         ):
             return False
+        if exchange.unsent > MAX_UNSENT:
+            return False
         if self._clock() >= exchange.deadline:
             return False
         if exchange.request.stream is not None:
--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -98,13 +98,16 @@
         if not exchange.is_wanted():
             yield self._release(exchange, target, _NOT_SENT)
             return _refuse(exchange, Refusal(RefusalReason.CALLER_GONE))
-        exchange.attempts += 1
         exchange.tried.append(target.target)
         # A reused connection can be dead already, and a request lost on it
         # can't be told from one that ran.
-        fresh = not exchange.matched.idempotent or exchange.attempts > 1
+        fresh = not exchange.matched.idempotent or len(exchange.tried) > 1
         timeout = self._attempt_timeout(exchange)
         result = yield Attempt(target, exchange.request, timeout, fresh)
+        if result.was_sent:
+            exchange.attempts += 1
+        else:
+            exchange.unsent += 1
         yield _describe(exchange, granted, result)
         exchange.ran = exchange.ran or result.may_have_run
         fault = find_fault(exchange, result)
@@ -211,7 +214,7 @@
         "attempt",
         {
             "request": exchange.request.id,
-            "number": exchange.attempts,
+            "number": len(exchange.tried),
             "target": granted.target.target,
             "address": granted.target.address,
             "service": exchange.service,
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -14,6 +14,9 @@
 # Other entries' work shows only in reported load, which ages quickly.
 LOAD_REPORT_TTL_S = 0.25
 TRIAL_CHANCE = 0.1
+# Part of some targets' slots that the load on them may take. With random
+# placement on two slots, waits grow steeply above this.
+MAX_USE = 0.6
 
 
 class Basis(Enum):
@@ -25,8 +28,8 @@
     """It is on its way back and gets a trickle."""
     LOAD = "load"
     """The less loaded of two."""
-    LONGEST_PAUSED = "longest-paused"
-    """All are paused; this one for the longest time."""
+    NEEDED = "needed"
+    """It is paused, but the others can't carry the load."""
 
 
 @dataclass(slots=True)
@@ -91,12 +94,16 @@
         excluded: targets already tried.
         pinned: the only target allowed.
         trial: whether a target on trial may get it.
+        demand: slots of the service that all entries use now, about.
+        near_demand: those that the entries of this region use.
     """
 
     region: RegionName
     excluded: Collection[TargetId] = ()
     pinned: TargetId | None = None
     trial: bool = False
+    demand: float = 0.0
+    near_demand: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,8 +124,9 @@
 
     A request gets the less loaded of two random targets (Mitzenmacher, "The
     power of two choices in randomized load balancing", 2001) in the entry's
-    own region if one has room there. A target that is unreachable from here
-    gets work when no other has room, a paused one when all are paused.
+    own region if those there can carry the region's load. A target that is
+    unreachable from here gets work when no other has room, a paused one when
+    the others can't carry the load.
     """
     if need.pinned is not None:
         pinned = targets.get(need.pinned)
@@ -129,21 +137,39 @@
         trials = [s for s in allowed if s.probation and not s.busy]
         if trials:
             return Choice(source.choice(trials), Basis.TRIAL)
-    unpaused = [s for s in left if not s.probation and not s.is_paused(now)]
-    if not unpaused:
-        return _choose_paused(allowed)
-    free = [s for s in unpaused if s.has_room(now)]
+    usable = [s for s in left if not s.probation]
+    wanted = _enough(usable, need.demand, now)
+    free = [s for s in wanted if s.has_room(now)]
     reachable = [s for s in free if s.avoid_until <= now] or free
     near = [s for s in reachable if s.target.region == need.region]
+    if _slots(near) * MAX_USE < need.near_demand:
+        near = reachable
     return _less_loaded(near or reachable, now, source)
 
 
-def _choose_paused(states: Iterable[TargetState]) -> Choice | None:
-    candidates = [s for s in states if not s.probation]
-    if not candidates:
-        return None
-    longest = min(candidates, key=lambda s: s.paused_until)
-    return Choice(longest, Basis.LONGEST_PAUSED)
+def _enough(
+    states: list[TargetState], demand: float, now: Seconds
+) -> list[TargetState]:
+    """Return the targets not paused, and paused ones while more are needed.
+
+    A pause that leaves too little for the load would only turn a few lost
+    requests into many late ones. Those paused for the longest time come
+    back first.
+    """
+    chosen = [s for s in states if not s.is_paused(now)]
+    paused = [s for s in states if s.is_paused(now)]
+    paused.sort(key=lambda s: s.paused_until)
+    slots = _slots(chosen)
+    for state in paused:
+        if slots and slots * MAX_USE >= demand:
+            break
+        chosen.append(state)
+        slots += state.target.slots
+    return chosen
+
+
+def _slots(states: Iterable[TargetState]) -> int:
+    return sum(s.target.slots for s in states)
 
 
 def _less_loaded(
@@ -153,4 +179,5 @@
         return None
     pair = source.sample(states, min(2, len(states)))
     chosen = min(pair, key=lambda s: s.load(now) / s.target.slots)
-    return Choice(chosen, Basis.LOAD)
+    paused = chosen.is_paused(now)
+    return Choice(chosen, Basis.NEEDED if paused else Basis.LOAD)
--- a/packages/core/src/wasabitray_core/requests.py
+++ b/packages/core/src/wasabitray_core/requests.py
@@ -144,6 +144,11 @@
     elapsed: Seconds = Seconds(0.0)
     detail: str = ""
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether any byte of the request can have reached the target."""
+        return self.status is not AttemptStatus.UNREACHABLE
+
     @property
     def may_have_run(self) -> bool:
         """Whether the target can have started the work."""
@@ -162,6 +167,8 @@
         arrived: monotonic time of arrival.
         deadline: monotonic time after which no answer helps.
         ran: whether a target can have started the work.
+        attempts: targets that the request was sent to.
+        unsent: attempts for which there was no connection.
         tried: targets already used, newest last.
         pinned: the target of a reserved long slot.
         suspect: whether the request broke targets before.
@@ -182,6 +189,7 @@
     fingerprint: Fingerprint = Fingerprint("")
     ran: bool = False
     attempts: int = 0
+    unsent: int = 0
     tried: list[TargetId] = field(default_factory=list)
     pinned: TargetId | None = None
     suspect: bool = False
--- a/packages/core/src/wasabitray_core/states.py
+++ b/packages/core/src/wasabitray_core/states.py
@@ -114,7 +114,7 @@
 
     ANSWERED = "answered"
     REFUSED = "refused"
-    """Connection refused, or the target declared it did not run."""
+    """The target declared that it did not run, for another reason."""
     SHED = "shed"
     """The target declared overload before running the request."""
     FAILED = "failed"
@@ -127,7 +127,7 @@
     CANCELLED = "cancelled"
     """The caller went away; it may have run."""
     UNREACHABLE = "unreachable"
-    """No connection within its timeout, so nothing was sent."""
+    """No connection, so nothing was sent."""
     INVALID = "invalid"
     """What came back is no answer to this request; it may have run."""
     MISDIRECTED = "misdirected"
--- a/packages/node/src/wasabitray_node/app.py
+++ b/packages/node/src/wasabitray_node/app.py
@@ -44,7 +44,7 @@
 # Parts of the time for a planned stop: callers come until the first one, and
 # their requests may take until the second.
 ACCEPT_SHARE = 0.5
-FINISH_SHARE = 0.9
+FINISH_SHARE = 0.88
 # Fewer, larger collections: their pauses show in the slowest requests.
 COLLECTOR_THRESHOLDS = (10_000, 20, 50)
 TRANSFER_WAIT_S = 0.5
@@ -169,7 +169,7 @@
         else:
             self._drain_within(self._settings.grace_s)
         for server in self._servers:
-            server.stop(timeout=STOP_MARGIN_S)
+            server.stop(timeout=0 if self._settings.grace_s else STOP_MARGIN_S)
         gevent.killall(tasks)
         self._listener.stop()
         if self._assembly.storage is not None:
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -82,7 +82,9 @@
             exchange.abandon()
             result = AttemptResult(AttemptStatus.CANCELLED, detail=str(error))
         except _ConnectError as error:
-            result = AttemptResult(error.status, detail=str(error))
+            result = AttemptResult(
+                AttemptStatus.UNREACHABLE, detail=str(error)
+            )
         except _TRANSPORT_ERRORS as error:
             silent = getattr(error, "errno", None) in _NO_REPLY_ERRORS
             result = self._to_failure(exchange, str(error), timed_out=silent)
@@ -104,10 +106,8 @@
             sock = gevent.socket.create_connection(
                 split_address(target.address or target.target), timeout=timeout
             )
-        except ConnectionRefusedError as error:
-            raise _ConnectError(AttemptStatus.REFUSED, error) from error
         except OSError as error:
-            raise _ConnectError(AttemptStatus.UNREACHABLE, error) from error
+            raise _ConnectError(f"connect: {error}") from error
         sock.settimeout(None)  # the whole attempt has one timeout
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(
@@ -185,10 +185,6 @@
 class _ConnectError(Exception):
     """No connection, so nothing was sent."""
 
-    def __init__(self, status: AttemptStatus, error: OSError) -> None:
-        super().__init__(f"connect: {error}")
-        self.status = status
-
 
 class _Exchange:
     """One request and its answer on one connection."""
--- a/tests/core/controllers/test_hub.py
+++ b/tests/core/controllers/test_hub.py
@@ -188,3 +188,18 @@
     bed.clock.advance(5.0)
     bed.receive("e2", presence())
     assert feeds_to(bed, "e2")[0].pauses[0].duration_s == 7.0
+
+
+def test_lost_feed_is_sent_again_while_other_news_keeps_coming():
+    bed = hub_bed()
+    bed.receive("e1", presence())
+    gone = replace(WORD, phase=TargetPhase.LEAVING)
+    bed.ask(Register(gone))
+    bed.outbox.sent.clear()  # the feed is lost
+    mark = FeedMark("c1", "run-1", 0)
+    for number in range(8):
+        bed.clock.advance(0.2)
+        pause = replace(PAUSE, target=f"t-{number}")
+        bed.receive("e2", News(pauses=(pause,)))
+        bed.receive("e1", presence(2 + number, (mark,)))
+    assert any(f.announcements == (gone,) for f in feeds_to(bed, "e1"))
