Use paused targets for overflow only; wait for written answers at a stop

After a power loss of all hosts the first election took 2 to 3 s since the first round of votes met closed listeners. Change: a paused target gets the share that the others can't carry, the longest paused first, and its pause ends with its first answer; a stop waits for the connections; elections are retried sooner until a leader was heard; requests wait for the first configuration while the fleet starts.

--- a/packages/core/src/wasabitray_core/controllers/configuration.py
+++ b/packages/core/src/wasabitray_core/controllers/configuration.py
@@ -87,6 +87,7 @@
         audience: tuple[ControllerName, ...],
         push_fanout: int = PUSH_FANOUT,
         when_isolated: IsolationPolicy = IsolationPolicy.REFUSE,
+        startup_wait_s: float = 0.0,
     ) -> None:
         """Start without a configuration.
 
@@ -95,11 +96,15 @@
             audience: controllers told of each revision put in force.
             push_fanout: entries that a new revision is passed on to.
             when_isolated: what to do while cut off from the fleet.
+            startup_wait_s: seconds from the start in which requests wait
+                for the first configuration.
         """
         super().__init__(context)
         self._audience = audience
         self._push_fanout = push_fanout
         self._when_isolated = when_isolated
+        self._wait_until = Seconds(context.clock() + startup_wait_s)
+        self._waiting: list[tuple[Resolve, Origin]] = []
         self._table: RouteTable | None = None
         self._split_phase = context.random.random()
         self._revision = Revision(0)
@@ -127,7 +132,8 @@
 
     @receive.register
     def _(self, message: Tick, origin: Origin) -> None:
-        """Nothing is due by time alone."""
+        if self._waiting and self._now() >= self._wait_until:
+            self._answer_waiting()
 
     @receive.register
     def _(self, message: FleetView, origin: Origin) -> None:
@@ -204,7 +210,16 @@
 
     @receive.register
     def _(self, message: Resolve, origin: Origin) -> None:
-        self._reply(origin, self._resolve(message))
+        if self._revision == 0 and self._now() < self._wait_until:
+            self._waiting.append((message, origin))
+        else:
+            self._reply(origin, self._resolve(message))
+
+    def _answer_waiting(self) -> None:
+        """Answer the requests that came before the first configuration."""
+        waiting, self._waiting = self._waiting, []
+        for ask, origin in waiting:
+            self._reply(origin, self._resolve(ask))
 
     # Applying
 
@@ -255,6 +270,7 @@
             table_version=self._table.version if self._table else None,
         )
         self._tell_serving()
+        self._answer_waiting()
 
     def _collect_floors(self) -> dict[ServiceName, int]:
         """Return the highest floor that any template states per service."""
--- a/packages/core/src/wasabitray_core/controllers/consensus/election.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/election.py
@@ -15,6 +15,10 @@
 
 ELECTION_MIN_S = 1.0
 ELECTION_SPREAD_S = 0.8
+# Until a leader was heard; both are well above a round trip between regions.
+FIRST_ELECTION_S = 0.3
+FIRST_ELECTION_SPREAD_S = 0.5
+NEVER = Seconds(float("-inf"))
 NO_MEMBER = MemberId("")
 UNKNOWN_HOST = HostId("")
 
@@ -33,7 +37,7 @@
     ballot: Ballot
     role: ConsensusRole = ConsensusRole.FOLLOWER
     leader: MemberId = NO_MEMBER
-    leader_heard: Seconds = Seconds(float("-inf"))
+    leader_heard: Seconds = NEVER
     timeout: Seconds = Seconds(0.0)
     votes: set[MemberId] = field(default_factory=set)
 
--- a/packages/core/src/wasabitray_core/controllers/consensus/state.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/state.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 
 from wasabitray_core.controllers.consensus.election import (
+    FIRST_ELECTION_S,
+    FIRST_ELECTION_SPREAD_S,
+    NEVER,
     UNKNOWN_HOST,
     Election,
 )
@@ -70,6 +73,15 @@
         return self.context.clock()
 
     def postpone(self) -> None:
-        """Set a new random election timeout."""
+        """Set a new random election timeout.
+
+        It is short while no leader was heard since the start: then the
+        group starts as a whole, or a leader is about to be heard.
+        """
         chance = self.context.random.random()
-        self.election.postpone(self.now(), chance)
+        now = self.now()
+        if self.leads or self.election.leader_heard > NEVER:
+            self.election.postpone(now, chance)
+        else:
+            wait = FIRST_ELECTION_S + FIRST_ELECTION_SPREAD_S * chance
+            self.election.timeout = Seconds(now + wait)
--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -88,6 +88,7 @@
         region: RegionName,
         retries: RetryLimits | None = None,
         pauses: bool = False,
+        startup_wait_s: float = 0.0,
     ) -> None:
         """Start without targets.
 
@@ -96,11 +97,14 @@
             region: this entry's region, preferred for targets.
             retries: bounds on retries.
             pauses: whether targets that fail are paused for the fleet.
+            startup_wait_s: seconds from the start in which requests wait
+                for the first targets.
         """
         super().__init__(context)
         self._region = region
         self._retries = retries or RetryLimits()
         self._pauses = pauses
+        self._wait_until = Seconds(context.clock() + startup_wait_s)
         self._entries = 1
         self._burst = self._retries.burst(1)
         self._services: dict[ServiceName, _Service] = {}
@@ -176,7 +180,7 @@
                 state.busy_long = max(0, state.busy_long - 1)
             self._note_load(state, message, now)
             self._note_path(state, message, now)
-            self._pause_if_failed(state, message)
+            self._judge_target(state, message)
         if message.status is AttemptStatus.ANSWERED:
             old = service.hold_time.get(message.work, message.elapsed)
             change = HOLD_TIME_WEIGHT * (message.elapsed - old)
@@ -240,10 +244,16 @@
         state.paused_until = Seconds(self._now() + pause.duration_s)
         state.pause_cause = pause.cause
 
-    def _pause_if_failed(self, state: TargetState, release: Release) -> None:
-        """Pause a target after an attempt that speaks against it."""
+    def _judge_target(self, state: TargetState, release: Release) -> None:
+        """Pause a target that failed; end the pause of one that answers."""
+        if not self._pauses:
+            return
         rule = PAUSE_RULES.get(release.status)
-        if rule is None or not self._pauses:
+        if release.status is AttemptStatus.ANSWERED and state.is_paused(
+            self._now()
+        ):
+            rule = PauseCause.RECOVERED, 0.0
+        if rule is None:
             return
         cause, duration = rule
         number = state.pause_number + 1
@@ -285,6 +295,8 @@
     def _refuse_early(self, service: _Service, waiter: Waiter) -> bool:
         """Refuse a request that its queue can't serve in time."""
         pinned = waiter.ask.pinned
+        if not service.targets and self._now() < self._wait_until:
+            return False  # the registry is on its way
         if not service.targets or (pinned and pinned not in service.targets):
             refusal = Refusal(RefusalReason.NO_TARGET, self._retry_after(1.0))
             self._reply(waiter.origin, refusal)
@@ -298,6 +310,8 @@
 
     def _refuse_late(self, service: _Service, waiter: Waiter) -> bool:
         """Refuse a waiting request whose answer would come too late."""
+        if not service.targets and self._now() >= self._wait_until:
+            return self._refuse_early(service, waiter)
         hold = service.hold_time.get(waiter.ask.work, 0.0)
         if self._now() + hold < waiter.ask.deadline:
             return False
@@ -327,6 +341,7 @@
             ask.excluded,
             ask.pinned,
             ask.idempotent and ask.work is WorkClass.SHORT and not ask.retry,
+            ask.large,
             *self._demand(service),
         )
         now = self._now()
--- a/packages/core/src/wasabitray_core/controllers/feed_table.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_table.py
@@ -28,6 +28,8 @@
 
 # A quarantine is told again by the entry that meets the request next.
 QUARANTINE_TTL_S = 120.0
+# The end of a pause is kept until every reader has it.
+RECOVERY_TTL_S = 5.0
 
 
 @singledispatch
@@ -117,7 +119,12 @@
 
 
 @lifetime_of.register
-def _(item: Pause | Ejection) -> float | None:
+def _(item: Pause) -> float | None:
+    return max(item.duration_s, RECOVERY_TTL_S)
+
+
+@lifetime_of.register
+def _(item: Ejection) -> float | None:
     return item.duration_s
 
 
--- a/packages/core/src/wasabitray_core/controllers/usage.py
+++ b/packages/core/src/wasabitray_core/controllers/usage.py
@@ -8,7 +8,7 @@
 
 # One entry of many gets a few requests a second; over a shorter time its
 # average says nothing.
-AVERAGING_S = 4.0
+AVERAGING_S = 6.0
 
 
 class Usage:
--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -40,6 +40,9 @@
 
 # Part of the time left that one attempt at repeatable work may use.
 ATTEMPT_SHARE = 0.5
+# A body above this costs more to bring to another region than all else that
+# its request needs there.
+LARGE_BODY_BYTES = 8_192
 
 _DISPATCH = ControllerName.DISPATCH
 _NOT_SENT = AttemptResult(AttemptStatus.CANCELLED)
@@ -125,6 +128,7 @@
 
     @staticmethod
     def _acquire(exchange: Exchange) -> Acquire:
+        length = exchange.request.length
         return Acquire(
             exchange.service,
             exchange.request.organisation,
@@ -135,6 +139,7 @@
             exchange.pinned,
             exchange.attempts > 0,
             exchange.policy.retry_share,
+            length is None or length > LARGE_BODY_BYTES,
         )
 
     def _to_answer(
--- a/packages/core/src/wasabitray_core/local.py
+++ b/packages/core/src/wasabitray_core/local.py
@@ -385,6 +385,7 @@
         excluded: targets already tried.
         pinned: the only target allowed, from a long slot.
         retry_share: retries allowed as a share of first attempts.
+        large: whether the body is costly to bring to another region.
     """
 
     service: ServiceName
@@ -396,6 +397,7 @@
     pinned: TargetId | None = None
     retry: bool = False
     retry_share: float = 0.0
+    large: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -14,9 +14,10 @@
 # Other entries' work shows only in reported load, which ages quickly.
 LOAD_REPORT_TTL_S = 0.25
 TRIAL_CHANCE = 0.1
-# Part of some targets' slots that the load on them may take. With random
-# placement on two slots, waits grow steeply above this.
-MAX_USE = 0.6
+# Requests for each slot that targets may have before paused ones are needed.
+# Targets queue a few: waiting for one and a half others costs less than the
+# four in five requests that a paused target loses.
+MAX_USE = 2.5
 
 
 class Basis(Enum):
@@ -94,6 +95,7 @@
         excluded: targets already tried.
         pinned: the only target allowed.
         trial: whether a target on trial may get it.
+        large: whether its body is costly to bring to another region.
         demand: slots of the service that all entries use now, about.
         near_demand: those that the entries of this region use.
     """
@@ -102,6 +104,7 @@
     excluded: Collection[TargetId] = ()
     pinned: TargetId | None = None
     trial: bool = False
+    large: bool = False
     demand: float = 0.0
     near_demand: float = 0.0
 
@@ -138,34 +141,41 @@
         if trials:
             return Choice(source.choice(trials), Basis.TRIAL)
     usable = [s for s in left if not s.probation]
-    wanted = _enough(usable, need.demand, now)
-    free = [s for s in wanted if s.has_room(now)]
+    unpaused = [s for s in usable if not s.is_paused(now)]
+    if _is_short(unpaused, need.demand / MAX_USE, source):
+        paused = [s for s in allowed if s.is_paused(now) and not s.probation]
+        if paused:
+            reachable = [s for s in paused if s.avoid_until <= now]
+            return _longest_paused(reachable or paused)
+    free = [s for s in unpaused if s.has_room(now)]
     reachable = [s for s in free if s.avoid_until <= now] or free
     near = [s for s in reachable if s.target.region == need.region]
-    if _slots(near) * MAX_USE < need.near_demand:
+    if not need.large and _is_short(near, need.near_demand, source):
         near = reachable
     return _less_loaded(near or reachable, now, source)
 
 
-def _enough(
-    states: list[TargetState], demand: float, now: Seconds
-) -> list[TargetState]:
-    """Return the targets not paused, and paused ones while more are needed.
+def _is_short(
+    states: list[TargetState], demand: float, source: random.Random
+) -> bool:
+    """Tell whether a request belongs to what some targets can't carry.
 
-    A pause that leaves too little for the load would only turn a few lost
-    requests into many late ones. Those paused for the longest time come
-    back first.
+    The part of the requests for which this is true grows with what lacks,
+    so that all entries together send just that part elsewhere.
     """
-    chosen = [s for s in states if not s.is_paused(now)]
-    paused = [s for s in states if s.is_paused(now)]
-    paused.sort(key=lambda s: s.paused_until)
-    slots = _slots(chosen)
-    for state in paused:
-        if slots and slots * MAX_USE >= demand:
-            break
-        chosen.append(state)
-        slots += state.target.slots
-    return chosen
+    capacity = _slots(states)
+    if demand <= capacity:
+        return not states
+    return source.random() * demand > capacity
+
+
+def _longest_paused(states: list[TargetState]) -> Choice:
+    """Choose the target that had the longest time to recover.
+
+    Without it, a pause that leaves too little for the load would turn a few
+    lost requests into many late ones.
+    """
+    return Choice(min(states, key=lambda s: s.paused_until), Basis.NEEDED)
 
 
 def _slots(states: Iterable[TargetState]) -> int:
@@ -179,5 +189,4 @@
         return None
     pair = source.sample(states, min(2, len(states)))
     chosen = min(pair, key=lambda s: s.load(now) / s.target.slots)
-    paused = chosen.is_paused(now)
-    return Choice(chosen, Basis.NEEDED if paused else Basis.LOAD)
+    return Choice(chosen, Basis.LOAD)
--- a/packages/core/src/wasabitray_core/states.py
+++ b/packages/core/src/wasabitray_core/states.py
@@ -53,6 +53,8 @@
     """Nothing listens at its address."""
     ERRORS = 4
     """It answered with errors of its own."""
+    RECOVERED = 5
+    """It answered while it was paused, which ends the pause."""
 
 
 class Outcome(Enum):
--- a/packages/node/src/wasabitray_node/app.py
+++ b/packages/node/src/wasabitray_node/app.py
@@ -210,7 +210,9 @@
         gevent.sleep(ACCEPT_SHARE * grace_s)
         self._callers.close()
         self._callers.close_idle()
-        self._work.wait_idle((FINISH_SHARE - ACCEPT_SHARE) * grace_s)
+        left_s = (FINISH_SHARE - ACCEPT_SHARE) * grace_s
+        if not self._callers.wait_quiet(left_s):
+            log_change("requests cut off", count=self._work.in_flight)
 
     def _leave(self) -> None:
         leaving = SetFlag(HostFlag.LEAVING, True)
--- a/packages/node/src/wasabitray_node/assembly.py
+++ b/packages/node/src/wasabitray_node/assembly.py
@@ -179,6 +179,7 @@
                 (ControllerName.TARGETS,),
                 0,
                 settings.when_isolated,
+                settings.startup_wait_s,
             )
             self._add_dispatch()
         self._add(DirectoryController, self.links)
@@ -199,6 +200,7 @@
             RegionName(settings.region),
             settings.retries.to_limits(),
             settings.pauses,
+            settings.startup_wait_s,
         )
         self._add(QuarantineController)
 
--- a/packages/node/src/wasabitray_node/callers.py
+++ b/packages/node/src/wasabitray_node/callers.py
@@ -53,6 +53,11 @@
         self._idle.set()
         self.closing = False
 
+    @property
+    def in_flight(self) -> int:
+        """Requests that are not answered yet."""
+        return self._in_flight
+
     def begin(self) -> None:
         """Count a request."""
         self._in_flight += 1
@@ -64,9 +69,9 @@
         if not self._in_flight:
             self._idle.set()
 
-    def wait_idle(self, timeout: float | None = None) -> None:
-        """Wait until no request is in flight, at most `timeout` seconds."""
-        self._idle.wait(timeout)
+    def wait_idle(self) -> None:
+        """Wait until no request is in flight."""
+        self._idle.wait()
 
 
 class AddressesResource:
--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -9,6 +9,7 @@
 
 import falcon
 import gevent
+from gevent.event import Event
 from gevent.pywsgi import LoggingLogAdapter, WSGIHandler, WSGIServer
 
 from wasabitray_node.settings import split_address
@@ -104,14 +105,29 @@
         """Start without connections."""
         super().__init__(*args, **options)
         self._idle: set[StrictHandler] = set()
+        self._open = 0
+        self._quiet = Event()
+        self._quiet.set()
 
     def note_idle(self, handler: StrictHandler) -> None:
         """Note that a connection waits for its next request."""
         self._idle.add(handler)
+        self._note_quiet()
 
     def note_busy(self, handler: StrictHandler) -> None:
         """Note that a connection has a request, or has ended."""
         self._idle.discard(handler)
+        self._note_quiet()
+
+    def _note_quiet(self) -> None:
+        if self._open > len(self._idle):
+            self._quiet.clear()
+        else:
+            self._quiet.set()
+
+    def wait_quiet(self, timeout: float) -> bool:
+        """Wait until each answer is written; False after the timeout."""
+        return self._quiet.wait(timeout)
 
     def close_idle(self) -> None:
         """End all connections that carry no request now."""
@@ -122,7 +138,12 @@
         """Serve one connection."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         watch_peer(sock)
-        super().handle(sock, address)
+        self._open += 1
+        try:
+            super().handle(sock, address)
+        finally:
+            self._open -= 1
+            self._note_quiet()
 
 
 def watch_peer(sock: Any) -> None:
--- a/packages/node/src/wasabitray_node/settings.py
+++ b/packages/node/src/wasabitray_node/settings.py
@@ -173,6 +173,8 @@
         when_isolated: what an entry does that is cut off from the fleet.
         pauses: rest targets that break attempts, in the whole fleet.
         failure_domains: the region of each failure domain.
+        startup_wait_s: seconds from the start in which requests wait for the
+            first configuration and the first targets.
         grace_s: seconds for a planned stop, as long as it needs if not set.
     """
 
@@ -189,6 +191,7 @@
     pauses: bool = False
     trusted_network: bool = False
     failure_domains: dict[str, str] = {}
+    startup_wait_s: Duration = Field(default=0.0, ge=0)
     grace_s: Duration | None = Field(default=None, gt=0)
     addresses: AddressSettings = AddressSettings()
     retries: RetrySettings = RetrySettings()
--- /dev/null
+++ b/tests/core/test_placement.py
@@ -0,0 +1,98 @@
+"""Which target gets a request."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from wasabitray_core.placement import Basis, Need, TargetState, choose
+from wasabitray_core.requests import Target
+
+NOW = 1_000.0
+
+
+def states(near=4, far=4, slots=2, **fields):
+    names = [("south", n) for n in range(near)]
+    names += [("north", n) for n in range(far)]
+    return {
+        f"{region}-{n}": TargetState(
+            Target(f"{region}-{n}", "s", region, f"{region}-a", slots),
+            False,
+            NOW,
+            **fields,
+        )
+        for region, n in names
+    }
+
+
+def play(targets, count=1_000, **need):
+    """Return how often each target is chosen, none being kept busy."""
+    source = random.Random(1)
+    chosen = Counter()
+    for _ in range(count):
+        choice = choose(targets, Need("south", **need), NOW, source)
+        chosen[choice.state.target.target if choice else None] += 1
+    return chosen
+
+
+def share(chosen, prefix):
+    found = sum(n for name, n in chosen.items() if name.startswith(prefix))
+    return found / sum(chosen.values())
+
+
+def test_own_region_carries_its_load():
+    assert share(play(states(), near_demand=4.0), "south") == 1.0
+
+
+def test_what_the_own_region_cannot_carry_goes_elsewhere():
+    chosen = play(states(), near_demand=12.0, demand=12.0)
+    # 8 of 12 fit, and a part of what overflows comes back here.
+    assert 0.6 < share(chosen, "south") < 0.95
+
+
+def test_large_bodies_stay_in_the_region():
+    chosen = play(states(), near_demand=40.0, large=True)
+    assert share(chosen, "south") == 1.0
+
+
+def test_paused_target_gets_nothing_while_the_others_can_carry_the_load():
+    targets = states(near=4, far=0)
+    targets["south-0"].paused_until = NOW + 5
+    chosen = play(targets, demand=5.0, near_demand=5.0)
+    assert "south-0" not in chosen
+
+
+@pytest.mark.parametrize(
+    ("demand", "least", "most"), [(20, 0.2, 0.3), (30, 0.45, 0.55)]
+)
+def test_paused_target_gets_what_the_others_lack(demand, least, most):
+    targets = states(near=4, far=0)
+    targets["south-0"].paused_until = NOW + 5
+    chosen = play(targets, demand=demand, near_demand=demand)
+    assert least < share(chosen, "south-0") < most
+
+
+def test_when_all_are_paused_the_longest_paused_is_used():
+    targets = states(near=3, far=0)
+    for number, state in enumerate(targets.values()):
+        state.paused_until = NOW + 5 - number
+    choice = choose(targets, Need("south"), NOW, random.Random(1))
+    assert choice.state.target.target == "south-2"
+    assert choice.basis is Basis.NEEDED
+
+
+def test_tried_target_is_not_chosen_again():
+    targets = states(near=2, far=0)
+    assert set(play(targets, excluded=("south-0",))) == {"south-1"}
+
+
+def test_without_room_nothing_is_chosen():
+    assert set(play(states(near=2, far=1, busy=2), count=5)) == {None}
+
+
+def test_unreachable_target_is_used_only_without_another():
+    targets = states(near=2, far=0)
+    targets["south-0"].avoid_until = NOW + 1
+    assert set(play(targets)) == {"south-1"}
+    targets["south-1"].busy = 2
+    assert set(play(targets, count=5)) == {"south-0"}
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -102,3 +102,48 @@
     assert client.simulate_post("/", headers=wrong).status_code == 401
     right = {"Authorization": "Bearer a long enough secret"}
     assert client.simulate_post("/", headers=right).status_code == 200
+
+
+class Slow:
+    def on_get(self, req, resp):
+        gevent.sleep(0.3)
+        resp.text = "done"
+
+
+@pytest.fixture
+def slow_server():
+    app = falcon.App()
+    app.add_route("/", Slow())
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    server = build_server(f"127.0.0.1:{port}", app)
+    server.start()
+    yield server, ("127.0.0.1", port)
+    server.stop(timeout=0)
+
+
+def test_stop_waits_until_an_answer_is_written(slow_server):
+    server, address = slow_server
+    sock = gevent.socket.create_connection(address)
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    gevent.sleep(0.1)
+    server.close()
+    server.close_idle()
+    assert not server.wait_quiet(0.05)
+    assert server.wait_quiet(2)
+    with gevent.Timeout(2):
+        assert b"done" in sock.recv(65_536)
+    sock.close()
+
+
+def test_stop_ends_idle_connections_and_waits_for_none(slow_server):
+    server, address = slow_server
+    sock = gevent.socket.create_connection(address)
+    gevent.sleep(0.1)
+    assert server.wait_quiet(0)
+    server.close()
+    server.close_idle()
+    with gevent.Timeout(2):
+        assert sock.recv(1) == b""
+    assert server.wait_quiet(2)
