--- a/packages/node/src/wasabitray_node/links.py
+++ b/packages/node/src/wasabitray_node/links.py
@@ -152,7 +152,8 @@
         self._transport = self._client = self._endpoint = None
         if self._up:
             self._up = False
-            log_change("link down", peer=self._peer, reason=str(error))
+            cause = getattr(error, "inner", None) or error
+            log_change("link down", peer=self._peer, reason=str(cause))
 
     def __repr__(self) -> str:
         return f"<PeerLink [{self._peer}]>"
