Split the hub; do not spread that a silent hub's entries are gone

While splitting it: a hub that could not hear another one told third hubs that the entries there were silent, with a counter that could win, so a living entry could leave their address answers for good. Change: feed_readers.py and hub_peers.py; absence of a silent hub's entries is this hub's own view and not told. Result: the new test fails on the code before and passes; all unit tests and the platform's scenarios pass.

--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
@@ -16,12 +16,18 @@
     Controller,
     Origin,
 )
+from wasabitray_core.controllers.feed_readers import (
+    START,
+    Confirmations,
+    Reader,
+)
 from wasabitray_core.controllers.feed_table import (
     FeedItem,
     FeedTable,
     items_of,
     select,
 )
+from wasabitray_core.controllers.hub_peers import HubPeers, PeerHub
 from wasabitray_core.ids import (
     FailureDomainName,
     FeedPosition,
@@ -68,67 +74,21 @@
 HUB_TICK_S = 0.5
 # An entry sends its presence every half second; three may be lost.
 ENTRY_TIMEOUT_S = 2.0
-HUB_TIMEOUT_S = 3.0
-# Longer than two links' delay between regions, so that what is on its way is
-# not sent twice.
-RESEND_AFTER_S = 0.4
-# A third hub's feed is passed on once its reader lags for this long.
-RELAY_AFTER_S = 1.0
 # The list of hubs changes rarely, so most messages leave it out.
 HUBS_EVERY_TICKS = 8
-FORGET_HUB_S = 60.0
-# A target asks elsewhere after a second without an answer.
-CONFIRM_TIMEOUT_S = 2.0
 
-_START = FeedPosition(0)
 _NO_DOMAIN = FailureDomainName("")
 
 
 @dataclass(slots=True)
 class _Subscriber:
-    """An entry that listens to this hub.
-
-    Attributes:
-        acked: how far it has read the feed.
-        progress_at: when it last read on, or was last sent what it lacks.
-    """
+    """An entry that listens to this hub."""
 
-    sent: FeedPosition
-    acked: FeedPosition
-    progress_at: Seconds
+    reader: Reader
     heard: Seconds
     told_hubs: bool = False
 
 
-@dataclass(slots=True)
-class _Hub:
-    """Another hub.
-
-    Attributes:
-        marks: how far it has read the feeds of all hubs.
-        sent: how far this hub's own feed was sent to it.
-        acked: how far it has read that.
-        progress_at: when it last read on, or was last sent what it lacks.
-        heard: when it was last heard of; never if minus infinity.
-    """
-
-    address: HostAddress
-    marks: dict[HostId, FeedMark] = field(default_factory=dict)
-    sent: FeedPosition = _START
-    acked: FeedPosition = _START
-    progress_at: Seconds = Seconds(float("-inf"))
-    heard: Seconds = Seconds(float("-inf"))
-
-
-@dataclass(slots=True)
-class _Confirmation:
-    """A target's leave that waits until a majority of hubs holds it."""
-
-    position: FeedPosition
-    origin: Origin
-    since: Seconds
-
-
 class HubController(Controller):
     """Owns a hub's feed and what it knows of entries and other hubs."""
 
@@ -157,11 +117,9 @@
         self._revision = Revision(0)
         self._seeds: tuple[HostId, ...] = ()
         self._subscribers: dict[HostId, _Subscriber] = {}
-        self._hubs: dict[HostId, _Hub] = {}
-        self._marks: dict[HostId, FeedMark] = {}
-        self._advanced: dict[HostId, Seconds] = {}
+        self._hubs = HubPeers(context.host, incarnation)
         self._contact = GroupContact(False, HostId(""), ())
-        self._confirmations: list[_Confirmation] = []
+        self._confirmations = Confirmations()
         self._ticks = 0
         self._present = 0
 
@@ -182,7 +140,7 @@
         now = self._now()
         self._table.expire(now)
         self._drop_silent_entries(now)
-        self._forget_hubs(now)
+        self._hubs.forget(now)
         self._confirm()
         presence = self._presence()
         for host in self._known_hubs():
@@ -290,8 +248,7 @@
             self._spread()
         else:
             position = held.origin.position
-        waits = _Confirmation(position, origin, self._now())
-        self._confirmations.append(waits)
+        self._confirmations.add(position, origin, self._now())
         self._confirm()
 
     def _confirm(self) -> None:
@@ -299,28 +256,16 @@
         voters = self._contact.voters
         if not voters:
             return
-        oldest = self._now() - CONFIRM_TIMEOUT_S
-        positions = sorted(
-            (self._read_by(host) for host in voters), reverse=True
-        )
-        reached = positions[len(voters) // 2]
-        waiting = []
-        for confirmation in self._confirmations:
-            if confirmation.position <= reached:
-                self._reply(confirmation.origin, True)
-            elif confirmation.since > oldest:
-                waiting.append(confirmation)
-        self._confirmations = waiting
+        read = sorted((self._read_by(host) for host in voters), reverse=True)
+        reached = read[len(voters) // 2]
+        for origin in self._confirmations.take(reached, self._now()):
+            self._reply(origin, True)
 
     def _read_by(self, host: HostId) -> FeedPosition:
         """Return how far a hub has read this hub's feed."""
         if host == self.host:
             return self._table.position
-        hub = self._hubs.get(host)
-        mark = hub.marks.get(self.host) if hub else None
-        if mark is None or mark.incarnation != self._table.incarnation:
-            return _START
-        return mark.position
+        return self._hubs.read_by(host)
 
     # News
 
@@ -335,23 +280,14 @@
         sender = origin.peer
         assert sender is not None
         now = self._now()
-        hub = self._hubs.get(sender)
-        if hub is not None:
-            hub.heard = now
-        mark = self._marks.get(message.origin)
-        if mark is None or mark.incarnation != message.incarnation:
-            mark = FeedMark(message.origin, message.incarnation, _START)
-        place = FeedMark(message.origin, message.incarnation, message.position)
+        place = self._hubs.note_feed(sender, message, now)
         taken = [
             self._table.put(item, sender, now, place)
             for item in items_of(message)
         ]
-        if message.after <= mark.position < message.position:
-            self._marks[message.origin] = place
-            self._advanced[message.origin] = now
         if any(taken):
             self._spread()
-        self._learn_hubs(message.hubs)
+        self._tell_addresses(self._hubs.learn(message.hubs, now))
         self._outbox.send(sender, self._presence())
 
     def _spread(self) -> None:
@@ -368,51 +304,39 @@
         now = self._now()
         items: list[FeedItem] = [
             item
-            for item in self._table.after(subscriber.sent, host, now)
+            for item in self._table.after(subscriber.reader.sent, host, now)
             if not isinstance(item, EntryState)  # for hubs only
         ]
         if not items and not heartbeat:
             return
         full = not subscriber.told_hubs or not self._ticks % HUBS_EVERY_TICKS
-        mark = FeedMark(self.host, self._table.incarnation, subscriber.sent)
+        sent = subscriber.reader.sent
+        mark = FeedMark(self.host, self._table.incarnation, sent)
         feed = self._feed(mark, self._table.position, items, full)
         self._outbox.send(host, feed)
         subscriber.told_hubs = True
-        if subscriber.acked >= subscriber.sent:
-            subscriber.progress_at = now  # nothing was under way before
-        subscriber.sent = self._table.position
+        subscriber.reader.note_sent(self._table.position, now)
 
-    def _feed_hub(self, host: HostId, hub: _Hub) -> None:
+    def _feed_hub(self, host: HostId, hub: PeerHub) -> None:
         """Send another hub what came into the fleet here."""
         now = self._now()
-        if hub.sent >= self._table.position:
+        sent = hub.reader.sent
+        if sent >= self._table.position:
             return
-        mark = FeedMark(self.host, self._table.incarnation, hub.sent)
+        mark = FeedMark(self.host, self._table.incarnation, sent)
         items = self._table.after_mark(mark, now)
         if not items:
             return
         self._outbox.send(
             host, self._feed(mark, self._table.position, items, False)
         )
-        if hub.acked >= hub.sent:
-            hub.progress_at = now  # nothing was under way before
-        hub.sent = self._table.position
+        hub.reader.note_sent(self._table.position, now)
 
     def _relay(self, host: HostId, now: Seconds) -> None:
         """Pass a third hub's feed on to a hub that lags behind."""
-        hub = self._hubs.get(host)
-        if hub is None or now - hub.heard > HUB_TIMEOUT_S:
-            return
-        for origin, mine in self._marks.items():
-            theirs = hub.marks.get(origin)
-            if origin == host or now - self._advanced[origin] < RELAY_AFTER_S:
-                continue
-            if theirs is None or theirs.incarnation != mine.incarnation:
-                theirs = FeedMark(origin, mine.incarnation, _START)
-            if theirs.position >= mine.position:
-                continue
+        for theirs, position in self._hubs.lacking(host, now):
             items = self._table.after_mark(theirs, now)
-            feed = self._feed(theirs, mine.position, items, False)
+            feed = self._feed(theirs, position, items, False)
             self._outbox.send(host, feed)
 
     def _feed(
@@ -430,7 +354,7 @@
             self._revision,
             self._contact.in_contact,
             self._present,
-            self._hub_addresses() if with_hubs else (),
+            self._all_addresses() if with_hubs else (),
             select(items, Announcement),
             select(items, Ejection),
             select(items, Quarantine),
@@ -450,62 +374,34 @@
 
     def _hear_hub(self, host: HostId, presence: Presence) -> None:
         now = self._now()
-        hub = self._hubs.get(host)
-        if hub is None:
-            address = HostAddress(
-                host, presence.caller_address, presence.region
-            )
-            hub = self._hubs[host] = _Hub(address)
-            self._tell_addresses((address,))
+        silent = self._hubs.is_silent(host, now)
+        is_new = self._hubs.find(host) is None
+        hub = self._hubs.hear(host, presence, now)
+        if is_new:
+            self._tell_addresses((hub.address,))
             self._outbox.send(host, self._presence())
-        if now - hub.heard > HUB_TIMEOUT_S:
+        if silent:
             self._outbox.report("hub heard", peer=host)
-        hub.heard = now
-        hub.marks = {m.hub: m for m in presence.marks}
-        read = self._read_by(host)
-        if read > hub.acked:
-            hub.acked, hub.progress_at = read, now
-            hub.sent = max(read, hub.sent)
-        elif now - hub.progress_at > RESEND_AFTER_S:
-            hub.sent = min(read, hub.sent)
-            hub.acked, hub.progress_at = read, now
         self._feed_hub(host, hub)
         self._confirm()
         if presence.revision > self._revision:
             self._outbox.send(host, ConfigPull(self._revision))
 
-    def _learn_hubs(self, addresses: tuple[HostAddress, ...]) -> None:
-        new = tuple(
-            a
-            for a in addresses
-            if a.host not in self._hubs and a.host != self.host
-        )
-        for address in new:
-            self._hubs[address.host] = _Hub(address, heard=self._now())
-        if new:
-            self._tell_addresses(new)
-
     def _tell_addresses(self, addresses: tuple[HostAddress, ...]) -> None:
-        news = PeerAddresses(addresses)
-        self._outbox.tell(ControllerName.DIRECTORY, news)
+        if addresses:
+            news = PeerAddresses(addresses)
+            self._outbox.tell(ControllerName.DIRECTORY, news)
 
     def _known_hubs(self) -> list[HostId]:
-        hosts = {*self._hubs, *self._seeds, *self._contact.voters}
+        hosts = {
+            *dict(self._hubs.items()),
+            *self._seeds,
+            *self._contact.voters,
+        }
         return sorted(hosts - {self.host})
 
-    def _hub_addresses(self) -> tuple[HostAddress, ...]:
-        now = self._now()
-        heard = (
-            h.address
-            for h in self._hubs.values()
-            if now - h.heard <= HUB_TIMEOUT_S
-        )
-        return (self._address, *heard)
-
-    def _forget_hubs(self, now: Seconds) -> None:
-        for host, hub in list(self._hubs.items()):
-            if now - hub.heard > FORGET_HUB_S:
-                del self._hubs[host]
+    def _all_addresses(self) -> tuple[HostAddress, ...]:
+        return (self._address, *self._hubs.addresses(self._now()))
 
     def _presence(self) -> Presence:
         return Presence(
@@ -515,7 +411,7 @@
             self._address.region,
             _NO_DOMAIN,
             self._address.address,
-            tuple(self._marks.values()),
+            self._hubs.marks,
         )
 
     # Entries
@@ -523,19 +419,15 @@
     def _hear_entry(self, host: HostId, presence: Presence) -> None:
         now = self._now()
         mark = next((m for m in presence.marks if m.hub == self.host), None)
-        read = _START
+        read = START
         if mark is not None and mark.incarnation == self._table.incarnation:
             read = mark.position
         subscriber = self._subscribers.get(host)
         if subscriber is None:
-            subscriber = _Subscriber(read, read, now, now)
+            subscriber = _Subscriber(Reader(read, read, now), now)
             self._subscribers[host] = subscriber
             self._outbox.report("entry subscribed", peer=host, position=read)
-        elif read > subscriber.acked:
-            subscriber.acked, subscriber.progress_at = read, now
-        elif now - subscriber.progress_at > RESEND_AFTER_S:
-            subscriber.sent = min(read, subscriber.sent)
-            subscriber.acked, subscriber.progress_at = read, now
+        subscriber.reader.note_read(read, now)
         subscriber.heard = now
         state = EntryState(
             host,
@@ -563,40 +455,30 @@
             if now - subscriber.heard > ENTRY_TIMEOUT_S:
                 del self._subscribers[host]
                 self._report_silent(host)
-        for state in self._entries():
-            hub = self._hubs.get(state.hub)
-            orphaned = hub is None or now - hub.heard > HUB_TIMEOUT_S
-            if state.present and state.hub != self.host and orphaned:
-                self._report_silent(state.host)
 
     def _report_silent(self, host: HostId) -> None:
         held = self._table.find(EntryState, host)
-        if held is None or not isinstance(held.item, EntryState):
-            return
-        state = held.item
-        if not state.present:
-            return
-        here = state.hub == self.host
-        age = self._now() - held.since
-        if not here and age < HUB_TIMEOUT_S:
-            return  # it may just be moving to another hub
-        silent = EntryState(
-            state.host,
-            state.counter,
-            False,
-            state.flags,
-            state.region,
-            state.failure_domain,
-            state.caller_address,
-            state.hub,
-        )
+        state = held.item if held else None
+        if not isinstance(state, EntryState) or state.hub != self.host:
+            return  # it listens to another hub by now
         self._outbox.report("entry silent", peer=host, hub=state.hub)
+        silent = replace(state, present=False)
         if self._table.put(silent, self.host, self._now()) is not None:
             self._spread()
 
-    def _entries(self) -> list[EntryState]:
-        items = self._table.of_kind(EntryState)
-        return [i for i in items if isinstance(i, EntryState)]
+    def _entries(self) -> tuple[EntryState, ...]:
+        """Return the entries; those of a silent hub count as absent.
+
+        That is not told to others: they may hear the hub.
+        """
+        now = self._now()
+        return tuple(
+            replace(state, present=False)
+            if state.hub != self.host and self._hubs.is_silent(state.hub, now)
+            else state
+            for state in self._table.of_kind(EntryState)
+            if isinstance(state, EntryState)
+        )
 
     # Publishing
 
@@ -617,7 +499,7 @@
         self._publish_entries()
 
     def _publish_entries(self) -> None:
-        view = EntriesView(tuple(self._entries()))
+        view = EntriesView(self._entries())
         self._present = sum(1 for e in view.entries if e.present)
         self._outbox.tell(ControllerName.ADDRESSES, view)
 
--- a/tests/core/controllers/test_hub.py
+++ b/tests/core/controllers/test_hub.py
@@ -16,6 +16,7 @@
 )
 from wasabitray_core.messages import (
     Announcement,
+    EntryState,
     Feed,
     FeedMark,
     HostAddress,
@@ -203,3 +204,40 @@
         bed.receive("e2", News(pauses=(pause,)))
         bed.receive("e1", presence(2 + number, (mark,)))
     assert any(f.announcements == (gone,) for f in feeds_to(bed, "e1"))
+
+
+def test_entries_of_a_silent_hub_are_absent_here_until_it_is_heard():
+    bed = hub_bed("c1", "c2", "c3")
+    for host in ("c2", "c3"):
+        bed.receive(host, hub_presence())
+    state = EntryState(
+        "e9", 50, True, HostFlag.SERVING, "north", "n-a", "10.0.0.2:80", "c2"
+    )
+    bed.receive(
+        "c2", Feed("c2", "r2", 0, 1, 0, True, 1, entry_states=(state,))
+    )
+    for number in range(8):
+        bed.tick(0.5)
+        bed.receive("c3", hub_presence(2 + number))
+    assert not bed.outbox.told_of(EntriesView)[-1].entries[0].present
+    passed = [f for f in feeds_to(bed, "c3") if f.entry_states]
+    assert all(s.present for f in passed for s in f.entry_states)
+    bed.receive("c2", hub_presence(2))
+    bed.tick(0.1)
+    assert bed.outbox.told_of(EntriesView)[-1].entries[0].present
+
+
+def test_entry_that_moved_to_another_hub_is_not_called_silent():
+    bed = hub_bed("c1", "c2")
+    bed.receive("c2", hub_presence())
+    bed.receive("e1", presence(1))
+    moved = EntryState(
+        "e1", 9, True, HostFlag.SERVING, "south", "hobart", "10.0.0.1:80", "c2"
+    )
+    bed.receive(
+        "c2", Feed("c2", "r2", 0, 1, 0, True, 1, entry_states=(moved,))
+    )
+    bed.clock.advance(ENTRY_TIMEOUT_S + 0.1)
+    bed.receive("c2", hub_presence(2))
+    bed.tick()
+    assert bed.outbox.told_of(EntriesView)[-1].entries[0].present
