Check the types of the daemon and the adapter

Cause: only the decisions were type-checked, and the adapter decodes what others write. Result: mypy finds nothing in 86 files; unit tests pass. Behaviour is the same.

--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -40,6 +40,8 @@
 
 # Part of the time left that one attempt at repeatable work may use.
 ATTEMPT_SHARE = 0.5
+# A full target has served most of its queue by then.
+RETRY_SOON_S = 1.0
 # A body above this costs more to bring to another region than all else that
 # its request needs there.
 LARGE_BODY_BYTES = 8_192
@@ -169,7 +171,9 @@
             return exchange.refuse(RefusalReason.BAD_ANSWER, 502, detail)
         if result.may_have_run:
             return exchange.refuse(RefusalReason.TARGET_FAILED, 502, detail)
-        return exchange.refuse(RefusalReason.TARGET_FAILED, 503, detail, 1.0)
+        return exchange.refuse(
+            RefusalReason.TARGET_FAILED, 503, detail, RETRY_SOON_S
+        )
 
     @staticmethod
     def _release(
--- a/packages/node/src/wasabitray_node/storage.py
+++ b/packages/node/src/wasabitray_node/storage.py
@@ -18,6 +18,7 @@
 import zlib
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import TypeVar
 
 from wasabitray_core.errors import CorruptLogError, WasabitrayError
 from wasabitray_core.ids import LogIndex, MemberId, Revision, Term
@@ -34,6 +35,8 @@
 _CHECK = struct.Struct("<I")
 HEADER_BYTES = _BODY.size + _CHECK.size
 
+_Item = TypeVar("_Item", Member, Snapshot)
+
 EMPTY_BALLOT = Ballot(Term(0), MemberId(""))
 
 
@@ -256,7 +259,7 @@
         partial.rename(self._folder / name)
         self._sync_folder()
 
-    def _read_whole(self, name: str, kind: type) -> StoredItem:
+    def _read_whole(self, name: str, kind: type[_Item]) -> _Item:
         path = self._folder / name
         payloads, length = parse_frames(path.read_bytes(), str(path))
         if len(payloads) != 1 or length != path.stat().st_size:
--- a/packages/node/src/wasabitray_node/tasks.py
+++ b/packages/node/src/wasabitray_node/tasks.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import singledispatchmethod
-from typing import Any
+from typing import Any, cast
 
 import gevent
 from gevent.event import AsyncResult
@@ -262,9 +262,9 @@
         self,
         controller: ControllerName,
         message: Any,
-        timeout: float = ASK_TIMEOUT_S,
+        timeout: float | None = ASK_TIMEOUT_S,
     ) -> Any:
-        """Send a message and wait for its reply.
+        """Send a message and wait for its reply, for ever if None.
 
         Raises:
             gevent.Timeout: no reply came in time.
@@ -302,7 +302,8 @@
 
     @deliver.register
     def _(self, delivery: _ToAsk) -> None:
-        delivery.ask.set(delivery.value)
+        # An ask of this process is the AsyncResult that waits for it.
+        cast(AsyncResult, delivery.ask).set(delivery.value)
 
     @deliver.register
     def _(self, delivery: _ToLog) -> None:
