--- a/packages/core/src/wasabitray_core/filters/chain.py
+++ b/packages/core/src/wasabitray_core/filters/chain.py
@@ -41,12 +41,15 @@
     Attributes:
         timeout: seconds until the attempt is abandoned.
         fresh: use a new connection, never an idle one.
+        patience: seconds beyond the timeout that are left for the request;
+            an entry that is stopping uses them and breaks nothing off.
     """
 
     target: Target
     request: Request
     timeout: Seconds
     fresh: bool
+    patience: Seconds = Seconds(0.0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -108,7 +108,10 @@
         # can't be told from one that ran.
         fresh = not exchange.matched.idempotent or len(exchange.tried) > 1
         timeout = self._attempt_timeout(exchange)
-        result = yield Attempt(target, exchange.request, timeout, fresh)
+        left = max(0.0, exchange.deadline - self._clock() - timeout)
+        result = yield Attempt(
+            target, exchange.request, timeout, fresh, Seconds(left)
+        )
         if result.was_sent:
             exchange.attempts += 1
         else:
--- a/packages/node/src/wasabitray_node/app.py
+++ b/packages/node/src/wasabitray_node/app.py
@@ -94,7 +94,11 @@
         assert settings.listen.callers is not None
         pool = ConnectionPool(settings.limits, monotonic)
         upstream = Upstream(
-            pool, settings.limits, monotonic, self._interfaces.targets
+            pool,
+            settings.limits,
+            monotonic,
+            self._interfaces.targets,
+            lambda: self._work.closing,
         )
         app = CallersApp(
             build_chain(monotonic, _new_claim),
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -28,6 +28,7 @@
 from wasabitray_node.dialects import TargetDialect, TargetFacts
 from wasabitray_node.headers import strip_hop_by_hop
 from wasabitray_node.settings import Limits, split_address
+from wasabitray_node.timers import AttemptTimer
 from wasabitray_node.watch import CallerGoneError, CallerWatch
 
 READ_BYTES = 65_536
@@ -55,8 +56,18 @@
         limits: Limits,
         clock: Callable[[], Seconds],
         dialect: TargetDialect,
+        is_stopping: Callable[[], bool] = lambda: False,
     ) -> None:
-        """Take the pool that owns idle connections."""
+        """Take the pool that owns idle connections.
+
+        Args:
+            pool: owns idle connections.
+            limits: bounds on bodies and times.
+            clock: returns monotonic seconds.
+            dialect: what targets speak.
+            is_stopping: whether a planned stop has begun.
+        """
+        self._is_stopping = is_stopping
         self._tell_pool = pool.receive
         self._limits = limits
         self._clock = clock
@@ -72,7 +83,10 @@
         started = self._clock()
         exchange = _Exchange(attempt, self._limits, self._dialect)
         try:
-            with Timeout(max(0.001, attempt.timeout)), watch:
+            timer = AttemptTimer(
+                attempt.timeout, attempt.patience, self._is_stopping
+            )
+            with timer, watch:
                 exchange.connection = self._connect(attempt)
                 exchange.run()
             result = exchange.to_result()
