--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -219,6 +219,8 @@
     def _take_retry_token(self, service: _Service, ask: Acquire) -> bool:
         if ask.retry:
             return service.budget.take()
+        if ask.excluded:
+            return True  # no target has seen the request yet
         share = self._retries.share
         service.budget.earn(
             ask.retry_share if share is None else share, self._burst
--- a/tests/core/controllers/test_dispatch.py
+++ b/tests/core/controllers/test_dispatch.py
@@ -1,21 +1,32 @@
 """Slots, queues and the retry budget of an entry."""
 
+import pytest
 from support.fakes import Bed
 
 from wasabitray_core.controllers.dispatch import (
     DispatchController,
 )
-from wasabitray_core.controllers.retry_budget import RETRY_BURST
+from wasabitray_core.controllers.retry_budget import (
+    RETRY_BURST,
+    RetryLimits,
+)
 from wasabitray_core.local import (
     Acquire,
+    FleetSize,
     Grant,
     Refusal,
     Release,
+    Spread,
     UsableTarget,
     UsableTargets,
 )
 from wasabitray_core.requests import LoadReport, Target
-from wasabitray_core.states import AttemptStatus, RefusalReason, WorkClass
+from wasabitray_core.states import (
+    AttemptStatus,
+    PauseCause,
+    RefusalReason,
+    WorkClass,
+)
 
 
 def target(name, region="south", slots=2):
@@ -147,3 +158,50 @@
     release(bed, "t1", AttemptStatus.REFUSED)
     assert reply(bed, acquire(bed)).target.target == "t2"
     assert reply(bed, acquire(bed)).target.target == "t1"
+
+
+def paused_by(status):
+    """Return the pauses told after one attempt that ended so."""
+    retries = RetryLimits()
+    bed = Bed(DispatchController, "south", retries, True)
+    one = target("t1")
+    bed.tell(UsableTargets("rota", (UsableTarget(one, False),), ("t1",), ()))
+    release(bed, "t1", status)
+    return [m.item for m in bed.outbox.told_of(Spread)]
+
+
+@pytest.mark.parametrize("status", [AttemptStatus.FAILED])
+def test_broken_attempt_pauses_its_target_for_the_fleet(status):
+    (pause,) = paused_by(status)
+    assert (pause.target, pause.cause) == ("t1", PauseCause.BROKEN)
+
+
+@pytest.mark.parametrize(
+    "status",
+    [
+        AttemptStatus.TIMED_OUT,
+        AttemptStatus.UNREACHABLE,
+        AttemptStatus.SHED,
+        AttemptStatus.CANCELLED,
+        AttemptStatus.STALE_CONNECTION,
+    ],
+)
+def test_load_and_paths_pause_nothing(status):
+    assert paused_by(status) == []
+
+
+def test_next_target_after_no_connection_earns_no_retries():
+    limits = RetryLimits(share=1.0, fleet_burst=100.0)
+    bed = Bed(DispatchController, "south", limits)
+    two = (target("t1"), target("t2"))
+    usable = tuple(UsableTarget(t, False) for t in two)
+    bed.tell(UsableTargets("rota", usable, ("t1", "t2"), ()))
+    bed.tell(FleetSize(100))
+    budget = bed.controller._service("rota").budget
+    while budget.take():
+        pass
+    work = WorkClass.SHORT
+    bed.ask(Acquire("rota", "o", work, True, 2_000.0, excluded=("t1",)))
+    assert not budget.take()
+    bed.ask(Acquire("rota", "o", work, True, 2_000.0))
+    assert budget.take()
--- a/tests/core/filters/test_chain.py
+++ b/tests/core/filters/test_chain.py
@@ -199,3 +199,16 @@
     script = Script(status, S.ANSWERED)
     script.run()
     assert [s.good for s in script.told_of(Sample)] == [True]
+
+
+def test_attempt_without_a_connection_is_free():
+    script = Script(S.UNREACHABLE, S.UNREACHABLE, S.ANSWERED, attempts=1)
+    answer = script.run()
+    assert (answer.status, answer.refusal) == (200, None)
+    assert script.exchange.attempts == 1
+
+
+def test_attempts_without_a_connection_come_to_an_end():
+    answer = Script(*[S.UNREACHABLE] * 20).run()
+    assert answer.outcome is Outcome.NOT_RUN
+    assert answer.status == 503
