--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -244,7 +244,6 @@
     def _apply_pause(self, state: TargetState, pause: Pause) -> None:
         state.pause_number = pause.number
         state.paused_until = Seconds(self._now() + pause.duration_s)
-        state.pause_cause = pause.cause
 
     def _judge_target(self, state: TargetState, release: Release) -> None:
         """Pause a target that failed; end the pause of one that answers."""
--- a/packages/core/src/wasabitray_core/controllers/usage.py
+++ b/packages/core/src/wasabitray_core/controllers/usage.py
@@ -20,11 +20,6 @@
         self._average = 0.0
         self._at = Seconds(0.0)
 
-    @property
-    def count(self) -> int:
-        """The count now."""
-        return self._count
-
     def change(self, by: int, now: Seconds) -> None:
         """Change the count."""
         self._fade(now)
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -9,7 +9,6 @@
 
 from wasabitray_core.ids import RegionName, Seconds, TargetId
 from wasabitray_core.requests import LoadReport, Target
-from wasabitray_core.states import PauseCause
 
 # Other entries' work shows only in reported load, which ages quickly.
 LOAD_REPORT_TTL_S = 0.25
@@ -60,7 +59,6 @@
     path_failures: int = 0
     paused_until: Seconds = Seconds(0.0)
     pause_number: int = 0
-    pause_cause: PauseCause | None = None
 
     def slots(self, now: Seconds) -> int:
         """Return the slots that may be used now."""
@@ -135,15 +133,16 @@
         pinned = targets.get(need.pinned)
         return Choice(pinned, Basis.PINNED) if pinned else None
     left = [s for t, s in targets.items() if t not in need.excluded]
-    allowed = [s for s in left if s.has_room(now)]
     if need.trial and source.random() < TRIAL_CHANCE:
-        trials = [s for s in allowed if s.probation and not s.busy]
+        trials = [
+            s for s in left if s.probation and not s.busy and s.has_room(now)
+        ]
         if trials:
             return Choice(source.choice(trials), Basis.TRIAL)
     usable = [s for s in left if not s.probation]
     unpaused = [s for s in usable if not s.is_paused(now)]
     if _is_short(unpaused, need.demand / MAX_USE, source):
-        paused = [s for s in allowed if s.is_paused(now) and not s.probation]
+        paused = [s for s in usable if s.is_paused(now) and s.has_room(now)]
         if paused:
             reachable = [s for s in paused if s.avoid_until <= now]
             return _longest_paused(reachable or paused)
--- a/packages/core/src/wasabitray_core/requests.py
+++ b/packages/core/src/wasabitray_core/requests.py
@@ -24,6 +24,12 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+def find_header(headers: Headers, name: str) -> str:
+    """Return a header's value, or an empty string."""
+    lowered = name.lower()
+    return next((v for n, v in headers if n.lower() == lowered), "")
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """A caller's request.
@@ -117,8 +123,7 @@
 
     def header(self, name: str) -> str:
         """Return a header's value, or an empty string."""
-        lowered = name.lower()
-        return next((v for n, v in self.headers if n.lower() == lowered), "")
+        return find_header(self.headers, name)
 
     def __repr__(self) -> str:
         return f"<Answer [{self.status}]>"
--- a/packages/core/src/wasabitray_core/route_table.py
+++ b/packages/core/src/wasabitray_core/route_table.py
@@ -25,7 +25,7 @@
     ServicePolicy,
     parse_as,
 )
-from wasabitray_core.ids import AuthorityName, ConfigVersion, ServiceName
+from wasabitray_core.ids import AuthorityName, ConfigVersion
 from wasabitray_core.messages import DocumentEdit
 from wasabitray_core.states import RequestKind
 
@@ -289,7 +289,6 @@
         self.filled = FilledTemplate.model_construct(
             services=dict.fromkeys(names, policy), routes=()
         )
-        self.services = frozenset(ServiceName(n) for n in names)
 
     @property
     def version(self) -> ConfigVersion:
--- a/packages/core/src/wasabitray_core/states.py
+++ b/packages/core/src/wasabitray_core/states.py
@@ -47,13 +47,7 @@
 
     BROKEN = 1
     """It broke off an attempt, or its answer was no answer."""
-    SILENT = 2
-    """It did not answer in time."""
-    UNREACHABLE = 3
-    """Nothing listens at its address."""
-    ERRORS = 4
-    """It answered with errors of its own."""
-    RECOVERED = 5
+    RECOVERED = 2
     """It answered while it was paused, which ends the pause."""
 
 
--- a/packages/node/src/wasabitray_node/dialects.py
+++ b/packages/node/src/wasabitray_node/dialects.py
@@ -18,7 +18,13 @@
     OrganisationName,
     Seconds,
 )
-from wasabitray_core.requests import Answer, Exchange, Headers, LoadReport
+from wasabitray_core.requests import (
+    Answer,
+    Exchange,
+    Headers,
+    LoadReport,
+    find_header,
+)
 from wasabitray_core.states import AttemptStatus, Outcome
 from wasabitray_node import headers as h
 
@@ -168,12 +174,6 @@
         return TargetFacts(load=load)
 
 
-def find_header(headers: Headers, name: str) -> str:
-    """Return a header's value, or an empty string."""
-    lowered = name.lower()
-    return next((v for n, v in headers if n.lower() == lowered), "")
-
-
 def parse_load(value: str) -> LoadReport | None:
     """Parse `busy=1, slots=2` from a target's load header."""
     fields = {}
