Wait for the end of each connection at a stop, not for a quiet moment

An entry that stops ends its idle connections and then waits until no connection has a request. A connection that was accepted but whose task had not begun was missed too. Ruled out: the caller's watch, which breaks nothing off here; the idle set.

Change: a connection counts from its acceptance to its end, and the stop waits until all have ended. One that becomes idle later is ended at once. The two tests that waited for a quiet server now wait for closed ones, which asks more.

Result: two new tests in test_http.py fail on the code before and pass.

--- a/packages/node/src/wasabitray_node/app.py
+++ b/packages/node/src/wasabitray_node/app.py
@@ -215,7 +215,7 @@
         self._callers.close()
         self._callers.close_idle()
         left_s = (FINISH_SHARE - ACCEPT_SHARE) * grace_s
-        if not self._callers.wait_quiet(left_s):
+        if not self._callers.wait_closed(left_s):
             log_change("requests cut off", count=self._work.in_flight)
 
     def _leave(self) -> None:
--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -106,44 +106,50 @@
         super().__init__(*args, **options)
         self._idle: set[StrictHandler] = set()
         self._open = 0
-        self._quiet = Event()
-        self._quiet.set()
+        self._ending = False
+        self._all_closed = Event()
+        self._all_closed.set()
 
     def note_idle(self, handler: StrictHandler) -> None:
         """Note that a connection waits for its next request."""
         self._idle.add(handler)
-        self._note_quiet()
+        if self._ending:
+            handler.close_idle()
 
     def note_busy(self, handler: StrictHandler) -> None:
         """Note that a connection has a request, or has ended."""
         self._idle.discard(handler)
-        self._note_quiet()
 
-    def _note_quiet(self) -> None:
-        if self._open > len(self._idle):
-            self._quiet.clear()
-        else:
-            self._quiet.set()
+    def wait_closed(self, timeout: float) -> bool:
+        """Wait until all connections have ended; False after the timeout.
 
-    def wait_quiet(self, timeout: float) -> bool:
-        """Wait until each answer is written; False after the timeout."""
-        return self._quiet.wait(timeout)
+        Idle ones are waited for as well: a request that reaches one while
+        it is being ended is read and gets its answer.
+        """
+        return self._all_closed.wait(timeout)
 
     def close_idle(self) -> None:
-        """End all connections that carry no request now."""
+        """End connections that carry no request, now or after their answer."""
+        self._ending = True
         for handler in tuple(self._idle):
             handler.close_idle()
 
+    def do_handle(self, *args: Any) -> None:
+        """Count a connection from its acceptance on."""
+        self._open += 1
+        self._all_closed.clear()
+        super().do_handle(*args)
+
     def handle(self, sock: Any, address: Any) -> None:
         """Serve one connection."""
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        watch_peer(sock)
-        self._open += 1
         try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            watch_peer(sock)
             super().handle(sock, address)
         finally:
             self._open -= 1
-            self._note_quiet()
+            if not self._open:
+                self._all_closed.set()
 
 
 def watch_peer(sock: Any) -> None:
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -1,6 +1,7 @@
 """The listeners: ambiguous lengths, forged headers and strangers."""
 
 import socket
+import time
 
 import falcon
 import falcon.testing
@@ -126,12 +127,12 @@
 def test_stop_waits_until_an_answer_is_written(slow_server):
     server, address = slow_server
     sock = gevent.socket.create_connection(address)
-    sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    sock.sendall(b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
     gevent.sleep(0.1)
     server.close()
     server.close_idle()
-    assert not server.wait_quiet(0.05)
-    assert server.wait_quiet(2)
+    assert not server.wait_closed(0.05)
+    assert server.wait_closed(2)
     with gevent.Timeout(2):
         assert b"done" in sock.recv(65_536)
     sock.close()
@@ -141,9 +142,42 @@
     server, address = slow_server
     sock = gevent.socket.create_connection(address)
     gevent.sleep(0.1)
-    assert server.wait_quiet(0)
     server.close()
     server.close_idle()
     with gevent.Timeout(2):
         assert sock.recv(1) == b""
-    assert server.wait_quiet(2)
+    assert server.wait_closed(2)
+
+
+def test_stop_answers_a_request_that_crosses_the_end_of_its_connection(
+    slow_server,
+):
+    server, address = slow_server
+    sock = gevent.socket.create_connection(address)
+    gevent.sleep(0.1)
+
+    def send_and_hold_the_loop():
+        sock.sendall(b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+        time.sleep(0.1)
+
+    # The request and the stop come in one turn of the event loop.
+    gevent.spawn_later(0.01, send_and_hold_the_loop)
+    gevent.sleep(0.05)
+    server.close()
+    server.close_idle()
+    assert not server.wait_closed(0.05)
+    assert server.wait_closed(2)
+    with gevent.Timeout(2):
+        assert b"done" in sock.recv(65_536)
+    sock.close()
+
+
+def test_stop_waits_for_a_connection_that_was_just_accepted(slow_server):
+    server, address = slow_server
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        theirs = socket.create_connection(listener.getsockname())
+        ours, peer = listener.accept()
+    server.do_handle(gevent.socket.socket(fileno=ours.detach()), peer)
+    assert not server.wait_closed(0)
+    theirs.close()
+    assert server.wait_closed(2)
