Tell an idle connection's end from the caller's

Change: the server interrupts the wait for a request instead, from the hub and only if nothing has arrived, and leaves the socket alone. The test of the race runs the watch as the callers' application does.

--- a/packages/node/src/wasabitray_node/connections.py
+++ b/packages/node/src/wasabitray_node/connections.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -12,6 +11,7 @@
 from wasabitray_core.ids import Seconds
 from wasabitray_core.requests import Target
 from wasabitray_node.settings import Limits
+from wasabitray_node.sockets import has_input
 
 Place = NewType("Place", tuple[str, str, int])
 """A run of a target at its address; no connection outlives it."""
@@ -42,7 +42,7 @@
         Bytes on an idle connection belong to no request, and its end shows
         as readable too.
         """
-        return not select.select([self.socket.fileno()], [], [], 0)[0]
+        return not has_input(self.socket)
 
     def close(self) -> None:
         """Close the socket."""
--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -13,6 +13,7 @@
 from gevent.pywsgi import LoggingLogAdapter, WSGIHandler, WSGIServer
 
 from wasabitray_node.settings import split_address
+from wasabitray_node.sockets import has_input
 
 REQUEST_TARGET = "REQUEST_URI"
 CALLER_SOCKET = "wasabitray.socket"
@@ -31,6 +32,10 @@
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^`|~0-9A-Za-z-]+")
 
 
+class _IdleEndedError(Exception):
+    """The server stops, and the connection carries no request."""
+
+
 class StrictHandler(WSGIHandler):
     """Refuses requests that two processes could read differently.
 
@@ -59,22 +64,35 @@
                 raise ValueError("a folded header line")
         return headers
 
+    _waiting: Any = None
+
     def read_requestline(self) -> Any:
         """Wait for the next request; the connection is idle meanwhile."""
+        self._waiting = gevent.getcurrent()
         self.server.note_idle(self)
         try:
             with gevent.Timeout(self.server.idle_timeout_s, False):
                 return super().read_requestline()
-            return ""
+        except _IdleEndedError:
+            pass  # closed like one that was idle for too long
         finally:
+            self._waiting = None
             self.server.note_busy(self)
+        return ""
 
     def close_idle(self) -> None:
-        """End an idle connection: its reader finds the end at once."""
-        try:
-            self.socket.shutdown(socket.SHUT_RD)
-        except OSError:
-            return  # the caller closed it already
+        """End the connection unless a request has reached it.
+
+        The socket is left alone: to shut it down would look as if the
+        caller had gone, to a request that is read in the same turn of the
+        event loop.
+        """
+        gevent.get_hub().loop.run_callback(self._end_wait)
+
+    def _end_wait(self) -> None:
+        """Interrupt the wait for a request (called by the hub)."""
+        if self._waiting is not None and not has_input(self.socket):
+            self._waiting.throw(_IdleEndedError())
 
     def get_environ(self) -> dict[str, Any]:
         """Return the environment with the target as it was sent.
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -10,8 +10,9 @@
 import pytest
 
 from wasabitray_node.headers import strip_hop_by_hop
-from wasabitray_node.http import REQUEST_TARGET, build_server
+from wasabitray_node.http import CALLER_SOCKET, REQUEST_TARGET, build_server
 from wasabitray_node.operators import SecretCheck
+from wasabitray_node.watch import CallerWatch
 
 
 class Echo:
@@ -107,8 +108,11 @@
 
 class Slow:
     def on_get(self, req, resp):
+        watch = CallerWatch(req.env[CALLER_SOCKET])
+        watch.start()
         gevent.sleep(0.3)
-        resp.text = "done"
+        watch.stop()
+        resp.text = "gone" if watch.gone else "done"
 
 
 @pytest.fixture
