--- /dev/null
+++ b/tests/node/test_sockets.py
@@ -0,0 +1,65 @@
+"""Looking at a socket without reading it."""
+
+import os
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from wasabitray_node.sockets import has_input
+
+# A process like the daemon's, whose standard library is patched.
+IN_THE_LOOP = """
+from gevent import monkey
+monkey.patch_all()
+import gevent, socket
+from wasabitray_node.sockets import has_input
+ours, theirs = socket.socketpair()
+found = []
+loop = gevent.get_hub().loop
+loop.run_callback(lambda: found.append(has_input(ours)))
+theirs.sendall(b"x")
+gevent.sleep(0.05)
+assert found == [True], found
+"""
+
+
+@pytest.fixture
+def pair():
+    ours, theirs = socket.socketpair()
+    yield ours, theirs
+    ours.close()
+    theirs.close()
+
+
+def test_quiet_socket_has_no_input(pair):
+    assert not has_input(pair[0])
+
+
+def test_bytes_are_input(pair):
+    pair[1].sendall(b"x")
+    assert has_input(pair[0])
+
+
+def test_end_of_the_peer_is_input(pair):
+    pair[1].close()
+    assert has_input(pair[0])
+
+
+def test_large_descriptors_are_fine(pair):
+    high = os.dup(pair[0].fileno())
+    try:
+        os.dup2(high, 2_000)
+        sock = socket.socket(fileno=2_000)
+        assert not has_input(sock)
+        sock.close()
+    finally:
+        os.close(high)
+
+
+def test_it_works_from_a_callback_of_the_event_loop():
+    ran = subprocess.run(
+        [sys.executable, "-c", IN_THE_LOOP], capture_output=True, text=True
+    )
+    assert ran.returncode == 0, ran.stderr
