Give the last attempt of a request all the time that is left

Change: an attempt that no other may follow gets all the time.

Result: the new test of the chain failed before and passes.

--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -128,10 +128,14 @@
         return answer
 
     def _attempt_timeout(self, exchange: Exchange) -> Seconds:
-        """Return the time for an attempt; it leaves time for a retry."""
+        """Return the time for an attempt; it leaves time for a retry.
+
+        Without a retry to come, the attempt may use all that is left.
+        """
         remaining = max(0.0, exchange.deadline - self._clock())
         route = exchange.matched
-        if route.work is WorkClass.LONG or not route.idempotent:
+        is_last = exchange.attempts + 1 >= route.attempts
+        if is_last or route.work is WorkClass.LONG or not route.idempotent:
             return Seconds(remaining)
         return Seconds(remaining * ATTEMPT_SHARE)
 
--- a/tests/core/filters/test_chain.py
+++ b/tests/core/filters/test_chain.py
@@ -215,6 +215,15 @@
     assert script.exchange.attempts == 1
 
 
+@pytest.mark.parametrize(
+    ("attempts", "timeouts"), [(1, [2.0]), (2, [1.0, 2.0]), (3, [1.0, 1.0, 2])]
+)
+def test_last_attempt_may_use_all_the_time(attempts, timeouts):
+    script = Script(*[S.TIMED_OUT] * 3, attempts=attempts)
+    script.run()
+    assert [a.timeout for a in script.attempts] == timeouts
+
+
 def test_attempts_without_a_connection_come_to_an_end():
     answer = Script(*[S.UNREACHABLE] * 20).run()
     assert answer.outcome is Outcome.NOT_RUN
