End a pause only after good answers in a row; hear every new pause

Others came after a pause that survivors ignored: an entry that had started later numbered it from 1 again, while they remembered higher numbers.

Change: three good answers in a row, to attempts made in the pause, end it; a pause counts whatever its number once the one before is over.

--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -55,6 +55,9 @@
 PAUSE_RULES: dict[AttemptStatus, tuple[PauseCause, float]] = {
     AttemptStatus.FAILED: (PauseCause.BROKEN, 12.0),
 }
+# Answers in a row that end a pause. A bad spell lets about one attempt in
+# seven succeed, so three in a row come from a good target.
+RECOVERY_ANSWERS = 3
 
 
 @dataclass(slots=True)
@@ -233,7 +236,7 @@
     def _(self, message: Pause, origin: Origin) -> None:
         for service in self._services.values():
             state = service.targets.get(message.target)
-            if state is not None and message.number > state.pause_number:
+            if state is not None and self._is_news(state, message):
                 self._apply_pause(state, message)
 
     @receive.register
@@ -241,18 +244,31 @@
         self._entries = max(1, message.entries)
         self._burst = self._retries.burst(message.entries)
 
+    def _is_news(self, state: TargetState, pause: Pause) -> bool:
+        """Tell whether a pause says more than what is known.
+
+        Numbers count within a pause that lasts: an entry that started after
+        an earlier one has not heard of its number.
+        """
+        if pause.cause is PauseCause.BROKEN and not state.is_paused(
+            self._now()
+        ):
+            return True
+        return pause.number > state.pause_number
+
     def _apply_pause(self, state: TargetState, pause: Pause) -> None:
-        state.pause_number = pause.number
-        state.paused_until = Seconds(self._now() + pause.duration_s)
+        now = self._now()
+        state.pause_number = max(pause.number, state.pause_number)
+        state.paused_since = now
+        state.paused_until = Seconds(now + pause.duration_s)
+        state.answers_in_pause = 0
 
     def _judge_target(self, state: TargetState, release: Release) -> None:
-        """Pause a target that failed; end the pause of one that answers."""
+        """Pause a target that failed; end the pause of one that recovered."""
         if not self._pauses:
             return
         rule = PAUSE_RULES.get(release.status)
-        if release.status is AttemptStatus.ANSWERED and state.is_paused(
-            self._now()
-        ):
+        if self._has_recovered(state, release):
             rule = PauseCause.RECOVERED, 0.0
         if rule is None:
             return
@@ -270,6 +286,21 @@
             duration_s=duration,
         )
 
+    def _has_recovered(self, state: TargetState, release: Release) -> bool:
+        """Count good answers of a paused target.
+
+        An attempt from before the pause says nothing about it.
+        """
+        now = self._now()
+        if release.status is not AttemptStatus.ANSWERED or not state.is_paused(
+            now
+        ):
+            return False
+        if now - release.elapsed <= state.paused_since:
+            return False
+        state.answers_in_pause += 1
+        return state.answers_in_pause >= RECOVERY_ANSWERS
+
     # Queues
 
     def _pump(self, service: _Service) -> None:
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -43,8 +43,10 @@
         reported: load of the last answer, with its time.
         avoid_until: end of this entry's own avoidance of the path.
         ramp_until: until then a new target gets one request at a time.
+        paused_since: when this entry heard of the newest pause.
         paused_until: end of the fleet's pause.
         pause_number: number of the newest pause.
+        answers_in_pause: good answers in a row to attempts made in it.
     """
 
     target: Target
@@ -57,8 +59,10 @@
     reported_at: Seconds = Seconds(0.0)
     avoid_until: Seconds = Seconds(0.0)
     path_failures: int = 0
+    paused_since: Seconds = Seconds(0.0)
     paused_until: Seconds = Seconds(0.0)
     pause_number: int = 0
+    answers_in_pause: int = 0
 
     def slots(self, now: Seconds) -> int:
         """Return the slots that may be used now."""
