Let the entries of a region know each other's work in flight

Change: an entry tells its hub what it has in flight, changes within 30 ms and all each half second; hubs of a region add up and tell each entry what the others have. The least loaded target of the region is chosen while that word is fresh, the better of two random ones without it.

--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -32,7 +32,13 @@
     Tick,
     UsableTargets,
 )
-from wasabitray_core.messages import LongOccupancy, Pause
+from wasabitray_core.messages import (
+    EntryWork,
+    LongOccupancy,
+    OthersWork,
+    Pause,
+    TargetWork,
+)
 from wasabitray_core.placement import Need, TargetState, choose
 from wasabitray_core.requests import LoadReport, Target
 from wasabitray_core.states import (
@@ -44,6 +50,10 @@
 
 PUMP_INTERVAL_S = 0.02
 IDLE_INTERVAL_S = 1.0
+# Well under the time that a request takes at a target.
+SHARE_INTERVAL_S = 0.03
+# All work is stated this often, in case a change was lost.
+RESTATE_INTERVAL_S = 0.5
 AVOID_FIRST_S = 0.5
 AVOID_MAX_S = 8.0
 RAMP_S = 5.0
@@ -92,6 +102,7 @@
         retries: RetryLimits | None = None,
         pauses: bool = False,
         startup_wait_s: float = 0.0,
+        shares_work: bool = False,
     ) -> None:
         """Start without targets.
 
@@ -102,6 +113,7 @@
             pauses: whether targets that fail are paused for the fleet.
             startup_wait_s: seconds from the start in which requests wait
                 for the first targets.
+            shares_work: whether other entries are told of work in flight.
         """
         super().__init__(context)
         self._region = region
@@ -111,12 +123,19 @@
         self._entries = 1
         self._burst = self._retries.burst(1)
         self._services: dict[ServiceName, _Service] = {}
+        self._shares_work = shares_work
+        self._unshared: set[TargetId] = set()
+        self._restate_at = context.clock()
 
     @property
     def tick_interval_s(self) -> float:  # type: ignore[override]
         """Seconds between ticks; short only while requests wait."""
         waiting = any(s.waiting() for s in self._services.values())
-        return PUMP_INTERVAL_S if waiting else IDLE_INTERVAL_S
+        if waiting:
+            return PUMP_INTERVAL_S
+        if self._unshared:
+            return SHARE_INTERVAL_S
+        return RESTATE_INTERVAL_S if self._shares_work else IDLE_INTERVAL_S
 
     @singledispatchmethod
     def receive(self, message: Any, origin: Origin) -> None:
@@ -128,6 +147,7 @@
         for service in self._services.values():
             if service.waiting():
                 self._pump(service)
+        self._share_work()
 
     @receive.register
     def _(self, message: UsableTargets, origin: Origin) -> None:
@@ -179,6 +199,7 @@
         service.usage.change(-1, now)
         if state is not None:
             state.busy = max(0, state.busy - 1)
+            self._note_change(message.target)
             if message.work is WorkClass.LONG:
                 state.busy_long = max(0, state.busy_long - 1)
             self._note_load(state, message, now)
@@ -230,6 +251,43 @@
         )
         return True
 
+    # Work in flight
+
+    @receive.register
+    def _(self, message: OthersWork, origin: Origin) -> None:
+        now = self._now()
+        attempts = {w.target: w.attempts for w in message.targets}
+        for service in self._services.values():
+            for target, state in service.targets.items():
+                if message.full:
+                    state.others = attempts.get(target, 0)
+                else:
+                    state.others = attempts.get(target, state.others)
+                state.others_at = now
+            if service.waiting():
+                self._pump(service)
+
+    def _note_change(self, target: TargetId) -> None:
+        if self._shares_work:
+            self._unshared.add(target)
+
+    def _share_work(self) -> None:
+        """Tell what changed, or all now and then."""
+        now = self._now()
+        full = self._shares_work and now >= self._restate_at
+        if not full and not self._unshared:
+            return
+        work = tuple(
+            TargetWork(target, state.busy)
+            for service in self._services.values()
+            for target, state in service.targets.items()
+            if (state.busy if full else target in self._unshared)
+        )
+        self._unshared.clear()
+        if full:
+            self._restate_at = Seconds(now + RESTATE_INTERVAL_S)
+        self._outbox.tell(ControllerName.MEMBERSHIP, EntryWork(work, full))
+
     # Pauses
 
     @receive.register
@@ -383,6 +441,7 @@
         state = choice.state
         load = state.load(now)
         state.busy += 1
+        self._note_change(state.target.target)
         service.usage.change(+1, now)
         if ask.work is WorkClass.LONG:
             state.busy_long += 1
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -54,6 +54,7 @@
     Spread,
     Tick,
     Withdraw,
+    WorkReaders,
 )
 from wasabitray_core.messages import (
     Announcement,
@@ -496,8 +497,17 @@
         view = FleetView((own, *entries, *hubs))
         self._outbox.tell(ControllerName.CONFIGURATION, view)
         self._outbox.tell(ControllerName.CONSENSUS, view)
+        readers = WorkReaders(tuple(self._subscribers), self._near_hubs())
+        self._outbox.tell(ControllerName.SHARED_WORK, readers)
         self._publish_entries()
 
+    def _near_hubs(self) -> tuple[HostId, ...]:
+        return tuple(
+            hub.host
+            for hub in self._hubs.addresses(self._now())
+            if hub.region == self._address.region
+        )
+
     def _publish_entries(self) -> None:
         view = EntriesView(self._entries())
         self._present = sum(1 for e in view.entries if e.present)
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -43,6 +43,7 @@
     Announcement,
     ConfigPull,
     Ejection,
+    EntryWork,
     Feed,
     FeedMark,
     HostAddress,
@@ -163,6 +164,11 @@
         )
         self._outbox.send(self._hub, news)
 
+    @receive.register
+    def _(self, message: EntryWork, origin: Origin) -> None:
+        if self._hub is not None:
+            self._outbox.send(self._hub, message)
+
     @receive.register
     def _(self, message: Feed, origin: Origin) -> None:
         if origin.peer != self._hub:
--- a/packages/core/src/wasabitray_core/local.py
+++ b/packages/core/src/wasabitray_core/local.py
@@ -58,6 +58,7 @@
     QUARANTINE = "quarantine"
     LONG_SLOTS = "long-slots"
     ADDRESSES = "addresses"
+    SHARED_WORK = "shared-work"
     DIRECTORY = "directory"
 
 
@@ -242,6 +243,19 @@
     item: Announcement | Ejection | Quarantine | Pause
 
 
+@dataclass(frozen=True, slots=True)
+class WorkReaders:
+    """Who is told of the work in flight of a hub's entries.
+
+    Attributes:
+        entries: the hub's subscribers.
+        hubs: the other hubs of its region.
+    """
+
+    entries: tuple[HostId, ...]
+    hubs: tuple[HostId, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Register:
     """A target's own word, given to a hub.
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -252,6 +252,40 @@
     pauses: tuple[Pause, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class TargetWork:
+    """Attempts in flight at a target."""
+
+    target: TargetId
+    attempts: int
+
+
+@dataclass(frozen=True, slots=True)
+class EntryWork:
+    """What an entry, or all entries of a hub, have in flight.
+
+    Attributes:
+        full: whether targets that are left out have nothing; else they are
+            unchanged.
+    """
+
+    targets: tuple[TargetWork, ...]
+    full: bool
+
+
+@dataclass(frozen=True, slots=True)
+class OthersWork:
+    """What the other entries of a region have in flight.
+
+    Attributes:
+        full: whether targets that are left out have nothing; else they are
+            unchanged.
+    """
+
+    targets: tuple[TargetWork, ...]
+    full: bool
+
+
 # Configuration
 
 
@@ -652,4 +686,6 @@
     | LongSlotReply
     | LongSlotRelease
     | LongOccupancy
+    | EntryWork
+    | OthersWork
 )
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
@@ -10,8 +11,10 @@
 from wasabitray_core.ids import RegionName, Seconds, TargetId
 from wasabitray_core.requests import LoadReport, Target
 
-# Other entries' work shows only in reported load, which ages quickly.
+# A target's report of its load ages quickly where requests are short.
 LOAD_REPORT_TTL_S = 0.25
+# Other entries' work is stated each half second; two may be lost.
+SHARED_WORK_TTL_S = 1.5
 TRIAL_CHANCE = 0.1
 # Requests for each slot that targets may have before paused ones are needed.
 # Targets queue a few: waiting for one and a half others costs less than the
@@ -40,6 +43,8 @@
         busy: slots in use by this entry.
         busy_long: those of them with long work.
         long_held: slots with long work of all entries.
+        others: attempts of other entries, as their hub last told.
+        others_at: when it told.
         reported: load of the last answer, with its time.
         avoid_until: end of this entry's own avoidance of the path.
         ramp_until: until then a new target gets one request at a time.
@@ -55,6 +60,8 @@
     busy: int = 0
     busy_long: int = 0
     long_held: int = 0
+    others: int = 0
+    others_at: Seconds = Seconds(-math.inf)
     reported: LoadReport | None = None
     reported_at: Seconds = Seconds(0.0)
     avoid_until: Seconds = Seconds(0.0)
@@ -74,12 +81,18 @@
         """Return the estimated slots in use by all entries."""
         short = self.busy - self.busy_long
         known = short + max(self.busy_long, self.long_held)
+        if self.hears_others(now):
+            known += self.others
         if self.reported is None:
             return known
         age = now - self.reported_at
         trust = max(0.0, 1.0 - age / LOAD_REPORT_TTL_S)
         return max(known, self.reported.busy * trust)
 
+    def hears_others(self, now: Seconds) -> bool:
+        """Tell whether other entries' work is known."""
+        return now - self.others_at < SHARED_WORK_TTL_S
+
     def has_room(self, now: Seconds) -> bool:
         """Tell whether another request would find a free slot."""
         return self.load(now) + 1 <= self.slots(now) + 1e-9
@@ -127,11 +140,12 @@
 ) -> Choice | None:
     """Choose a target for a request, or None if none has room.
 
-    A request gets the less loaded of two random targets (Mitzenmacher, "The
-    power of two choices in randomized load balancing", 2001) in the entry's
-    own region if those there can carry the region's load. A target that is
-    unreachable from here gets work when no other has room, a paused one when
-    the others can't carry the load.
+    A request gets the least loaded target in the entry's own region if those
+    there can carry the region's load. Without word of other entries' work,
+    two random ones are compared (Mitzenmacher, "The power of two choices in
+    randomized load balancing", 2001), since all entries would choose the
+    same one. A target that is unreachable from here gets work when no other
+    has room, a paused one when the others can't carry the load.
     """
     if need.pinned is not None:
         pinned = targets.get(need.pinned)
@@ -190,6 +204,8 @@
 ) -> Choice | None:
     if not states:
         return None
-    pair = source.sample(states, min(2, len(states)))
-    chosen = min(pair, key=lambda s: s.load(now) / s.target.slots)
+    informed = all(s.hears_others(now) for s in states)
+    compared = len(states) if informed else min(2, len(states))
+    sample = source.sample(states, compared)  # ties go to a random one
+    chosen = min(sample, key=lambda s: s.load(now) / s.target.slots)
     return Choice(chosen, Basis.LOAD)
--- a/packages/node/src/wasabitray_node/assembly.py
+++ b/packages/node/src/wasabitray_node/assembly.py
@@ -24,6 +24,7 @@
 from wasabitray_core.controllers.long_slots import LongSlotsController
 from wasabitray_core.controllers.membership import MembershipController
 from wasabitray_core.controllers.quarantine import QuarantineController
+from wasabitray_core.controllers.shared_work import SharedWorkController
 from wasabitray_core.controllers.subscriber import (
     EntryProfile,
     SubscriberController,
@@ -165,6 +166,7 @@
                 Incarnation(secrets.token_hex(4)),
                 self._first_number,
             )
+            self._add(SharedWorkController)
             self._add(ConfigurationController, (), EVERY_ENTRY)
             self._add_addresses()
             self._add_consensus()
@@ -201,6 +203,7 @@
             settings.retries.to_limits(),
             settings.pauses,
             settings.startup_wait_s,
+            settings.topology is Topology.HUBS,
         )
         self._add(QuarantineController)
 
--- a/packages/node/src/wasabitray_node/tasks.py
+++ b/packages/node/src/wasabitray_node/tasks.py
@@ -54,6 +54,8 @@
     m.LongSlotReply: ControllerName.LONG_SLOTS,
     m.LongSlotRelease: ControllerName.LONG_SLOTS,
     m.LongOccupancy: ControllerName.DISPATCH,
+    m.EntryWork: ControllerName.SHARED_WORK,
+    m.OthersWork: ControllerName.DISPATCH,
 }
 
 
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -108,6 +108,9 @@
 }
 struct LongSlotReply { 1: i64 request, 2: string target }
 struct LongSlotRelease { 1: i64 request }
+struct TargetWork { 1: string target, 2: i32 attempts }
+struct EntryWork { 1: list<TargetWork> targets, 2: bool full }
+struct OthersWork { 1: list<TargetWork> targets, 2: bool full }
 struct LongHeld { 1: string target, 2: i32 slots }
 struct LongOccupancy { 1: string service_, 2: list<LongHeld> held }
 
@@ -123,7 +126,8 @@
   20: LongSlotRequest long_slot_request, 21: LongSlotReply long_slot_reply,
   22: LongSlotRelease long_slot_release,
   23: CampaignNow campaign_now, 24: LongOccupancy long_occupancy,
-  25: Presence presence, 26: Unsubscribe unsubscribe, 27: Feed feed, 28: News news
+  25: Presence presence, 26: Unsubscribe unsubscribe, 27: Feed feed, 28: News news,
+  29: EntryWork entry_work, 30: OthersWork others_work
 }
 
 union StoredItem { 1: Ballot ballot, 2: LogRecord log_record, 3: Snapshot snapshot, 4: Member member }
--- a/packages/wire/src/wasabitray_wire/gen/Peer.py
+++ b/packages/wire/src/wasabitray_wire/gen/Peer.py
@@ -310,11 +310,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype224, _size221) = iprot.readListBegin()
-                    for _i225 in range(_size221):
-                        _elem226 = PeerMessage()
-                        _elem226.read(iprot)
-                        self.messages.append(_elem226)
+                    (_etype238, _size235) = iprot.readListBegin()
+                    for _i239 in range(_size235):
+                        _elem240 = PeerMessage()
+                        _elem240.read(iprot)
+                        self.messages.append(_elem240)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -331,8 +331,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter227 in self.messages:
-                iter227.write(oprot)
+            for iter241 in self.messages:
+                iter241.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -4461,6 +4461,228 @@
         return not (self == other)
 
 
+class TargetWork(object):
+    """
+    Attributes:
+     - target
+     - attempts
+
+    """
+
+
+    def __init__(self, target=None, attempts=None,):
+        self.target = target
+        self.attempts = attempts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.attempts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetWork')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.attempts is not None:
+            oprot.writeFieldBegin('attempts', TType.I32, 2)
+            oprot.writeI32(self.attempts)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EntryWork(object):
+    """
+    Attributes:
+     - targets
+     - full
+
+    """
+
+
+    def __init__(self, targets=None, full=None,):
+        self.targets = targets
+        self.full = full
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.targets = []
+                    (_etype217, _size214) = iprot.readListBegin()
+                    for _i218 in range(_size214):
+                        _elem219 = TargetWork()
+                        _elem219.read(iprot)
+                        self.targets.append(_elem219)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.full = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EntryWork')
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.targets))
+            for iter220 in self.targets:
+                iter220.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.full is not None:
+            oprot.writeFieldBegin('full', TType.BOOL, 2)
+            oprot.writeBool(self.full)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OthersWork(object):
+    """
+    Attributes:
+     - targets
+     - full
+
+    """
+
+
+    def __init__(self, targets=None, full=None,):
+        self.targets = targets
+        self.full = full
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.targets = []
+                    (_etype224, _size221) = iprot.readListBegin()
+                    for _i225 in range(_size221):
+                        _elem226 = TargetWork()
+                        _elem226.read(iprot)
+                        self.targets.append(_elem226)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.full = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OthersWork')
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.targets))
+            for iter227 in self.targets:
+                iter227.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.full is not None:
+            oprot.writeFieldBegin('full', TType.BOOL, 2)
+            oprot.writeBool(self.full)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LongHeld(object):
     """
     Attributes:
@@ -4559,11 +4781,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype217, _size214) = iprot.readListBegin()
-                    for _i218 in range(_size214):
-                        _elem219 = LongHeld()
-                        _elem219.read(iprot)
-                        self.held.append(_elem219)
+                    (_etype231, _size228) = iprot.readListBegin()
+                    for _i232 in range(_size228):
+                        _elem233 = LongHeld()
+                        _elem233.read(iprot)
+                        self.held.append(_elem233)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4584,8 +4806,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter220 in self.held:
-                iter220.write(oprot)
+            for iter234 in self.held:
+                iter234.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4636,11 +4858,13 @@
      - unsubscribe
      - feed
      - news
+     - entry_work
+     - others_work
 
     """
 
 
-    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None, long_occupancy=None, presence=None, unsubscribe=None, feed=None, news=None,):
+    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None, long_occupancy=None, presence=None, unsubscribe=None, feed=None, news=None, entry_work=None, others_work=None,):
         self.gossip = gossip
         self.config_pull = config_pull
         self.config_push = config_push
@@ -4668,6 +4892,8 @@
         self.unsubscribe = unsubscribe
         self.feed = feed
         self.news = news
+        self.entry_work = entry_work
+        self.others_work = others_work
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4840,6 +5066,18 @@
                     self.news.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 29:
+                if ftype == TType.STRUCT:
+                    self.entry_work = EntryWork()
+                    self.entry_work.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.STRUCT:
+                    self.others_work = OthersWork()
+                    self.others_work.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4958,6 +5196,14 @@
             oprot.writeFieldBegin('news', TType.STRUCT, 28)
             self.news.write(oprot)
             oprot.writeFieldEnd()
+        if self.entry_work is not None:
+            oprot.writeFieldBegin('entry_work', TType.STRUCT, 29)
+            self.entry_work.write(oprot)
+            oprot.writeFieldEnd()
+        if self.others_work is not None:
+            oprot.writeFieldBegin('others_work', TType.STRUCT, 30)
+            self.others_work.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5437,6 +5683,24 @@
     None,  # 0
     (1, TType.I64, 'request', None, None, ),  # 1
 )
+all_structs.append(TargetWork)
+TargetWork.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'attempts', None, None, ),  # 2
+)
+all_structs.append(EntryWork)
+EntryWork.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'targets', (TType.STRUCT, [TargetWork, None], False), None, ),  # 1
+    (2, TType.BOOL, 'full', None, None, ),  # 2
+)
+all_structs.append(OthersWork)
+OthersWork.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'targets', (TType.STRUCT, [TargetWork, None], False), None, ),  # 1
+    (2, TType.BOOL, 'full', None, None, ),  # 2
+)
 all_structs.append(LongHeld)
 LongHeld.thrift_spec = (
     None,  # 0
@@ -5480,6 +5744,8 @@
     (26, TType.STRUCT, 'unsubscribe', [Unsubscribe, None], None, ),  # 26
     (27, TType.STRUCT, 'feed', [Feed, None], None, ),  # 27
     (28, TType.STRUCT, 'news', [News, None], None, ),  # 28
+    (29, TType.STRUCT, 'entry_work', [EntryWork, None], None, ),  # 29
+    (30, TType.STRUCT, 'others_work', [OthersWork, None], None, ),  # 30
 )
 all_structs.append(StoredItem)
 StoredItem.thrift_spec = (
--- a/tests/core/controllers/test_dispatch.py
+++ b/tests/core/controllers/test_dispatch.py
@@ -21,7 +21,12 @@
     UsableTarget,
     UsableTargets,
 )
-from wasabitray_core.messages import Pause
+from wasabitray_core.messages import (
+    EntryWork,
+    OthersWork,
+    Pause,
+    TargetWork,
+)
 from wasabitray_core.requests import LoadReport, Target
 from wasabitray_core.states import (
     AttemptStatus,
@@ -252,6 +257,51 @@
         assert not self.is_paused()
 
 
+class TestSharedWork:
+    """What an entry tells others of its work, and hears of theirs."""
+
+    def setup_method(self):
+        self.bed = Bed(DispatchController, "south", shares_work=True)
+        usable = [UsableTarget(target(t, slots=4), False) for t in "ab"]
+        self.bed.tell(UsableTargets("rota", tuple(usable), ("a", "b"), ()))
+        self.bed.tick()
+
+    def stated(self):
+        found = self.bed.outbox.told_of(EntryWork)[-1]
+        return {w.target: w.attempts for w in found.targets}, found.full
+
+    def test_changes_are_told_within_a_moment(self):
+        chosen = reply(self.bed, acquire(self.bed)).target.target
+        assert self.bed.controller.tick_interval_s <= 0.03
+        self.bed.tick(0.03)
+        assert self.stated() == ({chosen: 1}, False)
+        release(self.bed, chosen)
+        self.bed.tick(0.03)
+        assert self.stated() == ({chosen: 0}, False)
+
+    def test_all_work_is_stated_now_and_then(self):
+        chosen = reply(self.bed, acquire(self.bed)).target.target
+        self.bed.tick(0.5)
+        assert self.stated() == ({chosen: 1}, True)
+
+    def test_work_of_others_counts(self):
+        work = (TargetWork("a", 3), TargetWork("b", 4))
+        self.bed.tell(OthersWork(work, True))
+        ask = acquire(self.bed)
+        assert reply(self.bed, ask).target.target == "a"
+        waiting = acquire(self.bed)
+        assert reply(self.bed, waiting) is None
+        self.bed.tell(OthersWork((TargetWork("b", 2),), False))
+        assert reply(self.bed, waiting).target.target == "b"
+
+    def test_work_of_others_is_forgotten_with_their_hub(self):
+        self.bed.tell(OthersWork((TargetWork("a", 4), TargetWork("b", 4)), 1))
+        ask = acquire(self.bed)
+        assert reply(self.bed, ask) is None
+        self.bed.tick(1.6)
+        assert isinstance(reply(self.bed, ask), Grant)
+
+
 def test_next_target_after_no_connection_earns_no_retries():
     limits = RetryLimits(share=1.0, fleet_burst=100.0)
     bed = Bed(DispatchController, "south", limits)
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -63,14 +63,19 @@
     """A controller with fakes around it."""
 
     def __init__(
-        self, build: Any, *args: Any, host: str = "e1", seed: int = 7
+        self,
+        build: Any,
+        *args: Any,
+        host: str = "e1",
+        seed: int = 7,
+        **options: Any,
     ) -> None:
         self.clock = FakeClock()
         self.outbox = FakeOutbox()
         self.context = Context(
             HostId(host), self.clock, random.Random(seed), self.outbox
         )
-        self.controller: Controller = build(self.context, *args)
+        self.controller: Controller = build(self.context, *args, **options)
         self._asks = 0
 
     def tell(self, message: Any) -> None:
