Answer questions for addresses on entries too; tick at the start

Change: hubs feed the state of entries to entries, which answer questions for addresses as control hosts do; each task ticks at its start.

--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -303,11 +303,7 @@
         self, host: HostId, subscriber: _Subscriber, heartbeat: bool = False
     ) -> None:
         now = self._now()
-        items: list[FeedItem] = [
-            item
-            for item in self._table.after(subscriber.reader.sent, host, now)
-            if not isinstance(item, EntryState)  # for hubs only
-        ]
+        items = list(self._table.after(subscriber.reader.sent, host, now))
         if not items and not heartbeat:
             return
         full = not subscriber.told_hubs or not self._ticks % HUBS_EVERY_TICKS
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -29,6 +29,7 @@
 )
 from wasabitray_core.local import (
     ControllerName,
+    EntriesView,
     FleetSize,
     GetStatus,
     InForce,
@@ -43,6 +44,7 @@
     Announcement,
     ConfigPull,
     Ejection,
+    EntryState,
     EntryWork,
     Feed,
     FeedMark,
@@ -114,6 +116,7 @@
         self._avoid_until: dict[HostId, Seconds] = {}
         self._review_at = context.clock()
         self._fed: dict[Subject, FeedItem] = {}
+        self._states: dict[HostId, EntryState] = {}
         self._entries = 0
 
     @property
@@ -145,6 +148,7 @@
         else:
             self._flags &= ~message.flag
         self._send_presence()
+        self._publish_entries()
 
     @receive.register
     def _(self, message: InForce, origin: Origin) -> None:
@@ -181,7 +185,10 @@
             self._contact_at = now
         self._note_position(message)
         self._learn_hubs(message.hubs)
+        self._learn_entries(message.entry_states)
         for item in items_of(message):
+            if isinstance(item, EntryState):
+                continue
             self._fed[(type(item), subject_of(item))] = item
             self._outbox.tell(_CONTROLLER_OF[type(item)], item)
         if message.entries != self._entries:
@@ -211,6 +218,28 @@
             },
         )
 
+    def _learn_entries(self, states: tuple[EntryState, ...]) -> None:
+        """Take what the hub says of the other entries."""
+        if states:
+            self._states |= {state.host: state for state in states}
+            self._publish_entries()
+
+    def _publish_entries(self) -> None:
+        """Tell which entries there are; a hub does not repeat this one."""
+        own = EntryState(
+            self.host,
+            self._counter,
+            True,
+            self._flags,
+            self._profile.region,
+            self._profile.failure_domain,
+            self._profile.caller_address,
+            self._hub or HostId(""),
+        )
+        others = (s for h, s in self._states.items() if h != self.host)
+        view = EntriesView((own, *others))
+        self._outbox.tell(ControllerName.ADDRESSES, view)
+
     def _note_position(self, feed: Feed) -> None:
         """Advance the mark unless something before it is missing."""
         same = self._mark.incarnation == feed.incarnation
--- a/packages/node/src/wasabitray_node/assembly.py
+++ b/packages/node/src/wasabitray_node/assembly.py
@@ -184,6 +184,8 @@
                 settings.startup_wait_s,
             )
             self._add_dispatch()
+            if settings.listen.directory is not None:
+                self._add_addresses()
         self._add(DirectoryController, self.links)
 
     # Controllers
--- a/packages/node/src/wasabitray_node/tasks.py
+++ b/packages/node/src/wasabitray_node/tasks.py
@@ -179,8 +179,11 @@
             self._mailbox.put(None)  # ticks are wanted sooner now
 
     def run(self) -> None:
-        """Handle messages until the task is killed."""
-        self._next_tick = self._clock() + self._controller.tick_interval_s
+        """Handle messages until the task is killed.
+
+        The first tick is due at once: a host that starts has others to find.
+        """
+        self._next_tick = self._clock()
         self._running = True
         self._run_batch(None)
         while True:
--- a/tests/core/controllers/test_subscriber.py
+++ b/tests/core/controllers/test_subscriber.py
@@ -1,5 +1,7 @@
 """An entry and the hub that it listens to."""
 
+from dataclasses import replace
+
 from support.fakes import Bed
 
 from wasabitray_core.controllers.subscriber import (
@@ -9,6 +11,7 @@
 )
 from wasabitray_core.local import (
     ControllerName,
+    EntriesView,
     InForce,
     SeedsChanged,
     SetFlag,
@@ -16,6 +19,7 @@
 )
 from wasabitray_core.messages import (
     ConfigPull,
+    EntryState,
     Feed,
     HostAddress,
     News,
@@ -120,3 +124,23 @@
     bed = entry_bed("c1")
     bed.tell(SetFlag(HostFlag.LEAVING, True))
     assert sent(bed, Presence)[-1][1].flags & HostFlag.LEAVING
+
+
+def entries_of(bed):
+    """Return the flags of the entries in the newest view."""
+    entries = bed.outbox.told_of(EntriesView)[-1].entries
+    return {e.host: (e.present, e.flags) for e in entries}
+
+
+def test_entry_knows_itself_and_the_other_entries():
+    bed = entry_bed("c1")
+    serving = HostFlag.SERVING
+    other = EntryState("e2", 1, True, serving, "south", "a", "e2:80", "c1")
+    bed.receive("c1", feed("c1", position=1, entry_states=(other,)))
+    bed.tell(SetFlag(serving, True))
+    assert entries_of(bed) == {"e1": (True, serving), "e2": (True, serving)}
+    gone = replace(other, counter=2, present=False)
+    bed.receive("c1", feed("c1", 1, 2, entry_states=(gone,)))
+    assert entries_of(bed)["e2"] == (False, serving)
+    bed.tell(SetFlag(HostFlag.LEAVING, True))
+    assert entries_of(bed)["e1"] == (True, serving | HostFlag.LEAVING)
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -67,7 +67,7 @@
     def named():
         found = [
             call(fleet.directory(c), "GET", "/-/resolve?name=rota.example")
-            for c in fleet.controls
+            for c in (*fleet.controls, *fleet.entries)
         ]
         return all(
             r.status == 200 and set(r.json()["front_addresses"]) == wanted
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -54,7 +54,11 @@
         listen = (
             {"control": self.registry(name), "directory": self.directory(name)}
             if control
-            else {"front": self.callers(name), "ready": self.readiness(name)}
+            else {
+                "front": self.callers(name),
+                "ready": self.readiness(name),
+                "directory": self.directory(name),
+            }
         )
         fields = {
             "ip": self.ip(name),
