--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -22,8 +22,8 @@
 # loses.
 MAX_USE = 2.5
 # Requests for each slot up to which a target of the own region is better than
-# any elsewhere: half a request's wait against two trips between regions.
-NEAR_USE = 1.5
+# any elsewhere: one request's wait against two round trips between regions.
+NEAR_USE = 2.0
 
 
 class Basis(Enum):
