Let all hubs know each other; pass a feed on to a hub that is stuck

Ruled out: links (none was down), a lost feed.

Change: hubs tell a new hub, and each other every 4 s, of all hubs. A feed is passed on to a hub that has stood at one place of it for a second, whether the feed goes on or not.

--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -147,6 +147,8 @@
         for host in self._known_hubs():
             self._outbox.send(host, presence)
             self._relay(host, now)
+            if not self._ticks % HUBS_EVERY_TICKS:
+                self._introduce(host)
         for host, subscriber in self._subscribers.items():
             self._feed_entry(host, subscriber, heartbeat=True)
         self._publish()
@@ -329,6 +331,14 @@
         )
         hub.reader.note_sent(self._table.position, now)
 
+    def _introduce(self, host: HostId) -> None:
+        """Tell another hub of all hubs: those given to each may differ."""
+        hub = self._hubs.find(host)
+        if hub is not None:
+            sent = hub.reader.sent
+            mark = FeedMark(self.host, self._table.incarnation, sent)
+            self._outbox.send(host, self._feed(mark, sent, [], True))
+
     def _relay(self, host: HostId, now: Seconds) -> None:
         """Pass a third hub's feed on to a hub that lags behind."""
         for theirs, position in self._hubs.lacking(host, now):
@@ -377,6 +387,7 @@
         if is_new:
             self._tell_addresses((hub.address,))
             self._outbox.send(host, self._presence())
+            self._introduce(host)
         if silent:
             self._outbox.report("hub heard", peer=host)
         self._feed_hub(host, hub)
--- a/packages/core/src/wasabitray_core/controllers/hub_peers.py
+++ b/packages/core/src/wasabitray_core/controllers/hub_peers.py
@@ -10,7 +10,7 @@
 from wasabitray_core.messages import Feed, FeedMark, HostAddress, Presence
 
 HUB_TIMEOUT_S = 3.0
-# A third hub's feed is passed on once its reader lags for this long.
+# A third hub's feed is passed on once its reader is stuck for this long.
 RELAY_AFTER_S = 1.0
 FORGET_HUB_S = 60.0
 
@@ -37,6 +37,14 @@
         return now - self.heard > HUB_TIMEOUT_S
 
 
+@dataclass(frozen=True, slots=True)
+class _Lag:
+    """Where a hub stands in a third one's feed, and since when."""
+
+    mark: FeedMark
+    since: Seconds
+
+
 class HubPeers:
     """The other hubs, and how far each feed has been read here."""
 
@@ -47,6 +55,7 @@
         self._hubs: dict[HostId, PeerHub] = {}
         self._marks: dict[HostId, FeedMark] = {}
         self._advanced: dict[HostId, Seconds] = {}
+        self._lags: dict[tuple[HostId, HostId], _Lag] = {}
 
     @property
     def marks(self) -> tuple[FeedMark, ...]:
@@ -147,14 +156,30 @@
         if hub is None or hub.is_silent(now):
             return
         for origin, mine in self._marks.items():
-            theirs = hub.marks.get(origin)
-            if origin == host or now - self._advanced[origin] < RELAY_AFTER_S:
+            if origin == host:
                 continue
+            theirs = hub.marks.get(origin)
             if theirs is None or theirs.incarnation != mine.incarnation:
                 theirs = FeedMark(origin, mine.incarnation, START)
-            if theirs.position < mine.position:
+            if self._is_stuck(host, theirs, mine, now):
                 yield theirs, mine.position
 
+    def _is_stuck(
+        self, host: HostId, theirs: FeedMark, mine: FeedMark, now: Seconds
+    ) -> bool:
+        """Tell whether a hub has stood at one place of a feed for long.
+
+        The feed itself may go on all the while.
+        """
+        key = (host, theirs.hub)
+        if theirs.position >= mine.position:
+            self._lags.pop(key, None)
+            return False
+        lag = self._lags.get(key)
+        if lag is None or lag.mark != theirs:
+            lag = self._lags[key] = _Lag(theirs, self._advanced[theirs.hub])
+        return now - lag.since >= RELAY_AFTER_S
+
 
 def _new_hub(address: HostAddress, heard: Seconds = _NEVER) -> PeerHub:
     return PeerHub(address, Reader(START, START, _NEVER), heard=heard)
--- a/tests/core/controllers/test_hub.py
+++ b/tests/core/controllers/test_hub.py
@@ -151,6 +151,45 @@
     assert passed[0].announcements == (WORD,)
 
 
+def test_feed_is_passed_on_while_more_of_it_keeps_coming():
+    bed = hub_bed("c1", "c2", "c3")
+    for host in ("c2", "c3"):
+        bed.receive(host, hub_presence())
+    for number in range(8):
+        word = replace(WORD, target=f"i-{number}")
+        feed = Feed("c2", "run-2", number, number + 1, 0, True, 0, (), (word,))
+        bed.receive("c2", feed)
+        bed.receive("c3", hub_presence(2 + number))
+        bed.tick(0.5)
+    passed = [f for f in feeds_to(bed, "c3") if f.origin == "c2"]
+    assert passed and passed[0].announcements[0].target == "i-0"
+
+
+def test_hubs_are_told_of_each_other():
+    bed = hub_bed("c1", "c2")
+    bed.receive("c2", hub_presence())
+    bed.receive("c3", hub_presence())
+    told = {a.host for f in feeds_to(bed, "c3") for a in f.hubs}
+    assert told == {"c1", "c2", "c3"}
+    bed.outbox.sent.clear()
+    for number in range(8):
+        for host in ("c2", "c3"):
+            bed.receive(host, hub_presence(2 + number))
+        bed.tick(0.5)
+    told = {a.host for f in feeds_to(bed, "c2") for a in f.hubs}
+    assert told == {"c1", "c2", "c3"}
+
+
+def test_hub_that_another_one_names_is_written_to():
+    bed = hub_bed("c1", "c2")
+    bed.receive("c2", hub_presence())
+    third = HostAddress("c3", "127.0.0.3:1", "north")
+    bed.receive("c2", Feed("c2", "r2", 0, 0, 0, True, 0, (third,)))
+    bed.outbox.sent.clear()
+    bed.tick(0.5)
+    assert any(h == "c3" for h, m in bed.outbox.sent)
+
+
 def test_feed_with_a_gap_is_not_taken_for_complete():
     bed = hub_bed("c1", "c2")
     bed.receive("c2", hub_presence())
