Name entries that start when no other is open

Change: when no entry is open, those that are present and do not leave are named; they hold requests until the configuration has come. A host answers so only 0.4 s after its start, since one that starts alone hears of the others sooner.

--- a/packages/core/src/wasabitray_core/controllers/addresses.py
+++ b/packages/core/src/wasabitray_core/controllers/addresses.py
@@ -30,6 +30,8 @@
 MAX_ADDRESSES = 4
 # With fewer entries in a domain, one that fails costs its callers too much.
 MIN_NEAR = 2
+# A host that starts alone hears of the entries that serve within this.
+STARTING_ALONE_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +77,8 @@
         self._spread = spread
         self._entries: dict[HostId, _Entry] = {}
         self._open: frozenset[HostId] = frozenset()
+        self._starting: frozenset[HostId] = frozenset()
+        self._started = context.clock()
 
     @singledispatchmethod
     def receive(self, message: Any, origin: Origin) -> None:
@@ -105,13 +109,13 @@
             )
             for state in message.entries
         }
-        self._open = frozenset(
-            state.host
+        staying = {
+            state.host: bool(state.flags & HostFlag.SERVING)
             for state in message.entries
-            if state.present
-            and state.flags & HostFlag.SERVING
-            and not state.flags & HostFlag.LEAVING
-        )
+            if state.present and not state.flags & HostFlag.LEAVING
+        }
+        self._open = frozenset(h for h, serves in staying.items() if serves)
+        self._starting = frozenset(staying) - self._open
 
     @receive.register
     def _(self, message: FleetView, origin: Origin) -> None:
@@ -140,7 +144,8 @@
         self, region: RegionName, domain: FailureDomainName
     ) -> list[_Entry]:
         """Choose open entries of the caller's domain, region, or all."""
-        entries = [e for h, e in self._entries.items() if h in self._open]
+        chosen = self._open or self._entries_that_start()
+        entries = [e for h, e in self._entries.items() if h in chosen]
         near = [e for e in entries if e.failure_domain == domain]
         if len(near) < MIN_NEAR:
             near = [e for e in entries if e.region == region]
@@ -149,6 +154,16 @@
         self._context.random.shuffle(near)
         return near[: self._limit]
 
+    def _entries_that_start(self) -> frozenset[HostId]:
+        """Return entries to use while none is open.
+
+        After a fleet's start as a whole they hold requests until they have
+        a configuration, where a caller without an address would give up.
+        """
+        if self._now() - self._started < STARTING_ALONE_S:
+            return frozenset()
+        return self._starting
+
     def _choose(self, region: RegionName) -> list[_Entry]:
         """Order open entries: own region first, then other domains.
 
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -133,6 +133,7 @@
     def _(self, message: Tick, origin: Origin) -> None:
         self._review_hub()
         self._send_presence()
+        self._publish_entries()
 
     @receive.register
     def _(self, message: SeedsChanged, origin: Origin) -> None:
