Move to a hub of the region as soon as it is known

Change: an entry moves with the first feed that names a hub of its region, and takes the configuration from there.

--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -196,6 +196,8 @@
             self._entries = message.entries
             size = FleetSize(message.entries)
             self._outbox.tell(ControllerName.DISPATCH, size)
+        if self._move_nearer():
+            return  # the rest comes from there, and costs less
         self._newest = max(self._newest, message.revision)
         isolation = Isolation(not message.in_contact, self._newest)
         self._outbox.tell(ControllerName.CONFIGURATION, isolation)
@@ -288,9 +290,17 @@
             self._move(self._choose_hub(now), reason)
         elif now >= self._review_at:
             self._review_at = Seconds(now + REVIEW_INTERVAL_S)
-            best = self._choose_hub(now)
-            if not self._is_near(self._hub) and self._is_near(best):
-                self._move(best, "nearer")
+            self._move_nearer()
+
+    def _move_nearer(self) -> bool:
+        """Move to a hub of the own region if there is one; tell if so."""
+        if self._is_near(self._hub):
+            return False
+        best = self._choose_hub(self._now())
+        if not self._is_near(best):
+            return False
+        self._move(best, "nearer")
+        return True
 
     def _find_fault(self, now: Seconds) -> str | None:
         if self._hub is None:
--- a/tests/core/controllers/test_subscriber.py
+++ b/tests/core/controllers/test_subscriber.py
@@ -64,6 +64,15 @@
     assert sent(bed, Unsubscribe) == [("c2", Unsubscribe())]
 
 
+def test_hub_of_the_region_is_used_as_soon_as_it_is_known():
+    bed = entry_bed("c2")
+    bed.receive("c2", Feed("c2", "r", 0, 0, 5, True, 4, (SOUTH, NORTH)))
+    assert bed.controller.hub == "c1"
+    assert not sent(bed, ConfigPull)  # costs too much from another region
+    bed.receive("c1", Feed("c1", "r", 0, 0, 5, True, 4))
+    assert sent(bed, ConfigPull) == [("c1", ConfigPull(0))]
+
+
 def test_silent_hub_is_left():
     bed = entry_bed()
     first = bed.controller.hub
