Tell a failed request's story from the logs of many hosts

Cause: from a request's id to its cause took several searches by hand, one for the request and one for each of its targets (OPERATIONS).

Result: tests of the story and of the command, with damaged and foreign lines, a missing file and an unknown id.

--- a/packages/cli/src/wasabitray_cli/commands/__init__.py
+++ b/packages/cli/src/wasabitray_cli/commands/__init__.py
@@ -7,6 +7,7 @@
     HistoryCommand,
     WaitCommand,
 )
+from wasabitray_cli.commands.explain import ExplainCommand
 from wasabitray_cli.commands.fleet import (
     AddressesCommand,
     DrainCommand,
@@ -24,4 +25,5 @@
     AddressesCommand,
     DrainCommand,
     WaitCommand,
+    ExplainCommand,
 )
--- a/packages/cli/src/wasabitray_cli/commands/base.py
+++ b/packages/cli/src/wasabitray_cli/commands/base.py
@@ -26,22 +26,19 @@
 ]
 
 
-class FleetCommand(Command):
-    """A subcommand that talks to the fleet."""
-
-    options: ClassVar[list] = COMMON_OPTIONS
+class ShowingCommand(Command):
+    """A subcommand that prints text or JSON."""
 
     def handle(self) -> int:
         """Run and turn errors into exit codes."""
         try:
-            settings = load_client_settings(Path(self.option("fleet")))
-            return self.run_with(FleetClient(settings))
+            return self.run_checked()
         except CommandError as error:
             self.line_error(f"<error>{escape(str(error))}</error>")
             return error.exit
 
-    def run_with(self, client: FleetClient) -> int:
-        """Do the work."""
+    def run_checked(self) -> int:
+        """Do the work; a CommandError ends it."""
         raise NotImplementedError
 
     def show(self, document: Any, lines: list[str]) -> None:
@@ -62,6 +59,21 @@
             self.render_table(headers, [[*map(escape, r)] for r in rows])
 
 
+class FleetCommand(ShowingCommand):
+    """A subcommand that talks to the fleet."""
+
+    options: ClassVar[list] = COMMON_OPTIONS
+
+    def run_checked(self) -> int:
+        """Connect, then do the work."""
+        settings = load_client_settings(Path(self.option("fleet")))
+        return self.run_with(FleetClient(settings))
+
+    def run_with(self, client: FleetClient) -> int:
+        """Do the work."""
+        raise NotImplementedError
+
+
 def escape(text: str) -> str:
     """Return text in which nothing is taken for markup."""
     return text.replace("<", "\\<")
--- /dev/null
+++ b/packages/cli/src/wasabitray_cli/commands/explain.py
@@ -0,0 +1,48 @@
+"""The subcommand that explains a failed request."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any, ClassVar
+
+from cleo.helpers import argument
+
+from wasabitray_cli.commands.base import COMMON_OPTIONS, ShowingCommand
+from wasabitray_cli.exits import Exit
+from wasabitray_cli.logs import LogLine, tell_story
+
+
+class ExplainCommand(ShowingCommand):
+    """Prints what led to a request's end."""
+
+    name = "explain"
+    description = "Tell a request's story from the logs of many hosts."
+    arguments: ClassVar[list] = [
+        argument("request", "The id that the caller sent."),
+        argument("files", "Logs of hosts.", multiple=True),
+    ]
+    options: ClassVar[list] = COMMON_OPTIONS[1:]
+
+    def run_checked(self) -> int:
+        """Print the story."""
+        files = [Path(name) for name in self.argument("files")]
+        story = tell_story(self.argument("request"), files)
+        rows = [_row(line, story.started) for line in story.lines]
+        self.show_table(asdict(story), ["ms", "host", "event", "why"], rows)
+        if story.unreadable and not self.option("json"):
+            self.line(f"{story.unreadable} other lines are no log lines")
+        return Exit.OK
+
+
+def _row(line: LogLine, started: float) -> list[str]:
+    since = f"{(line.time - started) * 1_000:.0f}"
+    return [since, line.host, line.event, _to_text(line.facts)]
+
+
+def _to_text(facts: dict[str, Any]) -> str:
+    return " ".join(
+        f"{name}={value}"
+        for name, value in facts.items()
+        if value not in (None, "") and name != "request"
+    )
--- /dev/null
+++ b/tests/cli/test_logs.py
@@ -0,0 +1,108 @@
+"""A request's story from logs, and the command that prints it."""
+
+import json
+
+import pytest
+from cleo.testers.command_tester import CommandTester
+
+from wasabitray_cli.errors import CommandError, InputError
+from wasabitray_cli.exits import Exit
+from wasabitray_cli.logs import BELIEF_WINDOW_S, parse_line, tell_story
+from wasabitray_cli.main import build_application
+
+START = 1_000.0
+
+
+def line(after, event, host="e1", **facts):
+    return json.dumps(
+        {"time": START + after, "message": event, "host": host, **facts}
+    )
+
+
+@pytest.fixture
+def logs(tmp_path):
+    """Logs of a request that was lost at a target in a bad spell."""
+    first = [
+        line(-60, "revision in force", revision=3),
+        line(-30, "revision in force", revision=4),
+        line(-2, "request answered", request="r-0", status=200),
+        line(
+            0.2,
+            "attempt",
+            request="r-1",
+            target="t1",
+            status="failed",
+            waited_ms=50.0,
+            elapsed_ms=150.0,
+        ),
+        line(0.2, "request refused", request="r-1", status=502),
+        line(9.0, "target paused", target="t1", cause="broken"),
+    ]
+    second = [
+        line(-BELIEF_WINDOW_S - 1, "target paused", "e2", target="t1"),
+        line(-1.0, "target paused", "e2", target="t1", cause="broken"),
+        line(-1.0, "target paused", "e2", target="t2", cause="broken"),
+        line(-0.5, "revision in force", "e2", revision=5),
+    ]
+    (tmp_path / "e1.log").write_text("\n".join(first) + "\nTraceback\n")
+    prefixed = [f"  12.5 e2 {text}" for text in second]
+    (tmp_path / "e2.log").write_text("\n".join(prefixed))
+    return [tmp_path / "e1.log", tmp_path / "e2.log"]
+
+
+def test_story_has_the_request_and_the_beliefs_that_counted(logs):
+    story = tell_story("r-1", logs)
+    found = [(e.event, e.host) for e in story.lines]
+    assert found == [
+        ("revision in force", "e1"),
+        ("target paused", "e2"),
+        ("attempt", "e1"),
+        ("request refused", "e1"),
+    ]
+    assert story.lines[0].facts == {"revision": 4}
+    assert story.started == pytest.approx(START)
+    assert story.unreadable == 1
+
+
+def test_unknown_request_is_an_error(logs):
+    with pytest.raises(CommandError, match="r-9"):
+        tell_story("r-9", logs)
+
+
+def test_missing_file_is_bad_input(tmp_path):
+    with pytest.raises(InputError):
+        tell_story("r-1", [tmp_path / "none.log"])
+
+
+@pytest.mark.parametrize(
+    "text", ["", "plain", "{", "{}", "[1]", '{"time": "x", "host": 1}', "{]}"]
+)
+def test_line_of_another_kind_is_none(text):
+    assert parse_line(text) is None
+
+
+def run(*words):
+    tester = CommandTester(build_application().find("explain"))
+    code = tester.execute(" ".join(map(str, words)))
+    return code, tester.io.fetch_output(), tester.io.fetch_error()
+
+
+def test_command_prints_a_table(logs):
+    code, output, _ = run("r-1", *logs)
+    assert code == Exit.OK
+    assert "basis" not in output
+    assert "status=failed" in output and "-1000" in output
+    assert "1 other lines are no log lines" in output
+
+
+def test_command_prints_json(logs):
+    code, output, _ = run("r-1", *logs, "--json")
+    assert code == Exit.OK
+    assert len(json.loads(output)["lines"]) == 4
+
+
+def test_command_says_what_is_missing(logs):
+    code, _, error = run("r-9", *logs)
+    assert (code, "r-9" in error) == (Exit.FAILED, True)
+    code, _, error = run("r-1", "no-such-file")
+    assert code == Exit.BAD_INPUT
