Log a retry that got no slot; leave other entries' announcements out

Change: a line 'retry refused' with the attempts and the reason; explain keeps announcements of the request's own entry only.

--- a/packages/cli/src/wasabitray_cli/logs.py
+++ b/packages/cli/src/wasabitray_cli/logs.py
@@ -14,9 +14,9 @@
 BELIEF_WINDOW_S = 15.0
 ATTEMPT = "attempt"
 IN_FORCE = "revision in force"
-ABOUT_TARGETS = frozenset(
-    {"target paused", "target announced", "target ejection"}
-)
+PAUSED = "target paused"
+# Each entry logs these for itself; a pause is logged once, where it began.
+ABOUT_TARGETS = frozenset({"target announced", "target ejection"})
 _COMMON = ("time", "level", "message", "host")
 
 
@@ -114,11 +114,11 @@
     targets = {
         line.facts.get("target") for line in own if line.event == ATTEMPT
     }
-    end = own[-1].time
+    end, entry = own[-1].time, own[-1].host
     found = [
         line
         for line in lines
-        if line.event in ABOUT_TARGETS
+        if _is_belief(line, entry)
         and line.facts.get("target") in targets
         and started - BELIEF_WINDOW_S <= line.time <= end
     ]
@@ -126,7 +126,12 @@
         line
         for line in lines
         if line.event == IN_FORCE
-        and line.host == own[-1].host
+        and line.host == entry
         and line.time <= started
     ]
     return [*found, *in_force[-1:]]
+
+
+def _is_belief(line: LogLine, entry: str) -> bool:
+    at_entry = line.event in ABOUT_TARGETS and line.host == entry
+    return at_entry or line.event == PAUSED
--- a/packages/core/src/wasabitray_core/filters/retry.py
+++ b/packages/core/src/wasabitray_core/filters/retry.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from wasabitray_core.filters.chain import Filter, Proceed, Steps
+from wasabitray_core.filters.chain import Filter, Note, Proceed, Steps
 from wasabitray_core.ids import Seconds
 from wasabitray_core.requests import Answer, Exchange
 from wasabitray_core.states import Outcome, RefusalReason
@@ -40,7 +40,8 @@
             before = len(exchange.tried)
             retried = yield from proceed(exchange)
             if len(exchange.tried) == before:
-                return answer  # no slot for a retry
+                yield _describe_refusal(exchange, retried)
+                return answer
             if answer.chunks is not None:
                 answer.chunks.close()
             answer = retried
@@ -64,6 +65,19 @@
         return exchange.matched.idempotent
 
 
+def _describe_refusal(exchange: Exchange, retried: Answer) -> Note:
+    """Return the log line of a retry that got no slot."""
+    return Note(
+        "retry refused",
+        {
+            "request": exchange.request.id,
+            "service": exchange.service,
+            "attempts": exchange.attempts,
+            "reason": retried.refusal.value if retried.refusal else None,
+        },
+    )
+
+
 def _breaks_targets(exchange: Exchange) -> bool:
     limit = MAX_BREAKS_IF_SUSPECT if exchange.suspect else MAX_BREAKS
     return exchange.breaks >= limit
--- a/tests/cli/test_logs.py
+++ b/tests/cli/test_logs.py
@@ -43,6 +43,7 @@
         line(-1.0, "target paused", "e2", target="t1", cause="broken"),
         line(-1.0, "target paused", "e2", target="t2", cause="broken"),
         line(-0.5, "revision in force", "e2", revision=5),
+        line(-0.5, "target announced", "e2", target="t1"),
     ]
     (tmp_path / "e1.log").write_text("\n".join(first) + "\nTraceback\n")
     prefixed = [f"  12.5 e2 {text}" for text in second]
--- a/tests/core/filters/test_chain.py
+++ b/tests/core/filters/test_chain.py
@@ -176,6 +176,8 @@
     script = Script(S.FAILED)
     script.slots = None
     assert script.run().refusal is RefusalReason.TARGET_FAILED
+    (note,) = [n for n in script.notes if n.event == "retry refused"]
+    assert (note.facts["attempts"], note.facts["reason"]) == (1, "overload")
 
 
 def test_request_that_breaks_targets_is_not_spread_further():
