Let hosts of a mesh take word of the control group; fail on faults in logs

Cause: the control group tells the membership controller of its contact since hubs came; the one of a mesh can't take that and logged 'message failed' with a traceback at each change. Nothing else broke, so no scenario saw it. Found in the logs of a rolling restart that failed for another reason: the sources were edited while it ran, and a host came up with half of the change.

Change: the message is taken and changes nothing there. Each scenario fails if a program logged that a message failed.

Result: the unit test, and both scenarios of whole_path.feature by the new check, fail on the code before and pass.

--- a/packages/core/src/wasabitray_core/controllers/membership.py
+++ b/packages/core/src/wasabitray_core/controllers/membership.py
@@ -24,6 +24,7 @@
     ControllerName,
     FleetView,
     GetStatus,
+    GroupContact,
     HostView,
     InForce,
     Isolation,
@@ -152,6 +153,10 @@
         if _is_urgent(item):
             self._spread_at_once(item)
 
+    @receive.register
+    def _(self, message: GroupContact, origin: Origin) -> None:
+        """Hosts of a mesh hear the leader by its flag."""
+
     @receive.register
     def _(self, message: SetFlag, origin: Origin) -> None:
         if message.value:
--- a/tests/core/controllers/test_membership.py
+++ b/tests/core/controllers/test_membership.py
@@ -7,7 +7,7 @@
     MembershipController,
 )
 from wasabitray_core.documents import EntryHost, Fleet
-from wasabitray_core.local import InForce, Isolation
+from wasabitray_core.local import GroupContact, InForce, Isolation
 from wasabitray_core.messages import Gossip, HostStatus
 from wasabitray_core.states import HostFlag
 
@@ -111,3 +111,10 @@
     told = [m for host, m in bed.outbox.sent if host == "e2"]
     assert told
     assert all(hear_e2 in m.statuses for m in told)
+
+
+def test_word_of_the_control_group_changes_nothing():
+    bed = entry()
+    bed.outbox.sent.clear()
+    bed.tell(GroupContact(True, "c1", ("c1", "c2", "c3")))
+    assert not bed.outbox.sent
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -26,7 +26,19 @@
         context.fleet.shut_down()
     if context.proxy is not None:
         context.proxy.stop()
-    if scenario.status == "failed":
+    faults = find_faults(context.folder)
+    if scenario.status == "failed" or faults:
         print(f"logs are in {context.folder}")
     else:
         shutil.rmtree(context.folder, ignore_errors=True)
+    assert not faults, faults
+
+
+def find_faults(folder):
+    """Return the log lines that tell of a fault in the programs."""
+    return [
+        f"{path.name}: {line}"
+        for path in sorted(folder.glob("*.log"))
+        for line in path.read_text(errors="replace").splitlines()
+        if '"message failed"' in line
+    ]
