--- a/packages/node/src/wasabitray_node/app.py
+++ b/packages/node/src/wasabitray_node/app.py
@@ -33,7 +33,12 @@
     native_interfaces,
 )
 from wasabitray_node.links import PeerListener
-from wasabitray_node.logs import flush_logs, log_change, start_writing
+from wasabitray_node.logs import (
+    flush_logs,
+    log_change,
+    log_writer,
+    start_writing,
+)
 from wasabitray_node.metrics import Metrics
 from wasabitray_node.operators import build_operators_app
 from wasabitray_node.settings import Settings
@@ -70,7 +75,7 @@
         self._interfaces = interfaces or native_interfaces(settings)
         self._assembly = Assembly(settings, initialise or settings.initialise)
         self._router = self._assembly.router
-        self._metrics = Metrics()
+        self._metrics = Metrics(log_writer())
         self._work = Work()
         self._stop = Event()
         self._callers: NoDelayServer | None = None
--- a/packages/node/src/wasabitray_node/logs.py
+++ b/packages/node/src/wasabitray_node/logs.py
@@ -11,7 +11,7 @@
 import os
 import time
 from collections import Counter, deque
-from typing import Any
+from typing import Any, NamedTuple
 
 import gevent
 from gevent.event import Event
@@ -25,10 +25,30 @@
 # usual load, and less than a hundredth of a core.
 MAX_LINES_PER_S = 100
 REPORT_INTERVAL_S = 1.0
+# Facts that tell an outcome and have a few values only.
+OUTCOME_FACTS = ("status", "cause", "phase")
 
 _LOGGER = logging.getLogger("wasabitray")
 
 
+class LoggedEvent(NamedTuple):
+    """What a line tells, for counting.
+
+    Attributes:
+        kind: the line's message.
+        outcome: how it ended, empty if the kind has one end only.
+    """
+
+    kind: str
+    outcome: str
+
+
+def _outcome_of(record: logging.LogRecord) -> str:
+    """Return the first fact of a line that tells its outcome."""
+    found = (getattr(record, name, None) for name in OUTCOME_FACTS)
+    return next((str(value) for value in found if value is not None), "")
+
+
 class LineWriter(logging.Handler):
     """Formats and writes lines in a task of its own."""
 
@@ -42,6 +62,8 @@
         self._lines: Counter[str] = Counter()
         self._dropped: Counter[str] = Counter()
         self._reported_at = 0.0
+        self._events: Counter[LoggedEvent] = Counter()
+        self._lost = 0
 
     @property
     def waiting(self) -> int:
@@ -53,9 +75,20 @@
         """Lines left out since the last report, by kind."""
         return self._dropped
 
+    @property
+    def events(self) -> Counter[LoggedEvent]:
+        """Events since the start, those of dropped lines included."""
+        return self._events
+
+    @property
+    def lost(self) -> int:
+        """Lines dropped since the start."""
+        return self._lost
+
     def emit(self, record: logging.LogRecord) -> None:
         """Queue a line, or count it as dropped."""
         kind = record.getMessage()
+        self._events[LoggedEvent(kind, _outcome_of(record))] += 1
         second = int(time.monotonic())
         if second != self._second:
             self._second = second
@@ -64,6 +97,7 @@
         full = len(self._waiting) >= MAX_WAITING_LINES
         if full or self._lines[kind] > MAX_LINES_PER_S:
             self._dropped[kind] += 1
+            self._lost += 1
             return
         self._waiting.append(record)
         self._wake.set()
@@ -126,6 +160,11 @@
     return _WRITER
 
 
+def log_writer() -> LineWriter:
+    """Return the writer of this process's lines."""
+    return _WRITER
+
+
 def start_writing() -> gevent.Greenlet:
     """Start the task that writes."""
     return gevent.spawn(_WRITER.run)
--- a/packages/node/src/wasabitray_node/metrics.py
+++ b/packages/node/src/wasabitray_node/metrics.py
@@ -7,10 +7,15 @@
 
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, generate_latest
-from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+)
 
 from wasabitray_core.requests import Answer
 from wasabitray_core.states import WorkClass
+from wasabitray_node.logs import LineWriter
 
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
@@ -29,8 +34,13 @@
     recently used ones are merged into one for all others.
     """
 
-    def __init__(self) -> None:
-        """Start empty, with a registry of its own."""
+    def __init__(self, lines: LineWriter) -> None:
+        """Start empty, with a registry of its own.
+
+        Args:
+            lines: counts the events that are logged.
+        """
+        self._lines = lines
         self.registry = CollectorRegistry()
         self._answers = Counter(
             "wasabitray_answers",
@@ -97,8 +107,26 @@
             for (organisation, work), histogram in self._histograms.items()
         ]
 
-    def collect(self) -> list[GaugeMetricFamily]:
-        """Return the percentiles for the registry (called by it)."""
+    def collect(self) -> list[Metric]:
+        """Return what is kept elsewhere for the registry (called by it)."""
+        return [self._quantiles(), *self._logged()]
+
+    def _logged(self) -> list[Metric]:
+        events = CounterMetricFamily(
+            "wasabitray_events",
+            "Decisions and changes of state, as logged",
+            labels=("event", "outcome"),
+        )
+        for event, count in self._lines.events.items():
+            events.add_metric(event, count)
+        lost = CounterMetricFamily(
+            "wasabitray_log_lines_dropped",
+            "Log lines left out",
+            value=self._lines.lost,
+        )
+        return [events, lost]
+
+    def _quantiles(self) -> Metric:
         family = GaugeMetricFamily(
             "wasabitray_request_seconds",
             "Time to answer, by quantile",
@@ -109,7 +137,7 @@
                 value = histogram.get_value_at_percentile(quantile) / 1e6
                 labels = (organisation, work, f"{quantile / 100:g}")
                 family.add_metric(labels, value)
-        return [family]
+        return family
 
     def render(self) -> bytes:
         """Return all metrics in the text format that scrapers read."""
