Split pauses and work in flight from the dispatch controller

Change: pauses.py judges attempts and applies pauses, in_flight.py states this entry's work and takes the others'; the controller owns the targets and sends the messages.

--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -11,6 +11,12 @@
     Controller,
     Origin,
 )
+from wasabitray_core.controllers.in_flight import InFlight, take_others
+from wasabitray_core.controllers.pauses import (
+    apply_pause,
+    is_news,
+    judge_attempt,
+)
 from wasabitray_core.controllers.retry_budget import RetryBudget, RetryLimits
 from wasabitray_core.controllers.usage import Usage
 from wasabitray_core.controllers.waiting import Queues, Waiter
@@ -32,42 +38,19 @@
     Tick,
     UsableTargets,
 )
-from wasabitray_core.messages import (
-    EntryWork,
-    LongOccupancy,
-    OthersWork,
-    Pause,
-    TargetWork,
-)
+from wasabitray_core.messages import LongOccupancy, OthersWork, Pause
 from wasabitray_core.placement import Need, TargetState, choose
 from wasabitray_core.requests import LoadReport, Target
-from wasabitray_core.states import (
-    AttemptStatus,
-    PauseCause,
-    RefusalReason,
-    WorkClass,
-)
+from wasabitray_core.states import AttemptStatus, RefusalReason, WorkClass
 
 PUMP_INTERVAL_S = 0.02
 IDLE_INTERVAL_S = 1.0
-# Changes that come together go together; an entry has a few each second.
-SHARE_INTERVAL_S = 0.005
-# All work is stated this often, in case a change was lost.
-RESTATE_INTERVAL_S = 0.5
 AVOID_FIRST_S = 0.5
 AVOID_MAX_S = 8.0
 RAMP_S = 5.0
 HOLD_TIME_WEIGHT = 0.05
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 5.0
-# What an attempt's end says against its target, and seconds of pause.
-# docs/DESIGN.md tells how the durations were measured.
-PAUSE_RULES: dict[AttemptStatus, tuple[PauseCause, float]] = {
-    AttemptStatus.FAILED: (PauseCause.BROKEN, 12.0),
-}
-# Answers in a row that end a pause. A bad spell lets about one attempt in
-# seven succeed, so three in a row come from a good target.
-RECOVERY_ANSWERS = 3
 
 
 @dataclass(slots=True)
@@ -123,9 +106,7 @@
         self._entries = 1
         self._burst = self._retries.burst(1)
         self._services: dict[ServiceName, _Service] = {}
-        self._shares_work = shares_work
-        self._unshared: set[TargetId] = set()
-        self._restate_at = context.clock()
+        self._in_flight = InFlight(context.clock()) if shares_work else None
 
     @property
     def tick_interval_s(self) -> float:  # type: ignore[override]
@@ -133,9 +114,9 @@
         waiting = any(s.waiting() for s in self._services.values())
         if waiting:
             return PUMP_INTERVAL_S
-        if self._unshared:
-            return SHARE_INTERVAL_S
-        return RESTATE_INTERVAL_S if self._shares_work else IDLE_INTERVAL_S
+        if self._in_flight is not None:
+            return self._in_flight.tick_interval_s
+        return IDLE_INTERVAL_S
 
     @singledispatchmethod
     def receive(self, message: Any, origin: Origin) -> None:
@@ -256,109 +237,55 @@
     @receive.register
     def _(self, message: OthersWork, origin: Origin) -> None:
         now = self._now()
-        attempts = {w.target: w.attempts for w in message.targets}
         for service in self._services.values():
-            for target, state in service.targets.items():
-                if message.full:
-                    state.others = attempts.get(target, 0)
-                else:
-                    state.others = attempts.get(target, state.others)
-                state.others_at = now
+            take_others(service.targets, message, now)
             if service.waiting():
                 self._pump(service)
 
     def _note_change(self, target: TargetId) -> None:
-        if self._shares_work:
-            self._unshared.add(target)
+        if self._in_flight is not None:
+            self._in_flight.note_change(target)
 
     def _share_work(self) -> None:
-        """Tell what changed, or all now and then."""
-        now = self._now()
-        full = self._shares_work and now >= self._restate_at
-        if not full and not self._unshared:
+        if self._in_flight is None:
             return
-        work = tuple(
-            TargetWork(target, state.busy)
-            for service in self._services.values()
-            for target, state in service.targets.items()
-            if (state.busy if full else target in self._unshared)
-        )
-        self._unshared.clear()
-        if full:
-            self._restate_at = Seconds(now + RESTATE_INTERVAL_S)
-        self._outbox.tell(ControllerName.MEMBERSHIP, EntryWork(work, full))
+        services = (s.targets for s in self._services.values())
+        work = self._in_flight.next_statement(services, self._now())
+        if work is not None:
+            self._outbox.tell(ControllerName.MEMBERSHIP, work)
 
     # Pauses
 
     @receive.register
     def _(self, message: Pause, origin: Origin) -> None:
+        now = self._now()
         for service in self._services.values():
             state = service.targets.get(message.target)
-            if state is not None and self._is_news(state, message):
-                self._apply_pause(state, message)
+            if state is not None and is_news(state, message, now):
+                apply_pause(state, message, now)
 
     @receive.register
     def _(self, message: FleetSize, origin: Origin) -> None:
         self._entries = max(1, message.entries)
         self._burst = self._retries.burst(message.entries)
 
-    def _is_news(self, state: TargetState, pause: Pause) -> bool:
-        """Tell whether a pause says more than what is known.
-
-        Numbers count within a pause that lasts: an entry that started after
-        an earlier one has not heard of its number.
-        """
-        if pause.cause is PauseCause.BROKEN and not state.is_paused(
-            self._now()
-        ):
-            return True
-        return pause.number > state.pause_number
-
-    def _apply_pause(self, state: TargetState, pause: Pause) -> None:
-        now = self._now()
-        state.pause_number = max(pause.number, state.pause_number)
-        state.paused_since = now
-        state.paused_until = Seconds(now + pause.duration_s)
-        state.answers_in_pause = 0
-
     def _judge_target(self, state: TargetState, release: Release) -> None:
         """Pause a target that failed; end the pause of one that recovered."""
-        if not self._pauses:
-            return
-        rule = PAUSE_RULES.get(release.status)
-        if self._has_recovered(state, release):
-            rule = PauseCause.RECOVERED, 0.0
-        if rule is None:
+        now = self._now()
+        pause = judge_attempt(state, release, now) if self._pauses else None
+        if pause is None:
             return
-        cause, duration = rule
-        number = state.pause_number + 1
-        pause = Pause(release.target, number, duration, cause)
-        self._apply_pause(state, pause)
+        apply_pause(state, pause, now)
         self._outbox.tell(ControllerName.MEMBERSHIP, Spread(pause))
         self._outbox.report(
             "target paused",
-            target=release.target,
+            target=pause.target,
             service=release.service,
-            cause=cause.name.lower(),
-            number=number,
-            duration_s=duration,
+            cause=pause.cause.name.lower(),
+            number=pause.number,
+            duration_s=pause.duration_s,
         )
 
-    def _has_recovered(self, state: TargetState, release: Release) -> bool:
-        """Count good answers of a paused target.
-
-        An attempt from before the pause says nothing about it.
-        """
-        now = self._now()
-        if release.status is not AttemptStatus.ANSWERED or not state.is_paused(
-            now
-        ):
-            return False
-        if now - release.elapsed <= state.paused_since:
-            return False
-        state.answers_in_pause += 1
-        return state.answers_in_pause >= RECOVERY_ANSWERS
-
     # Queues
 
     def _pump(self, service: _Service) -> None:
--- a/tests/core/controllers/test_dispatch.py
+++ b/tests/core/controllers/test_dispatch.py
@@ -1,12 +1,8 @@
 """Slots, queues and the retry budget of an entry."""
 
-import pytest
 from support.fakes import Bed
 
-from wasabitray_core.controllers.dispatch import (
-    RECOVERY_ANSWERS,
-    DispatchController,
-)
+from wasabitray_core.controllers.dispatch import DispatchController
 from wasabitray_core.controllers.retry_budget import (
     RETRY_BURST,
     RetryLimits,
@@ -17,21 +13,12 @@
     Grant,
     Refusal,
     Release,
-    Spread,
     UsableTarget,
     UsableTargets,
 )
-from wasabitray_core.messages import (
-    EntryWork,
-    OthersWork,
-    Pause,
-    TargetWork,
-)
-from wasabitray_core.placement import MAX_USE
 from wasabitray_core.requests import LoadReport, Target
 from wasabitray_core.states import (
     AttemptStatus,
-    PauseCause,
     RefusalReason,
     WorkClass,
 )
@@ -168,144 +155,6 @@
     assert reply(bed, acquire(bed)).target.target == "t1"
 
 
-def paused_by(status):
-    """Return the pauses told after one attempt that ended so."""
-    retries = RetryLimits()
-    bed = Bed(DispatchController, "south", retries, True)
-    one = target("t1")
-    bed.tell(UsableTargets("rota", (UsableTarget(one, False),), ("t1",), ()))
-    release(bed, "t1", status)
-    return [m.item for m in bed.outbox.told_of(Spread)]
-
-
-@pytest.mark.parametrize("status", [AttemptStatus.FAILED])
-def test_broken_attempt_pauses_its_target_for_the_fleet(status):
-    (pause,) = paused_by(status)
-    assert (pause.target, pause.cause) == ("t1", PauseCause.BROKEN)
-
-
-@pytest.mark.parametrize(
-    "status",
-    [
-        AttemptStatus.TIMED_OUT,
-        AttemptStatus.UNREACHABLE,
-        AttemptStatus.SHED,
-        AttemptStatus.CANCELLED,
-        AttemptStatus.STALE_CONNECTION,
-    ],
-)
-def test_load_and_paths_pause_nothing(status):
-    assert paused_by(status) == []
-
-
-class TestPauses:
-    """One target that breaks, and what ends its pause."""
-
-    def setup_method(self):
-        self.bed = Bed(DispatchController, "south", RetryLimits(), True)
-        usable = (UsableTarget(target("t1"), False),)
-        self.bed.tell(UsableTargets("rota", usable, ("t1",), ()))
-
-    @property
-    def state(self):
-        return self.bed.controller._service("rota").targets["t1"]
-
-    def is_paused(self):
-        return self.state.is_paused(self.bed.clock())
-
-    def hear(self, number, cause=PauseCause.BROKEN, duration_s=12.0):
-        self.bed.tell(Pause("t1", number, duration_s, cause))
-
-    def answer(self, took=0.1):
-        self.bed.clock.advance(took + 0.01)
-        release(self.bed, "t1", took=took)
-
-    def test_answer_to_an_attempt_from_before_the_pause_does_not_end_it(self):
-        release(self.bed, "t1", AttemptStatus.FAILED)
-        self.bed.clock.advance(0.1)
-        for _ in range(RECOVERY_ANSWERS):
-            release(self.bed, "t1", took=0.5)
-        assert self.is_paused()
-
-    def test_some_good_answers_in_a_row_end_it(self):
-        release(self.bed, "t1", AttemptStatus.FAILED)
-        for _ in range(RECOVERY_ANSWERS - 1):
-            self.answer()
-        assert self.is_paused()
-        self.answer()
-        assert not self.is_paused()
-
-    def test_failure_starts_the_count_anew(self):
-        release(self.bed, "t1", AttemptStatus.FAILED)
-        for _ in range(RECOVERY_ANSWERS - 1):
-            self.answer()
-        release(self.bed, "t1", AttemptStatus.FAILED)
-        self.answer()
-        assert self.is_paused()
-
-    def test_pause_by_an_entry_that_missed_earlier_numbers_counts(self):
-        self.hear(number=5)
-        self.bed.clock.advance(13.0)
-        assert not self.is_paused()
-        self.hear(number=1)
-        assert self.is_paused()
-
-    def test_late_word_does_not_prolong_a_pause(self):
-        self.hear(number=5)
-        self.bed.clock.advance(11.0)
-        self.hear(number=4)
-        self.bed.clock.advance(1.5)
-        assert not self.is_paused()
-
-
-class TestSharedWork:
-    """What an entry tells others of its work, and hears of theirs."""
-
-    def setup_method(self):
-        self.bed = Bed(DispatchController, "south", shares_work=True)
-        usable = [UsableTarget(target(t, slots=4), False) for t in "ab"]
-        self.bed.tell(UsableTargets("rota", tuple(usable), ("a", "b"), ()))
-        self.bed.tick()
-
-    def stated(self):
-        found = self.bed.outbox.told_of(EntryWork)[-1]
-        return {w.target: w.attempts for w in found.targets}, found.full
-
-    def test_changes_are_told_within_a_moment(self):
-        chosen = reply(self.bed, acquire(self.bed)).target.target
-        assert self.bed.controller.tick_interval_s <= 0.03
-        self.bed.tick(0.03)
-        assert self.stated() == ({chosen: 1}, False)
-        release(self.bed, chosen)
-        self.bed.tick(0.03)
-        assert self.stated() == ({chosen: 0}, False)
-
-    def test_all_work_is_stated_now_and_then(self):
-        chosen = reply(self.bed, acquire(self.bed)).target.target
-        self.bed.tick(0.5)
-        assert self.stated() == ({chosen: 1}, True)
-
-    def test_work_of_others_counts(self):
-        full = int(4 * MAX_USE)
-        work = (TargetWork("a", full - 1), TargetWork("b", full))
-        self.bed.tell(OthersWork(work, True))
-        ask = acquire(self.bed)
-        assert reply(self.bed, ask).target.target == "a"
-        waiting = acquire(self.bed)
-        assert reply(self.bed, waiting) is None
-        self.bed.tell(OthersWork((TargetWork("b", full - 1),), False))
-        assert reply(self.bed, waiting).target.target == "b"
-
-    def test_work_of_others_is_forgotten_with_their_hub(self):
-        self.bed.tell(OthersWork((TargetWork("a", 9), TargetWork("b", 9)), 1))
-        for _ in range(2):
-            acquire(self.bed)
-        ask = acquire(self.bed)
-        assert reply(self.bed, ask) is None
-        self.bed.tick(1.6)
-        assert isinstance(reply(self.bed, ask), Grant)
-
-
 def test_next_target_after_no_connection_earns_no_retries():
     limits = RetryLimits(share=1.0, fleet_burst=100.0)
     bed = Bed(DispatchController, "south", limits)
--- /dev/null
+++ b/tests/core/controllers/test_pauses.py
@@ -0,0 +1,113 @@
+"""Which attempts pause a target, and what ends a pause.
+
+Played through the controller that owns the targets.
+"""
+
+import pytest
+from support.fakes import Bed
+
+from wasabitray_core.controllers.dispatch import DispatchController
+from wasabitray_core.controllers.pauses import RECOVERY_ANSWERS
+from wasabitray_core.controllers.retry_budget import RetryLimits
+from wasabitray_core.local import Release, Spread, UsableTarget, UsableTargets
+from wasabitray_core.messages import Pause
+from wasabitray_core.requests import Target
+from wasabitray_core.states import AttemptStatus, PauseCause, WorkClass
+
+
+def target(name, slots=2):
+    return Target(name, "rota", "south", "south-a", slots)
+
+
+def release(bed, name, status=AttemptStatus.ANSWERED, took=0.1):
+    bed.tell(Release("rota", name, WorkClass.SHORT, status, took, None))
+
+
+def paused_by(status):
+    """Return the pauses told after one attempt that ended so."""
+    retries = RetryLimits()
+    bed = Bed(DispatchController, "south", retries, True)
+    one = target("t1")
+    bed.tell(UsableTargets("rota", (UsableTarget(one, False),), ("t1",), ()))
+    release(bed, "t1", status)
+    return [m.item for m in bed.outbox.told_of(Spread)]
+
+
+@pytest.mark.parametrize("status", [AttemptStatus.FAILED])
+def test_broken_attempt_pauses_its_target_for_the_fleet(status):
+    (pause,) = paused_by(status)
+    assert (pause.target, pause.cause) == ("t1", PauseCause.BROKEN)
+
+
+@pytest.mark.parametrize(
+    "status",
+    [
+        AttemptStatus.TIMED_OUT,
+        AttemptStatus.UNREACHABLE,
+        AttemptStatus.SHED,
+        AttemptStatus.CANCELLED,
+        AttemptStatus.STALE_CONNECTION,
+    ],
+)
+def test_load_and_paths_pause_nothing(status):
+    assert paused_by(status) == []
+
+
+class TestPauses:
+    """One target that breaks, and what ends its pause."""
+
+    def setup_method(self):
+        self.bed = Bed(DispatchController, "south", RetryLimits(), True)
+        usable = (UsableTarget(target("t1"), False),)
+        self.bed.tell(UsableTargets("rota", usable, ("t1",), ()))
+
+    @property
+    def state(self):
+        return self.bed.controller._service("rota").targets["t1"]
+
+    def is_paused(self):
+        return self.state.is_paused(self.bed.clock())
+
+    def hear(self, number, cause=PauseCause.BROKEN, duration_s=12.0):
+        self.bed.tell(Pause("t1", number, duration_s, cause))
+
+    def answer(self, took=0.1):
+        self.bed.clock.advance(took + 0.01)
+        release(self.bed, "t1", took=took)
+
+    def test_answer_to_an_attempt_from_before_the_pause_does_not_end_it(self):
+        release(self.bed, "t1", AttemptStatus.FAILED)
+        self.bed.clock.advance(0.1)
+        for _ in range(RECOVERY_ANSWERS):
+            release(self.bed, "t1", took=0.5)
+        assert self.is_paused()
+
+    def test_some_good_answers_in_a_row_end_it(self):
+        release(self.bed, "t1", AttemptStatus.FAILED)
+        for _ in range(RECOVERY_ANSWERS - 1):
+            self.answer()
+        assert self.is_paused()
+        self.answer()
+        assert not self.is_paused()
+
+    def test_failure_starts_the_count_anew(self):
+        release(self.bed, "t1", AttemptStatus.FAILED)
+        for _ in range(RECOVERY_ANSWERS - 1):
+            self.answer()
+        release(self.bed, "t1", AttemptStatus.FAILED)
+        self.answer()
+        assert self.is_paused()
+
+    def test_pause_by_an_entry_that_missed_earlier_numbers_counts(self):
+        self.hear(number=5)
+        self.bed.clock.advance(13.0)
+        assert not self.is_paused()
+        self.hear(number=1)
+        assert self.is_paused()
+
+    def test_late_word_does_not_prolong_a_pause(self):
+        self.hear(number=5)
+        self.bed.clock.advance(11.0)
+        self.hear(number=4)
+        self.bed.clock.advance(1.5)
+        assert not self.is_paused()
