--- a/packages/cli/src/wasabitray_cli/commands/__init__.py
+++ b/packages/cli/src/wasabitray_cli/commands/__init__.py
@@ -14,6 +14,7 @@
     StatusCommand,
     TargetsCommand,
 )
+from wasabitray_cli.commands.report import ReportCommand
 
 COMMANDS = (
     ApplyCommand,
@@ -26,4 +27,5 @@
     DrainCommand,
     WaitCommand,
     ExplainCommand,
+    ReportCommand,
 )
--- a/packages/cli/src/wasabitray_cli/logs.py
+++ b/packages/cli/src/wasabitray_cli/logs.py
@@ -1,4 +1,4 @@
-"""The story of one request, from the logs of many hosts."""
+"""The logs of many hosts, and the story of one request in them."""
 
 from __future__ import annotations
 
@@ -59,6 +59,24 @@
         InputError: a file can't be read.
         CommandError: no line names the request.
     """
+    lines, unreadable = read_logs(files)
+    own = [line for line in lines if line.facts.get("request") == request]
+    if not own:
+        raise CommandError(
+            f"no line names request {request!r}", step="read logs"
+        )
+    started = min(line.time - _seconds_before(line) for line in own)
+    beliefs = _find_beliefs(lines, own, started)
+    told = sorted([*beliefs, *own], key=lambda line: line.time)
+    return Story(tuple(told), started, unreadable)
+
+
+def read_logs(files: Iterable[Path]) -> tuple[list[LogLine], int]:
+    """Return all log lines by time, and how many lines are none.
+
+    Raises:
+        InputError: a file can't be read.
+    """
     lines: list[LogLine] = []
     unreadable = 0
     for file in files:
@@ -69,15 +87,7 @@
             else:
                 lines.append(line)
     lines.sort(key=lambda line: line.time)
-    own = [line for line in lines if line.facts.get("request") == request]
-    if not own:
-        raise CommandError(
-            f"no line names request {request!r}", step="read logs"
-        )
-    started = min(line.time - _seconds_before(line) for line in own)
-    beliefs = _find_beliefs(lines, own, started)
-    told = sorted([*beliefs, *own], key=lambda line: line.time)
-    return Story(tuple(told), started, unreadable)
+    return lines, unreadable
 
 
 def parse_line(text: str) -> LogLine | None:
--- /dev/null
+++ b/tests/cli/test_report.py
@@ -0,0 +1,95 @@
+"""A day summed up from logs, and the command that draws it."""
+
+import json
+
+import pytest
+from cleo.testers.command_tester import CommandTester
+
+from wasabitray_cli.errors import CommandError
+from wasabitray_cli.exits import Exit
+from wasabitray_cli.logs import LogLine
+from wasabitray_cli.main import build_application
+from wasabitray_cli.report import End, summarise
+
+START = 1_000.0
+
+
+def line(after, event, **facts):
+    return LogLine(START + after, "e1", event, facts)
+
+
+DAY = [
+    line(0.0, "revision in force", revision=3),
+    *[
+        line(0.5, "request answered", status=200, elapsed_ms=float(n))
+        for n in range(1, 101)
+    ],
+    line(0.6, "request answered", status=500, elapsed_ms=9.0),
+    line(2.1, "attempt", status="failed", target="t1"),
+    line(2.1, "target paused", cause="broken", target="t1"),
+    line(2.2, "request refused", status=502, reason="target-failed"),
+    line(2.3, "request refused", status=503, reason="overload"),
+    line(2.4, "request refused", status=404, reason="unknown-route"),
+    line(2.5, "target paused", cause="recovered", target="t1"),
+]
+
+
+def test_requests_are_counted_by_their_end():
+    day = summarise(DAY, 2.0)
+    assert list(day.buckets) == [0.0, 2.0]
+    first, second = day.buckets.values()
+    assert first.ends == {End.SERVED: 100, End.FAILED: 1}
+    assert second.ends == {End.FAILED: 1, End.REFUSED: 1}
+    assert day.total(End.FAILED) == 2
+
+
+def test_percentiles_are_of_served_requests():
+    first, second = summarise(DAY, 2.0).buckets.values()
+    assert first.percentile_ms(50) == pytest.approx(50.5)
+    assert first.percentile_ms(99) == pytest.approx(99.99)
+    assert second.percentile_ms(50) is None
+
+
+def test_attempts_pauses_and_revisions_are_counted():
+    first, second = summarise(DAY, 2.0).buckets.values()
+    assert first.revisions == {3}
+    assert second.attempts == {"failed": 1}
+    assert second.pauses == 1
+
+
+def test_no_lines_are_an_error():
+    with pytest.raises(CommandError):
+        summarise([], 2.0)
+
+
+@pytest.fixture
+def log(tmp_path):
+    file = tmp_path / "e1.log"
+    file.write_text(
+        "\n".join(
+            json.dumps(
+                {"time": e.time, "host": e.host, "message": e.event, **e.facts}
+            )
+            for e in DAY
+        )
+    )
+    return file
+
+
+def run(*words):
+    tester = CommandTester(build_application().find("report"))
+    code = tester.execute(" ".join(map(str, words)))
+    return code, tester.io.fetch_output(), tester.io.fetch_error()
+
+
+def test_command_draws_a_picture(log, tmp_path):
+    picture = tmp_path / "day.png"
+    code, output, _ = run(log, "--output", picture, "--json")
+    assert code == Exit.OK
+    assert json.loads(output)["served"] == 100
+    assert picture.read_bytes().startswith(b"\x89PNG")
+
+
+def test_command_refuses_a_bad_width(log):
+    assert run(log, "--seconds", "0")[0] == Exit.BAD_INPUT
+    assert run(log, "--seconds", "x")[0] == Exit.BAD_INPUT
