Replay the operators' three stories from id to cause

Cause: OPERATIONS tells how to get from the id of a 502, a 503 and a 504 to its cause; nothing kept the page true.

Change: a scenario makes each of them behind the platform's adapter and lets wasabitray explain tell it from the hosts' logs.

--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -64,3 +64,15 @@
     When the leading control host is killed
     Then configuration 11 is acknowledged within 10 s
     And requests to /read/x were answered all the while
+
+  Scenario Outline: The logs explain a failed request
+    When the instances <trouble>
+    And request <id> to /write/x is sent to e1
+    Then it is answered <status>
+    And the logs explain <id> by <cause> and <end>
+
+    Examples:
+      | trouble                | id     | status | cause     | end           |
+      | break every connection | lost-1 | 502    | failed    | target-failed |
+      | say that they are full | full-1 | 503    | shed      | target-failed |
+      | take 6 s               | slow-1 | 504    | timed-out | deadline      |
