Name the choice of the least loaded target for what it is

The choice compares all targets of the region since work is shared; its name and the docs of the basis still spoke of two. Behaviour is unchanged; unit tests pass.

--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -34,7 +34,7 @@
     TRIAL = "trial"
     """It is on its way back and gets a trickle."""
     LOAD = "load"
-    """The less loaded of two."""
+    """The least loaded, as far as it is known here."""
     NEEDED = "needed"
     """It is paused, but the others can't carry the load."""
 
@@ -182,7 +182,7 @@
     near = [s for s in reachable if s.target.region == need.region]
     if not need.large:
         near = _with_time_for(near, need, now, source)
-    return _less_loaded(near or reachable, now, source)
+    return _least_loaded(near or reachable, now, source)
 
 
 def _with_time_for(
@@ -224,7 +224,7 @@
     return sum(s.target.slots for s in states)
 
 
-def _less_loaded(
+def _least_loaded(
     states: list[TargetState], now: Seconds, source: random.Random
 ) -> Choice | None:
     if not states:
