Tell work in flight within a region only

Suspected: while no hub of a region is heard, its entries listen to one of another region, which tells each of them of work in flight up to 50 times a second.

Change: a hub tells only the entries of its own region, and an entry states its work only to a hub of its own; without that word two random targets are compared, as before work was shared.

Result: two new tests, for the hub and for the entry; not seen to fail first.

--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -87,6 +87,7 @@
 
     reader: Reader
     heard: Seconds
+    region: RegionName
     told_hubs: bool = False
 
 
@@ -432,7 +433,9 @@
             read = mark.position
         subscriber = self._subscribers.get(host)
         if subscriber is None:
-            subscriber = _Subscriber(Reader(read, read, now), now)
+            subscriber = _Subscriber(
+                Reader(read, read, now), now, presence.region
+            )
             self._subscribers[host] = subscriber
             self._outbox.report("entry subscribed", peer=host, position=read)
         subscriber.reader.note_read(read, now)
@@ -504,10 +507,22 @@
         view = FleetView((own, *entries, *hubs))
         self._outbox.tell(ControllerName.CONFIGURATION, view)
         self._outbox.tell(ControllerName.CONSENSUS, view)
-        readers = WorkReaders(tuple(self._subscribers), self._near_hubs())
+        readers = WorkReaders(self._near_entries(), self._near_hubs())
         self._outbox.tell(ControllerName.SHARED_WORK, readers)
         self._publish_entries()
 
+    def _near_entries(self) -> tuple[HostId, ...]:
+        """Return the subscribers of this region.
+
+        One of another region does without word of work in flight: it is of
+        targets that are far from it, and dear to bring there.
+        """
+        return tuple(
+            host
+            for host, subscriber in self._subscribers.items()
+            if subscriber.region == self._address.region
+        )
+
     def _near_hubs(self) -> tuple[HostId, ...]:
         return tuple(
             hub.host
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -171,7 +171,7 @@
 
     @receive.register
     def _(self, message: EntryWork, origin: Origin) -> None:
-        if self._hub is not None:
+        if self._hub is not None and self._is_near(self._hub):
             self._outbox.send(self._hub, message)
 
     @receive.register
--- a/tests/core/controllers/test_hub.py
+++ b/tests/core/controllers/test_hub.py
@@ -13,6 +13,7 @@
     GroupContact,
     Register,
     Withdraw,
+    WorkReaders,
 )
 from wasabitray_core.messages import (
     Announcement,
@@ -280,3 +281,13 @@
     bed.receive("c2", hub_presence(2))
     bed.tick()
     assert bed.outbox.told_of(EntriesView)[-1].entries[0].present
+
+
+def test_work_in_flight_is_told_within_the_region_only():
+    bed = hub_bed()
+    bed.receive("e1", presence())
+    far = replace(presence(), region="north")
+    bed.receive("e2", far)
+    bed.tick(0.5)
+    readers = bed.outbox.told_of(WorkReaders)[-1]
+    assert readers.entries == ("e1",)
--- a/tests/core/controllers/test_subscriber.py
+++ b/tests/core/controllers/test_subscriber.py
@@ -20,11 +20,13 @@
 from wasabitray_core.messages import (
     ConfigPull,
     EntryState,
+    EntryWork,
     Feed,
     HostAddress,
     News,
     Pause,
     Presence,
+    TargetWork,
     Unsubscribe,
 )
 from wasabitray_core.states import HostFlag, PauseCause
@@ -153,3 +155,14 @@
     assert entries_of(bed)["e2"] == (False, serving)
     bed.tell(SetFlag(HostFlag.LEAVING, True))
     assert entries_of(bed)["e1"] == (True, serving | HostFlag.LEAVING)
+
+
+def test_work_in_flight_goes_to_a_hub_of_the_region_only():
+    work = EntryWork((TargetWork("t1", 1),), False)
+    bed = entry_bed("c2")
+    bed.receive("c2", feed("c2", hubs=(NORTH,)))
+    bed.tell(work)
+    assert not sent(bed, EntryWork)
+    bed.receive("c2", feed("c2", hubs=(SOUTH, NORTH)))
+    bed.tell(work)
+    assert sent(bed, EntryWork) == [("c1", work)]
