--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -39,7 +39,12 @@
     UsableTargets,
 )
 from wasabitray_core.messages import LongOccupancy, OthersWork, Pause
-from wasabitray_core.placement import Need, TargetState, choose
+from wasabitray_core.placement import (
+    Need,
+    TargetState,
+    availability,
+    choose,
+)
 from wasabitray_core.requests import LoadReport, Target
 from wasabitray_core.states import AttemptStatus, RefusalReason, WorkClass
 
@@ -372,10 +377,15 @@
         service.usage.change(+1, now)
         if ask.work is WorkClass.LONG:
             state.busy_long += 1
-        waited = Seconds(now - waiter.since)
-        self._reply(
-            waiter.origin, Grant(state.target, choice.basis, load, waited)
+        grant = Grant(
+            state.target,
+            choice.basis,
+            load,
+            Seconds(now - waiter.since),
+            availability(service.targets.values(), now),
+            state.failure_age(now),
         )
+        self._reply(waiter.origin, grant)
         return True
 
     def _demand(self, service: _Service) -> tuple[float, float]:
--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -230,6 +230,8 @@
     exchange: Exchange, granted: Grant, result: AttemptResult
 ) -> Note:
     """Return the log line of an attempt: its choice and its end."""
+    available = granted.availability
+    age = granted.failure_age
     return Note(
         "attempt",
         {
@@ -240,6 +242,10 @@
             "service": exchange.service,
             "basis": granted.basis.value,
             "load": round(granted.load, 2),
+            "usable": available.usable,
+            "paused": available.paused,
+            "paused_long": available.paused_long,
+            "failure_age_ms": None if age is None else round(age * 1_000),
             "waited_ms": round(granted.waited * 1_000, 1),
             "status": result.status.value,
             "detail": result.detail,
--- a/packages/core/src/wasabitray_core/local.py
+++ b/packages/core/src/wasabitray_core/local.py
@@ -33,7 +33,7 @@
     Quarantine,
     Snapshot,
 )
-from wasabitray_core.placement import Basis
+from wasabitray_core.placement import Availability, Basis
 from wasabitray_core.requests import LoadReport, Target
 from wasabitray_core.route_table import RouteTableSource, TrafficLimits
 from wasabitray_core.states import (
@@ -422,12 +422,17 @@
         basis: why this target was chosen.
         load: slots that it had in use, as known here.
         waited: seconds in the queue.
+        availability: of the service's targets when it was chosen.
+        failure_age: seconds since the newest word of a failure of the
+            target; None without any.
     """
 
     target: Target
     basis: Basis = Basis.LOAD
     load: float = 0.0
     waited: Seconds = Seconds(0.0)
+    availability: Availability = Availability(0, 0, 0)
+    failure_age: Seconds | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -16,6 +16,9 @@
 # Other entries' work is stated each half second; two may be lost.
 SHARED_WORK_TTL_S = 1.5
 TRIAL_CHANCE = 0.1
+# A target that failed longer ago than this is likely to work again: failure
+# episodes last a few seconds.
+RECENT_FAILURE_S = 2.0
 # Requests for each slot that targets may have before others wait here, and
 # before paused targets are needed. Targets queue a few: waiting for one and a
 # half others costs less than the four in five requests that a paused target
@@ -114,6 +117,12 @@
         """Tell whether the fleet rests it."""
         return now < self.paused_until
 
+    def failure_age(self, now: Seconds) -> Seconds | None:
+        """Return the seconds since the newest word of a failure, if any."""
+        if not self.pause_number:
+            return None
+        return Seconds(now - self.paused_since)
+
 
 @dataclass(frozen=True, slots=True)
 class Need:
@@ -145,6 +154,29 @@
     basis: Basis
 
 
+@dataclass(frozen=True, slots=True)
+class Availability:
+    """How many of a service's targets get requests.
+
+    Attributes:
+        usable: targets that are not on trial.
+        paused: those of them that are paused.
+        paused_long: those paused for longer than a recent failure explains.
+    """
+
+    usable: int
+    paused: int
+    paused_long: int
+
+
+def availability(states: Iterable[TargetState], now: Seconds) -> Availability:
+    """Count the usable and the paused targets of a service."""
+    usable = [s for s in states if not s.probation]
+    paused = [s for s in usable if s.is_paused(now)]
+    long = [s for s in paused if now - s.paused_since > RECENT_FAILURE_S]
+    return Availability(len(usable), len(paused), len(long))
+
+
 def choose(
     targets: dict[TargetId, TargetState],
     need: Need,
--- a/tests/core/controllers/test_pauses.py
+++ b/tests/core/controllers/test_pauses.py
@@ -9,8 +9,15 @@
 from wasabitray_core.controllers.dispatch import DispatchController
 from wasabitray_core.controllers.pauses import RECOVERY_ANSWERS
 from wasabitray_core.controllers.retry_budget import RetryLimits
-from wasabitray_core.local import Release, Spread, UsableTarget, UsableTargets
+from wasabitray_core.local import (
+    Acquire,
+    Release,
+    Spread,
+    UsableTarget,
+    UsableTargets,
+)
 from wasabitray_core.messages import Pause
+from wasabitray_core.placement import Availability
 from wasabitray_core.requests import Target
 from wasabitray_core.states import AttemptStatus, PauseCause, WorkClass
 
@@ -111,3 +118,18 @@
         self.hear(number=4)
         self.bed.clock.advance(1.5)
         assert not self.is_paused()
+
+
+def test_grant_tells_what_the_choice_was_made_from():
+    bed = Bed(DispatchController, "south", RetryLimits(), True)
+    names = ("t1", "t2", "t3")
+    usable = tuple(UsableTarget(target(n), False) for n in names)
+    bed.tell(UsableTargets("rota", usable, names, ()))
+    bed.tell(Pause("t1", 1, 12.0, PauseCause.BROKEN))
+    bed.clock.advance(3.0)
+    bed.tell(Pause("t2", 1, 12.0, PauseCause.BROKEN))
+    ask = Acquire("rota", "o", WorkClass.SHORT, True, bed.clock.now + 5.0)
+    grant = bed.ask(ask)
+    assert grant.target.target == "t3"
+    assert grant.availability == Availability(3, 2, 1)
+    assert grant.failure_age is None
