--- /dev/null
+++ b/tests/core/test_target_floor.py
@@ -0,0 +1,57 @@
+"""How many sound targets get requests while others of a service fail.
+
+The bound is the fleet's floor: in every two seconds, 70% of the targets that
+did not fail in them or just before get requests, or at most a tenth of the
+requests is lost.
+"""
+
+import pytest
+from support.episodes import EpisodeWorld, Load
+
+FLOOR_SHARE = 0.7
+MAX_LOST_SHARE = 0.1
+SEEDS = (1, 2, 3)
+
+CALM = Load(rate=45.0, work_s=0.38)
+LOADS = {
+    "calm": CALM,
+    "crest": Load(rate=180.0, work_s=0.38),
+    "two broken": Load(rate=45.0, work_s=0.38, broken=2),
+    "most broken": Load(rate=45.0, work_s=0.38, broken=12),
+    "small slots": Load(rate=60.0, work_s=0.14, targets=13, slots=2),
+    "120 entries": Load(
+        rate=328.0,
+        work_s=0.14,
+        entries=120,
+        targets=96,
+        slots=2,
+        length_s=16.0,
+    ),
+}
+
+
+def misses(world, max_lost):
+    """Return the windows in which too few sound targets were used."""
+    return [
+        w
+        for w in world.windows()
+        if w.lost_share > max_lost and w.used_share < FLOOR_SHARE
+    ]
+
+
+@pytest.mark.parametrize("load", LOADS.values(), ids=LOADS)
+def test_ejections_keep_the_floor_of_sound_targets(load):
+    worlds = [EpisodeWorld(load, seed).play() for seed in SEEDS]
+    assert [misses(w, MAX_LOST_SHARE) for w in worlds] == [[], [], []]
+
+
+def test_sound_targets_are_not_left_idle_after_short_episodes():
+    worlds = [EpisodeWorld(CALM, seed).play() for seed in SEEDS]
+    assert [misses(w, 0.0) for w in worlds] == [[], [], []]
+
+
+def test_target_that_answers_everything_with_an_error_is_ejected():
+    load = Load(rate=45.0, work_s=0.38, broken=2, episode_share=0.0)
+    worlds = [EpisodeWorld(load, seed).play() for seed in SEEDS]
+    lost = [max(w.lost_share for w in world.windows()) for world in worlds]
+    assert max(lost) <= MAX_LOST_SHARE
--- /dev/null
+++ b/tests/support/episodes.py
@@ -0,0 +1,415 @@
+"""A fleet with hubs before targets that fail in episodes.
+
+The real retry and slot filters and dispatch controllers of all entries run on
+one simulated clock. The links, the hubs' feed and the targets are fakes.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from bisect import bisect_left
+from collections import Counter
+from dataclasses import dataclass, field
+
+from wasabitray_core.controllers.controller import Context, Origin
+from wasabitray_core.controllers.dispatch import DispatchController
+from wasabitray_core.controllers.retry_budget import RetryLimits
+from wasabitray_core.documents import FilledTemplate, Route, ServicePolicy
+from wasabitray_core.filters.chain import (
+    AskController,
+    Attempt,
+    FilterChain,
+    Note,
+)
+from wasabitray_core.filters.retry import RetryFilter
+from wasabitray_core.filters.slot import SlotFilter
+from wasabitray_core.local import (
+    FleetSize,
+    Spread,
+    Tick,
+    UsableTarget,
+    UsableTargets,
+)
+from wasabitray_core.messages import OthersWork, TargetWork
+from wasabitray_core.requests import (
+    Answer,
+    AttemptResult,
+    Exchange,
+    LoadReport,
+    Request,
+    Target,
+)
+from wasabitray_core.states import AttemptStatus
+
+SERVICE = "rota"
+REGIONS = ("south", "north", "northwest")
+NEAR_S, FAR_S = 0.0005, 0.03
+HUB_S = 0.003
+WORK_WORD_S = 0.025
+RESET_S = 0.003
+# An error comes sooner than an answer that took work.
+ERROR_WORK = 0.4
+DEADLINE_S = 5.0
+TICK_S = 0.02
+FLOOR_WINDOW_S = 2.0
+FLOOR_STEP_S = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What a day brings.
+
+    Attributes:
+        rate: requests a second.
+        work_s: mean seconds of work of a request.
+        episode_share: part of the time that a target breaks attempts.
+        episode_every_s: mean seconds from one episode to the next.
+        episode_fails: part of the attempts that are broken in one.
+        error_share: part of all requests that get an error answer.
+        broken: targets that answer each request with an error.
+        broken_from: when they begin, in seconds.
+        broken_for: for how long.
+        idempotent: part of the requests that may be repeated.
+    """
+
+    rate: float
+    work_s: float
+    length_s: float = 32.0
+    entries: int = 32
+    targets: int = 20
+    slots: int = 6
+    episode_share: float = 0.3
+    episode_every_s: float = 12.0
+    episode_fails: float = 0.8
+    error_share: float = 0.012
+    broken: int = 0
+    broken_from: float = 6.0
+    broken_for: float = 8.0
+    idempotent: float = 0.0
+
+
+@dataclass(slots=True)
+class FakeTarget:
+    """A target with slots, a queue, and episodes in which it fails."""
+
+    target: Target
+    episodes: list[tuple[float, float]]
+    broken: tuple[float, float]
+    running: int = 0
+    queue: list = field(default_factory=list)
+
+    def fails(self, now: float) -> bool:
+        return any(start <= now < end for start, end in self.episodes)
+
+    def is_broken(self, now: float) -> bool:
+        return self.broken[0] <= now < self.broken[1]
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """Two seconds of a day as a judge of the floor sees them."""
+
+    start: float
+    sound: int
+    used: int
+    requests: int
+    lost: int
+
+    @property
+    def used_share(self) -> float:
+        return self.used / self.sound if self.sound else 1.0
+
+    @property
+    def lost_share(self) -> float:
+        return self.lost / self.requests if self.requests else 0.0
+
+
+class Outbox:
+    """Delivers what an entry's dispatch controller sends."""
+
+    def __init__(self, entry):
+        self.entry = entry
+
+    def send(self, host, message):
+        raise AssertionError(f"dispatch sends nothing to hosts: {message}")
+
+    def tell(self, controller, message):
+        if isinstance(message, Spread):
+            self.entry.world.spread(self.entry, message.item)
+
+    def reply(self, ask, value):
+        self.entry.world.at(0.0, ask, value)
+
+    def report(self, event, **facts):
+        self.entry.world.reports[event] += 1
+
+
+class FakeEntry:
+    """One entry: its part of the chain and its dispatch controller."""
+
+    def __init__(self, world, number, dispatch):
+        self.world = world
+        self.region = REGIONS[number % len(REGIONS)]
+        self.own = Counter()
+        outbox = Outbox(self)
+        context = Context(f"e{number}", world.clock, world.random, outbox)
+        self.dispatch = dispatch(context, self.region)
+        self.chain = FilterChain(
+            (RetryFilter(world.clock), SlotFilter(world.clock))
+        )
+        usable = tuple(UsableTarget(t.target, False) for t in world.targets)
+        names = tuple(t.target.target for t in world.targets)
+        self.tell(UsableTargets(SERVICE, usable, names, ()))
+        self.tell(FleetSize(world.load.entries))
+
+    def tell(self, message, ask=None):
+        self.dispatch.receive(message, Origin(ask=ask))
+
+    def hear_others(self):
+        """Take what the entries of the region had in flight a moment ago."""
+        known = self.world.known_work[self.region] - self.own
+        work = tuple(TargetWork(t, n) for t, n in known.items())
+        self.tell(OthersWork(work, True))
+
+    def submit(self, exchange, done):
+        self.step(self.chain.run(exchange), None, exchange, done)
+
+    def step(self, steps, result, exchange, done):
+        """Advance a chain until it waits."""
+
+        def resume(value=None):
+            self.step(steps, value, exchange, done)
+
+        while True:
+            try:
+                effect = steps.send(result)
+            except StopIteration as stop:
+                done(stop.value)
+                return
+            result = None
+            if isinstance(effect, Note):
+                continue
+            if isinstance(effect, AskController):
+                self.hear_others()
+                self.tell(effect.message, ask=resume)
+                return
+            if isinstance(effect, Attempt):
+                self.world.attempt(self, effect, resume)
+                return
+            tell = getattr(effect, "tell", effect)
+            if hasattr(tell.message, "elapsed") and hasattr(
+                tell.message, "load"
+            ):
+                self.tell(tell.message)
+
+
+def landed_dispatch(context, region):
+    """Build the dispatch controller as the platform's settings do."""
+    limits = RetryLimits(share=0.2, fleet_burst=60.0)
+    return DispatchController(context, region, limits, True, 0.0, True)
+
+
+class EpisodeWorld:
+    """All entries and targets, and what callers and a judge see."""
+
+    def __init__(self, load, seed, dispatch=landed_dispatch):
+        self.load = load
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.events = []
+        self.numbers = itertools.count()
+        self.reports = Counter()
+        self.known_work = {region: Counter() for region in REGIONS}
+        self.arrivals = []
+        self.failures = {}
+        self.outcomes = []
+        self.times = []
+        self.targets = [self.make_target(n) for n in range(load.targets)]
+        self.by_name = {t.target.target: t for t in self.targets}
+        self.entries = [
+            FakeEntry(self, n, dispatch) for n in range(load.entries)
+        ]
+
+    def clock(self):
+        return self.now
+
+    def at(self, delay, call, *args):
+        event = (self.now + delay, next(self.numbers), call, args)
+        heapq.heappush(self.events, event)
+
+    def make_target(self, number):
+        """Return a target whose episodes are drawn for the whole day."""
+        load = self.load
+        name = f"t{number}"
+        region = REGIONS[number % len(REGIONS)]
+        target = Target(name, SERVICE, region, f"{region}-a", load.slots)
+        mean = load.episode_share * load.episode_every_s
+        between = load.episode_every_s - mean
+        episodes = []
+        at = -3.0 * load.episode_every_s
+        while load.episode_share and at < load.length_s:
+            at += self.random.expovariate(1.0 / between)
+            length = self.random.expovariate(1.0 / mean)
+            episodes.append((at, at + length))
+            at += length
+        is_broken = number < load.broken
+        broken = load.broken_from, load.broken_from + load.broken_for
+        return FakeTarget(target, episodes, broken if is_broken else (0, 0))
+
+    # A day
+
+    def play(self):
+        """Play the whole day and return this world."""
+        self.at(0.0, self.arrive)
+        self.at(0.0, self.tick)
+        while self.events and self.events[0][0] <= self.load.length_s:
+            self.now, _, call, args = heapq.heappop(self.events)
+            call(*args)
+        return self
+
+    def arrive(self):
+        self.at(self.random.expovariate(self.load.rate), self.arrive)
+        entry = self.random.choice(self.entries)
+        idempotent = self.random.random() < self.load.idempotent
+        route = Route(
+            path="/", service=SERVICE, idempotent=idempotent, attempts=3
+        )
+        exchange = Exchange(
+            Request("o", "POST", "/", id=str(next(self.numbers))),
+            self.now,
+            self.now + DEADLINE_S,
+            filled=FilledTemplate(
+                services={SERVICE: ServicePolicy()}, routes=(route,)
+            ),
+            route=route,
+        )
+        started = self.now
+
+        def done(answer):
+            served = answer.refusal is None and answer.fault is None
+            self.outcomes.append((started, served))
+            if served:
+                self.times.append(self.now - started)
+
+        entry.submit(exchange, done)
+
+    def tick(self):
+        self.at(TICK_S, self.tick)
+        for entry in self.entries:
+            if entry.dispatch.tick_interval_s <= TICK_S:
+                entry.hear_others()
+                entry.tell(Tick())
+
+    # Links
+
+    def spread(self, sender, item):
+        """Bring news to the other entries by way of the hubs."""
+        for entry in self.entries:
+            if entry is not sender:
+                near = entry.region == sender.region
+                way = 2 * NEAR_S if near else NEAR_S + FAR_S
+                jitter = self.random.uniform(0.0, HUB_S)
+                self.at(way + HUB_S + jitter, entry.tell, item)
+
+    def note_work(self, entry, target, change):
+        entry.own[target] += change
+        self.known_work[entry.region][target] += change
+
+    def attempt(self, entry, effect, resume):
+        """Send a request to a fake target."""
+        name = effect.target.target
+        target = self.by_name[name]
+        near = entry.region == target.target.region
+        way = NEAR_S if near else FAR_S
+        sent = self.now
+        self.at(WORK_WORD_S, self.note_work, entry, name, 1)
+
+        def done(status, answer=None):
+            load = LoadReport(
+                target.running, target.target.slots, len(target.queue)
+            )
+            elapsed = self.now + way - sent
+            result = AttemptResult(status, answer, load, elapsed)
+            self.at(way, resume, result)
+            self.at(way + WORK_WORD_S, self.note_work, entry, name, -1)
+
+        self.at(way, self.reach, target, done)
+
+    # Targets
+
+    def reach(self, target, done):
+        name = target.target.target
+        self.arrivals.append((self.now, name))
+        breaks = self.random.random() < self.load.episode_fails
+        if target.fails(self.now) and breaks:
+            self.failed(name)
+            self.at(RESET_S, done, AttemptStatus.FAILED)
+        elif target.running < target.target.slots:
+            self.work(target, done)
+        else:
+            target.queue.append(done)
+
+    def work(self, target, done):
+        target.running += 1
+        took = self.load.work_s * self.random.uniform(0.5, 1.5)
+        error = self.random.random() < self.load.error_share
+        if target.is_broken(self.now):
+            error = True
+            took *= ERROR_WORK
+        self.at(took, self.end, target, done, error)
+
+    def end(self, target, done, error):
+        target.running -= 1
+        if error:
+            self.failed(target.target.target)
+        done(AttemptStatus.ANSWERED, Answer(500 if error else 200))
+        if target.queue:
+            self.work(target, target.queue.pop(0))
+
+    def failed(self, name):
+        self.failures.setdefault(name, []).append(self.now)
+
+    # What was seen
+
+    @property
+    def lost_share(self):
+        lost = sum(1 for _, served in self.outcomes if not served)
+        return lost / len(self.outcomes)
+
+    @property
+    def mean_time(self):
+        return sum(self.times) / len(self.times)
+
+    def windows(self):
+        """Return all windows of the floor's length.
+
+        A target is sound unless it failed in the window or within its length
+        before it, or is broken for long.
+        """
+        outcomes = sorted(self.outcomes)
+        starts = [at for at, _ in outcomes]
+        start = FLOOR_WINDOW_S
+        while start + FLOOR_WINDOW_S <= self.load.length_s - 1.0:
+            end = start + FLOOR_WINDOW_S
+            sound = {
+                name
+                for name, target in self.by_name.items()
+                if not self.is_unsound(name, target, start, end)
+            }
+            used = {n for at, n in self.arrivals if start <= at < end}
+            found = outcomes[
+                bisect_left(starts, start) : bisect_left(starts, end)
+            ]
+            lost = sum(1 for _, served in found if not served)
+            yield Window(
+                start, len(sound), len(sound & used), len(found), lost
+            )
+            start += FLOOR_STEP_S
+
+    def is_unsound(self, name, target, start, end):
+        broken = target.broken[0] < end and start < target.broken[1]
+        since = start - FLOOR_WINDOW_S
+        failures = self.failures.get(name, ())
+        return broken or any(since <= at < end for at in failures)
