Rename pauses of targets to cool-downs, the field's term

No change of behaviour. The message between hosts keeps its field numbers, the setting keeps its key. Logs say "target cool-down" instead of "target paused".

--- a/packages/cli/src/wasabitray_cli/commands/report.py
+++ b/packages/cli/src/wasabitray_cli/commands/report.py
@@ -25,7 +25,7 @@
     """Sums up logs and draws them."""
 
     name = "report"
-    description = "Draw a day: ends, latency, attempts, pauses, revisions."
+    description = "Draw a day: ends, latency, attempts, cool_downs, revisions."
     arguments: ClassVar[list] = [
         argument("files", "Logs of hosts.", multiple=True)
     ]
@@ -58,5 +58,5 @@
 
 def _totals(day: Day) -> dict[str, int]:
     totals = {end.value: day.total(end) for end in End}
-    totals["targets paused"] = sum(b.pauses for b in day.buckets.values())
+    totals["cool-downs"] = sum(b.cool_downs for b in day.buckets.values())
     return totals
--- a/packages/cli/src/wasabitray_cli/logs.py
+++ b/packages/cli/src/wasabitray_cli/logs.py
@@ -10,12 +10,12 @@
 
 from wasabitray_cli.errors import CommandError, InputError
 
-# A pause lasts 12 s; what was believed of a target longer ago has expired.
+# A cool-down lasts 12 s; what was believed of a target longer ago has expired.
 BELIEF_WINDOW_S = 15.0
 ATTEMPT = "attempt"
 IN_FORCE = "revision in force"
-PAUSED = "target paused"
-# Each entry logs these for itself; a pause is logged once, where it began.
+COOL_DOWN = "target cool-down"
+# Each entry logs these for itself; a cool_down is logged once, where it began.
 ABOUT_TARGETS = frozenset({"target announced", "target ejection"})
 _COMMON = ("time", "level", "message", "host")
 
@@ -144,4 +144,4 @@
 
 def _is_belief(line: LogLine, entry: str) -> bool:
     at_entry = line.event in ABOUT_TARGETS and line.host == entry
-    return at_entry or line.event == PAUSED
+    return at_entry or line.event == COOL_DOWN
--- a/packages/cli/src/wasabitray_cli/report.py
+++ b/packages/cli/src/wasabitray_cli/report.py
@@ -10,7 +10,7 @@
 from statistics import quantiles
 
 from wasabitray_cli.errors import CommandError
-from wasabitray_cli.logs import ATTEMPT, PAUSED, LogLine
+from wasabitray_cli.logs import ATTEMPT, COOL_DOWN, LogLine
 
 ANSWERED, REFUSED = "request answered", "request refused"
 FIRST_SERVER_ERROR = 500
@@ -34,14 +34,14 @@
     Attributes:
         times_ms: from arrival to answer, of served requests.
         attempts: by how they ended.
-        pauses: targets that began to rest.
+        cool_downs: cool-downs of targets that began.
         revisions: put in force on some host.
     """
 
     ends: Counter[End] = field(default_factory=Counter)
     times_ms: list[float] = field(default_factory=list)
     attempts: Counter[str] = field(default_factory=Counter)
-    pauses: int = 0
+    cool_downs: int = 0
     revisions: set[int] = field(default_factory=set)
 
     def percentile_ms(self, share: int) -> float | None:
@@ -91,8 +91,8 @@
             bucket.times_ms.append(float(elapsed))
     elif line.event == ATTEMPT:
         bucket.attempts[str(line.facts.get("status"))] += 1
-    elif line.event == PAUSED and line.facts.get("cause") == "broken":
-        bucket.pauses += 1
+    elif line.event == COOL_DOWN and line.facts.get("cause") == "broken":
+        bucket.cool_downs += 1
     elif isinstance(revision := line.facts.get("revision"), int):
         bucket.revisions.add(revision)
 
@@ -137,8 +137,8 @@
         if status != "answered":
             counts = [b.attempts[status] / day.width_s for b in buckets]
             targets.plot(at, counts, label=f"attempts {status}")
-    pauses = [b.pauses / day.width_s for b in buckets]
-    targets.plot(at, pauses, "k--", label="targets paused")
+    cool_downs = [b.cool_downs / day.width_s for b in buckets]
+    targets.plot(at, cool_downs, "k--", label="cool-downs")
     for time, bucket in day.buckets.items():
         if bucket.revisions:
             targets.axvline(time, color="0.9", zorder=0)
--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -11,12 +11,12 @@
     Controller,
     Origin,
 )
-from wasabitray_core.controllers.in_flight import InFlight, take_others
-from wasabitray_core.controllers.pauses import (
-    apply_pause,
+from wasabitray_core.controllers.cool_downs import (
+    apply_cool_down,
     is_news,
     judge_attempt,
 )
+from wasabitray_core.controllers.in_flight import InFlight, take_others
 from wasabitray_core.controllers.retry_budget import RetryBudget, RetryLimits
 from wasabitray_core.controllers.usage import Usage
 from wasabitray_core.controllers.waiting import Queues, Waiter
@@ -38,7 +38,7 @@
     Tick,
     UsableTargets,
 )
-from wasabitray_core.messages import LongOccupancy, OthersWork, Pause
+from wasabitray_core.messages import CoolDown, LongOccupancy, OthersWork
 from wasabitray_core.placement import (
     Need,
     TargetState,
@@ -77,7 +77,7 @@
 
     A request gets a target with room, or waits in a queue of its class and
     organisation. A request that can't finish before its deadline is refused
-    while it waits. A target that breaks an attempt is paused for the whole
+    while it waits. A target that breaks an attempt cools down for the whole
     fleet at once.
     """
 
@@ -88,7 +88,7 @@
         context: Context,
         region: RegionName,
         retries: RetryLimits | None = None,
-        pauses: bool = False,
+        cool_downs: bool = False,
         startup_wait_s: float = 0.0,
         shares_work: bool = False,
     ) -> None:
@@ -98,7 +98,7 @@
             context: shared by all controllers.
             region: this entry's region, preferred for targets.
             retries: bounds on retries.
-            pauses: whether targets that fail are paused for the fleet.
+            cool_downs: whether targets that fail cool down for the fleet.
             startup_wait_s: seconds from the start in which requests wait
                 for the first targets.
             shares_work: whether other entries are told of work in flight.
@@ -106,7 +106,7 @@
         super().__init__(context)
         self._region = region
         self._retries = retries or RetryLimits()
-        self._pauses = pauses
+        self._cool_downs = cool_downs
         self._wait_until = Seconds(context.clock() + startup_wait_s)
         self._entries = 1
         self._burst = self._retries.burst(1)
@@ -259,15 +259,15 @@
         if work is not None:
             self._outbox.tell(ControllerName.MEMBERSHIP, work)
 
-    # Pauses
+    # Cool-downs
 
     @receive.register
-    def _(self, message: Pause, origin: Origin) -> None:
+    def _(self, message: CoolDown, origin: Origin) -> None:
         now = self._now()
         for service in self._services.values():
             state = service.targets.get(message.target)
             if state is not None and is_news(state, message, now):
-                apply_pause(state, message, now)
+                apply_cool_down(state, message, now)
 
     @receive.register
     def _(self, message: FleetSize, origin: Origin) -> None:
@@ -275,20 +275,22 @@
         self._burst = self._retries.burst(message.entries)
 
     def _judge_target(self, state: TargetState, release: Release) -> None:
-        """Pause a target that failed; end the pause of one that recovered."""
+        """Cool down a target that failed; readmit one that recovered."""
         now = self._now()
-        pause = judge_attempt(state, release, now) if self._pauses else None
-        if pause is None:
+        cool_down = (
+            judge_attempt(state, release, now) if self._cool_downs else None
+        )
+        if cool_down is None:
             return
-        apply_pause(state, pause, now)
-        self._outbox.tell(ControllerName.MEMBERSHIP, Spread(pause))
+        apply_cool_down(state, cool_down, now)
+        self._outbox.tell(ControllerName.MEMBERSHIP, Spread(cool_down))
         self._outbox.report(
-            "target paused",
-            target=pause.target,
+            "target cool-down",
+            target=cool_down.target,
             service=release.service,
-            cause=pause.cause.name.lower(),
-            number=pause.number,
-            duration_s=pause.duration_s,
+            cause=cool_down.cause.name.lower(),
+            number=cool_down.number,
+            duration_s=cool_down.duration_s,
         )
 
     # Queues
@@ -423,8 +425,8 @@
             AttemptStatus.MISDIRECTED,
             AttemptStatus.TIMED_OUT,
         ):
-            pause = AVOID_FIRST_S * 2**state.path_failures
-            state.avoid_until = Seconds(now + min(AVOID_MAX_S, pause))
+            cool_down = AVOID_FIRST_S * 2**state.path_failures
+            state.avoid_until = Seconds(now + min(AVOID_MAX_S, cool_down))
             state.path_failures += 1
 
 
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -59,13 +59,13 @@
 from wasabitray_core.messages import (
     Announcement,
     ConfigPull,
+    CoolDown,
     Ejection,
     EntryState,
     Feed,
     FeedMark,
     HostAddress,
     News,
-    Pause,
     Presence,
     Quarantine,
     Unsubscribe,
@@ -366,7 +366,7 @@
             select(items, Announcement),
             select(items, Ejection),
             select(items, Quarantine),
-            select(items, Pause),
+            select(items, CoolDown),
             select(items, EntryState),
         )
 
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -43,6 +43,7 @@
 from wasabitray_core.messages import (
     Announcement,
     ConfigPull,
+    CoolDown,
     Ejection,
     EntryState,
     EntryWork,
@@ -50,7 +51,6 @@
     FeedMark,
     HostAddress,
     News,
-    Pause,
     Presence,
     Quarantine,
     Unsubscribe,
@@ -165,7 +165,7 @@
             select((item,), Announcement),
             select((item,), Ejection),
             select((item,), Quarantine),
-            select((item,), Pause),
+            select((item,), CoolDown),
         )
         self._outbox.send(self._hub, news)
 
@@ -350,5 +350,5 @@
     Announcement: ControllerName.TARGETS,
     Ejection: ControllerName.TARGETS,
     Quarantine: ControllerName.QUARANTINE,
-    Pause: ControllerName.DISPATCH,
+    CoolDown: ControllerName.DISPATCH,
 }
--- a/packages/core/src/wasabitray_core/local.py
+++ b/packages/core/src/wasabitray_core/local.py
@@ -26,10 +26,10 @@
     Announcement,
     Change,
     CommittedChange,
+    CoolDown,
     Ejection,
     EntryState,
     HostAddress,
-    Pause,
     Quarantine,
     Snapshot,
 )
@@ -240,7 +240,7 @@
 class Spread:
     """Passes news to other hosts."""
 
-    item: Announcement | Ejection | Quarantine | Pause
+    item: Announcement | Ejection | Quarantine | CoolDown
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -28,10 +28,10 @@
     Term,
 )
 from wasabitray_core.states import (
+    CoolDownCause,
     EjectionPhase,
     GrantStatus,
     HostFlag,
-    PauseCause,
     TargetPhase,
 )
 
@@ -118,18 +118,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Pause:
-    """A target that just failed; all entries rest it for a while.
+class CoolDown:
+    """A target that just failed; all entries let it cool down.
 
     Attributes:
-        number: rises with each pause of the target.
+        number: rises with each cool-down of the target.
         duration_s: seconds that it lasts, counted from its receipt.
     """
 
     target: TargetId
     number: int
     duration_s: float
-    cause: PauseCause
+    cause: CoolDownCause
 
 
 @dataclass(frozen=True, slots=True)
@@ -238,7 +238,7 @@
     announcements: tuple[Announcement, ...] = ()
     ejections: tuple[Ejection, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
-    pauses: tuple[Pause, ...] = ()
+    cool_downs: tuple[CoolDown, ...] = ()
     entry_states: tuple[EntryState, ...] = ()
 
 
@@ -249,7 +249,7 @@
     announcements: tuple[Announcement, ...] = ()
     ejections: tuple[Ejection, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
-    pauses: tuple[Pause, ...] = ()
+    cool_downs: tuple[CoolDown, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -20,8 +20,8 @@
 # episodes last a few seconds.
 RECENT_FAILURE_S = 2.0
 # Requests for each slot that targets may have before others wait here, and
-# before paused targets are needed. Targets queue a few: waiting for one and a
-# half others costs less than the four in five requests that a paused target
+# before cooling targets are needed. Targets queue a few: waiting for one and a
+# half others costs less than the four in five requests that a cooling target
 # loses.
 MAX_USE = 2.5
 # Requests for each slot up to which a target of the own region is better than
@@ -39,7 +39,7 @@
     LOAD = "load"
     """The least loaded, as far as it is known here."""
     NEEDED = "needed"
-    """It is paused, but the others can't carry the load."""
+    """It is cooling down, but the others can't carry the load."""
 
 
 @dataclass(slots=True)
@@ -55,10 +55,10 @@
         reported: load of the last answer, with its time.
         avoid_until: end of this entry's own avoidance of the path.
         ramp_until: until then a new target gets one request at a time.
-        paused_since: when this entry heard of the newest pause.
-        paused_until: end of the fleet's pause.
-        pause_number: number of the newest pause.
-        answers_in_pause: good answers in a row to attempts made in it.
+        failed_at: when this entry heard of the newest cool_down.
+        cooling_until: end of the fleet's cool_down.
+        news_number: number of the newest cool_down.
+        successes: responses in a row to attempts made during the cool-down.
     """
 
     target: Target
@@ -73,10 +73,10 @@
     reported_at: Seconds = Seconds(0.0)
     avoid_until: Seconds = Seconds(0.0)
     path_failures: int = 0
-    paused_since: Seconds = Seconds(0.0)
-    paused_until: Seconds = Seconds(0.0)
-    pause_number: int = 0
-    answers_in_pause: int = 0
+    failed_at: Seconds = Seconds(0.0)
+    cooling_until: Seconds = Seconds(0.0)
+    news_number: int = 0
+    successes: int = 0
 
     def slots(self, now: Seconds) -> int:
         """Return the slots that may be used now."""
@@ -113,15 +113,15 @@
         allowed = use if self.hears_others(now) else 1.0
         return self.load(now) + 1 <= self.slots(now) * allowed + 1e-9
 
-    def is_paused(self, now: Seconds) -> bool:
-        """Tell whether the fleet rests it."""
-        return now < self.paused_until
+    def is_cooling(self, now: Seconds) -> bool:
+        """Tell whether it is cooling down."""
+        return now < self.cooling_until
 
     def failure_age(self, now: Seconds) -> Seconds | None:
         """Return the seconds since the newest word of a failure, if any."""
-        if not self.pause_number:
+        if not self.news_number:
             return None
-        return Seconds(now - self.paused_since)
+        return Seconds(now - self.failed_at)
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,21 +160,22 @@
 
     Attributes:
         usable: targets that are not on trial.
-        paused: those of them that are paused.
-        paused_long: those paused for longer than a recent failure explains.
+        cooling: those of them that are cooling down.
+        cooling_long: those that do so for longer than a recent failure
+            explains.
     """
 
     usable: int
-    paused: int
-    paused_long: int
+    cooling: int
+    cooling_long: int
 
 
 def availability(states: Iterable[TargetState], now: Seconds) -> Availability:
-    """Count the usable and the paused targets of a service."""
+    """Count the usable and the cooling targets of a service."""
     usable = [s for s in states if not s.probation]
-    paused = [s for s in usable if s.is_paused(now)]
-    long = [s for s in paused if now - s.paused_since > RECENT_FAILURE_S]
-    return Availability(len(usable), len(paused), len(long))
+    cooling = [s for s in usable if s.is_cooling(now)]
+    long = [s for s in cooling if now - s.failed_at > RECENT_FAILURE_S]
+    return Availability(len(usable), len(cooling), len(long))
 
 
 def choose(
@@ -190,7 +191,7 @@
     two random ones are compared (Mitzenmacher, "The power of two choices in
     randomized load balancing", 2001), since all entries would choose the
     same one. A target that is unreachable from here gets work when no other
-    has room, a paused one when the others can't carry the load.
+    has room, a cooling one when the others can't carry the load.
     """
     if need.pinned is not None:
         pinned = targets.get(need.pinned)
@@ -203,13 +204,13 @@
         if trials:
             return Choice(source.choice(trials), Basis.TRIAL)
     usable = [s for s in left if not s.probation]
-    unpaused = [s for s in usable if not s.is_paused(now)]
-    if _is_short(unpaused, need.demand / MAX_USE, source):
-        paused = [s for s in usable if s.is_paused(now) and s.has_room(now)]
-        if paused:
-            reachable = [s for s in paused if s.avoid_until <= now]
-            return _longest_paused(reachable or paused)
-    free = [s for s in unpaused if s.has_room(now)]
+    in_use = [s for s in usable if not s.is_cooling(now)]
+    if _is_short(in_use, need.demand / MAX_USE, source):
+        cooling = [s for s in usable if s.is_cooling(now) and s.has_room(now)]
+        if cooling:
+            reachable = [s for s in cooling if s.avoid_until <= now]
+            return _longest_cooling(reachable or cooling)
+    free = [s for s in in_use if s.has_room(now)]
     reachable = [s for s in free if s.avoid_until <= now] or free
     near = [s for s in reachable if s.target.region == need.region]
     if not need.large:
@@ -243,13 +244,13 @@
     return source.random() * demand > capacity
 
 
-def _longest_paused(states: list[TargetState]) -> Choice:
+def _longest_cooling(states: list[TargetState]) -> Choice:
     """Choose the target that had the longest time to recover.
 
-    Without it, a pause that leaves too little for the load would turn a few
+    Otherwise a cool-down that leaves too little for the load would turn few
     lost requests into many late ones.
     """
-    return Choice(min(states, key=lambda s: s.paused_until), Basis.NEEDED)
+    return Choice(min(states, key=lambda s: s.cooling_until), Basis.NEEDED)
 
 
 def _slots(states: Iterable[TargetState]) -> int:
--- a/packages/core/src/wasabitray_core/states.py
+++ b/packages/core/src/wasabitray_core/states.py
@@ -42,13 +42,13 @@
     SERVE = "serve"
 
 
-class PauseCause(IntEnum):
+class CoolDownCause(IntEnum):
     """Why a target gets no work for a short while."""
 
     BROKEN = 1
     """It broke off an attempt, or its answer was no answer."""
     RECOVERED = 2
-    """It answered while it was paused, which ends the pause."""
+    """It answered while it was cooling down, which ends that."""
 
 
 class Outcome(Enum):
--- a/packages/node/src/wasabitray_node/settings.py
+++ b/packages/node/src/wasabitray_node/settings.py
@@ -171,7 +171,7 @@
             the data folder is empty.
         trusted_network: peers and operators need no secret.
         when_isolated: what an entry does that is cut off from the fleet.
-        pauses: rest targets that break attempts, in the whole fleet.
+        pauses: cool targets down that break attempts, in the whole fleet.
         failure_domains: the region of each failure domain.
         startup_wait_s: seconds from the start in which requests wait for the
             first configuration and the first targets.
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -529,7 +529,7 @@
         return not (self == other)
 
 
-class Pause(object):
+class CoolDown(object):
     """
     Attributes:
      - target
@@ -584,7 +584,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Pause')
+        oprot.writeStructBegin('CoolDown')
         if self.target is not None:
             oprot.writeFieldBegin('target', TType.STRING, 1)
             oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
@@ -1097,13 +1097,13 @@
      - announcements
      - ejections
      - quarantines
-     - pauses
+     - cool_downs
      - entry_states
 
     """
 
 
-    def __init__(self, origin=None, incarnation=None, after=None, position=None, revision=None, in_contact=None, entries=None, hubs=None, announcements=None, ejections=None, quarantines=None, pauses=None, entry_states=None,):
+    def __init__(self, origin=None, incarnation=None, after=None, position=None, revision=None, in_contact=None, entries=None, hubs=None, announcements=None, ejections=None, quarantines=None, cool_downs=None, entry_states=None,):
         self.origin = origin
         self.incarnation = incarnation
         self.after = after
@@ -1115,7 +1115,7 @@
         self.announcements = announcements
         self.ejections = ejections
         self.quarantines = quarantines
-        self.pauses = pauses
+        self.cool_downs = cool_downs
         self.entry_states = entry_states
 
     def read(self, iprot):
@@ -1208,12 +1208,12 @@
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
-                    self.pauses = []
+                    self.cool_downs = []
                     (_etype41, _size38) = iprot.readListBegin()
                     for _i42 in range(_size38):
-                        _elem43 = Pause()
+                        _elem43 = CoolDown()
                         _elem43.read(iprot)
-                        self.pauses.append(_elem43)
+                        self.cool_downs.append(_elem43)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1294,10 +1294,10 @@
                 iter53.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.pauses is not None:
-            oprot.writeFieldBegin('pauses', TType.LIST, 12)
-            oprot.writeListBegin(TType.STRUCT, len(self.pauses))
-            for iter54 in self.pauses:
+        if self.cool_downs is not None:
+            oprot.writeFieldBegin('cool_downs', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.cool_downs))
+            for iter54 in self.cool_downs:
                 iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -1332,16 +1332,16 @@
      - announcements
      - ejections
      - quarantines
-     - pauses
+     - cool_downs
 
     """
 
 
-    def __init__(self, announcements=None, ejections=None, quarantines=None, pauses=None,):
+    def __init__(self, announcements=None, ejections=None, quarantines=None, cool_downs=None,):
         self.announcements = announcements
         self.ejections = ejections
         self.quarantines = quarantines
-        self.pauses = pauses
+        self.cool_downs = cool_downs
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1387,12 +1387,12 @@
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
-                    self.pauses = []
+                    self.cool_downs = []
                     (_etype77, _size74) = iprot.readListBegin()
                     for _i78 in range(_size74):
-                        _elem79 = Pause()
+                        _elem79 = CoolDown()
                         _elem79.read(iprot)
-                        self.pauses.append(_elem79)
+                        self.cool_downs.append(_elem79)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1427,10 +1427,10 @@
                 iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.pauses is not None:
-            oprot.writeFieldBegin('pauses', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.pauses))
-            for iter83 in self.pauses:
+        if self.cool_downs is not None:
+            oprot.writeFieldBegin('cool_downs', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.cool_downs))
+            for iter83 in self.cool_downs:
                 iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -5359,8 +5359,8 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'targets', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
-all_structs.append(Pause)
-Pause.thrift_spec = (
+all_structs.append(CoolDown)
+CoolDown.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
     (2, TType.I64, 'number', None, None, ),  # 2
@@ -5421,7 +5421,7 @@
     (9, TType.LIST, 'announcements', (TType.STRUCT, [Announcement, None], False), None, ),  # 9
     (10, TType.LIST, 'ejections', (TType.STRUCT, [Ejection, None], False), None, ),  # 10
     (11, TType.LIST, 'quarantines', (TType.STRUCT, [Quarantine, None], False), None, ),  # 11
-    (12, TType.LIST, 'pauses', (TType.STRUCT, [Pause, None], False), None, ),  # 12
+    (12, TType.LIST, 'cool_downs', (TType.STRUCT, [CoolDown, None], False), None, ),  # 12
     (13, TType.LIST, 'entry_states', (TType.STRUCT, [EntryState, None], False), None, ),  # 13
 )
 all_structs.append(News)
@@ -5430,7 +5430,7 @@
     (1, TType.LIST, 'announcements', (TType.STRUCT, [Announcement, None], False), None, ),  # 1
     (2, TType.LIST, 'ejections', (TType.STRUCT, [Ejection, None], False), None, ),  # 2
     (3, TType.LIST, 'quarantines', (TType.STRUCT, [Quarantine, None], False), None, ),  # 3
-    (4, TType.LIST, 'pauses', (TType.STRUCT, [Pause, None], False), None, ),  # 4
+    (4, TType.LIST, 'cool_downs', (TType.STRUCT, [CoolDown, None], False), None, ),  # 4
 )
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
--- a/tests/cli/test_logs.py
+++ b/tests/cli/test_logs.py
@@ -36,12 +36,12 @@
             elapsed_ms=150.0,
         ),
         line(0.2, "request refused", request="r-1", status=502),
-        line(9.0, "target paused", target="t1", cause="broken"),
+        line(9.0, "target cool-down", target="t1", cause="broken"),
     ]
     second = [
-        line(-BELIEF_WINDOW_S - 1, "target paused", "e2", target="t1"),
-        line(-1.0, "target paused", "e2", target="t1", cause="broken"),
-        line(-1.0, "target paused", "e2", target="t2", cause="broken"),
+        line(-BELIEF_WINDOW_S - 1, "target cool-down", "e2", target="t1"),
+        line(-1.0, "target cool-down", "e2", target="t1", cause="broken"),
+        line(-1.0, "target cool-down", "e2", target="t2", cause="broken"),
         line(-0.5, "revision in force", "e2", revision=5),
         line(-0.5, "target announced", "e2", target="t1"),
     ]
@@ -56,7 +56,7 @@
     found = [(e.event, e.host) for e in story.lines]
     assert found == [
         ("revision in force", "e1"),
-        ("target paused", "e2"),
+        ("target cool-down", "e2"),
         ("attempt", "e1"),
         ("request refused", "e1"),
     ]
--- a/tests/cli/test_report.py
+++ b/tests/cli/test_report.py
@@ -26,11 +26,11 @@
     ],
     line(0.6, "request answered", status=500, elapsed_ms=9.0),
     line(2.1, "attempt", status="failed", target="t1"),
-    line(2.1, "target paused", cause="broken", target="t1"),
+    line(2.1, "target cool-down", cause="broken", target="t1"),
     line(2.2, "request refused", status=502, reason="target-failed"),
     line(2.3, "request refused", status=503, reason="overload"),
     line(2.4, "request refused", status=404, reason="unknown-route"),
-    line(2.5, "target paused", cause="recovered", target="t1"),
+    line(2.5, "target cool-down", cause="recovered", target="t1"),
 ]
 
 
@@ -50,11 +50,11 @@
     assert second.percentile_ms(50) is None
 
 
-def test_attempts_pauses_and_revisions_are_counted():
+def test_attempts_cool_downs_and_revisions_are_counted():
     first, second = summarise(DAY, 2.0).buckets.values()
     assert first.revisions == {3}
     assert second.attempts == {"failed": 1}
-    assert second.pauses == 1
+    assert second.cool_downs == 1
 
 
 def test_no_lines_are_an_error():
--- a/tests/core/controllers/test_pauses.py
+++ b/tests/core/controllers/test_cool_downs.py
@@ -1,4 +1,4 @@
-"""Which attempts pause a target, and what ends a pause.
+"""Which attempts cool a target down, and what ends a cool-down.
 
 Played through the controller that owns the targets.
 """
@@ -6,8 +6,8 @@
 import pytest
 from support.fakes import Bed
 
+from wasabitray_core.controllers.cool_downs import RECOVERY_SUCCESSES
 from wasabitray_core.controllers.dispatch import DispatchController
-from wasabitray_core.controllers.pauses import RECOVERY_ANSWERS
 from wasabitray_core.controllers.retry_budget import RetryLimits
 from wasabitray_core.local import (
     Acquire,
@@ -16,10 +16,10 @@
     UsableTarget,
     UsableTargets,
 )
-from wasabitray_core.messages import Pause
+from wasabitray_core.messages import CoolDown
 from wasabitray_core.placement import Availability
 from wasabitray_core.requests import Target
-from wasabitray_core.states import AttemptStatus, PauseCause, WorkClass
+from wasabitray_core.states import AttemptStatus, CoolDownCause, WorkClass
 
 
 def target(name, slots=2):
@@ -30,8 +30,8 @@
     bed.tell(Release("rota", name, WorkClass.SHORT, status, took, None))
 
 
-def paused_by(status):
-    """Return the pauses told after one attempt that ended so."""
+def cool_downs_of(status):
+    """Return the cool-downs told after one attempt that ended so."""
     retries = RetryLimits()
     bed = Bed(DispatchController, "south", retries, True)
     one = target("t1")
@@ -41,9 +41,9 @@
 
 
 @pytest.mark.parametrize("status", [AttemptStatus.FAILED])
-def test_broken_attempt_pauses_its_target_for_the_fleet(status):
-    (pause,) = paused_by(status)
-    assert (pause.target, pause.cause) == ("t1", PauseCause.BROKEN)
+def test_broken_attempt_cool_downs_its_target_for_the_fleet(status):
+    (cool_down,) = cool_downs_of(status)
+    assert (cool_down.target, cool_down.cause) == ("t1", CoolDownCause.BROKEN)
 
 
 @pytest.mark.parametrize(
@@ -56,12 +56,12 @@
         AttemptStatus.STALE_CONNECTION,
     ],
 )
-def test_load_and_paths_pause_nothing(status):
-    assert paused_by(status) == []
+def test_load_and_paths_cool_down_nothing(status):
+    assert cool_downs_of(status) == []
 
 
-class TestPauses:
-    """One target that breaks, and what ends its pause."""
+class TestCoolDowns:
+    """One target that breaks, and what ends its cool_down."""
 
     def setup_method(self):
         self.bed = Bed(DispatchController, "south", RetryLimits(), True)
@@ -72,52 +72,54 @@
     def state(self):
         return self.bed.controller._service("rota").targets["t1"]
 
-    def is_paused(self):
-        return self.state.is_paused(self.bed.clock())
+    def is_cooling(self):
+        return self.state.is_cooling(self.bed.clock())
 
-    def hear(self, number, cause=PauseCause.BROKEN, duration_s=12.0):
-        self.bed.tell(Pause("t1", number, duration_s, cause))
+    def hear(self, number, cause=CoolDownCause.BROKEN, duration_s=12.0):
+        self.bed.tell(CoolDown("t1", number, duration_s, cause))
 
     def answer(self, took=0.1):
         self.bed.clock.advance(took + 0.01)
         release(self.bed, "t1", took=took)
 
-    def test_answer_to_an_attempt_from_before_the_pause_does_not_end_it(self):
+    def test_answer_to_an_attempt_from_before_the_cool_down_does_not_end_it(
+        self,
+    ):
         release(self.bed, "t1", AttemptStatus.FAILED)
         self.bed.clock.advance(0.1)
-        for _ in range(RECOVERY_ANSWERS):
+        for _ in range(RECOVERY_SUCCESSES):
             release(self.bed, "t1", took=0.5)
-        assert self.is_paused()
+        assert self.is_cooling()
 
-    def test_some_good_answers_in_a_row_end_it(self):
+    def test_some_successes_in_a_row_end_it(self):
         release(self.bed, "t1", AttemptStatus.FAILED)
-        for _ in range(RECOVERY_ANSWERS - 1):
+        for _ in range(RECOVERY_SUCCESSES - 1):
             self.answer()
-        assert self.is_paused()
+        assert self.is_cooling()
         self.answer()
-        assert not self.is_paused()
+        assert not self.is_cooling()
 
     def test_failure_starts_the_count_anew(self):
         release(self.bed, "t1", AttemptStatus.FAILED)
-        for _ in range(RECOVERY_ANSWERS - 1):
+        for _ in range(RECOVERY_SUCCESSES - 1):
             self.answer()
         release(self.bed, "t1", AttemptStatus.FAILED)
         self.answer()
-        assert self.is_paused()
+        assert self.is_cooling()
 
-    def test_pause_by_an_entry_that_missed_earlier_numbers_counts(self):
+    def test_cool_down_by_an_entry_that_missed_earlier_numbers_counts(self):
         self.hear(number=5)
         self.bed.clock.advance(13.0)
-        assert not self.is_paused()
+        assert not self.is_cooling()
         self.hear(number=1)
-        assert self.is_paused()
+        assert self.is_cooling()
 
-    def test_late_word_does_not_prolong_a_pause(self):
+    def test_late_word_does_not_prolong_a_cool_down(self):
         self.hear(number=5)
         self.bed.clock.advance(11.0)
         self.hear(number=4)
         self.bed.clock.advance(1.5)
-        assert not self.is_paused()
+        assert not self.is_cooling()
 
 
 def test_grant_tells_what_the_choice_was_made_from():
@@ -125,9 +127,9 @@
     names = ("t1", "t2", "t3")
     usable = tuple(UsableTarget(target(n), False) for n in names)
     bed.tell(UsableTargets("rota", usable, names, ()))
-    bed.tell(Pause("t1", 1, 12.0, PauseCause.BROKEN))
+    bed.tell(CoolDown("t1", 1, 12.0, CoolDownCause.BROKEN))
     bed.clock.advance(3.0)
-    bed.tell(Pause("t2", 1, 12.0, PauseCause.BROKEN))
+    bed.tell(CoolDown("t2", 1, 12.0, CoolDownCause.BROKEN))
     ask = Acquire("rota", "o", WorkClass.SHORT, True, bed.clock.now + 5.0)
     grant = bed.ask(ask)
     assert grant.target.target == "t3"
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -82,9 +82,9 @@
     assert share(chosen, "south") == 1.0
 
 
-def test_paused_target_gets_nothing_while_the_others_can_carry_the_load():
+def test_cooling_target_gets_nothing_while_the_others_can_carry_the_load():
     targets = states(near=4, far=0)
-    targets["south-0"].paused_until = NOW + 5
+    targets["south-0"].cooling_until = NOW + 5
     chosen = play(targets, demand=5.0, near_demand=5.0)
     assert "south-0" not in chosen
 
@@ -92,17 +92,17 @@
 @pytest.mark.parametrize(
     ("demand", "least", "most"), [(20, 0.2, 0.3), (30, 0.45, 0.55)]
 )
-def test_paused_target_gets_what_the_others_lack(demand, least, most):
+def test_cooling_target_gets_what_the_others_lack(demand, least, most):
     targets = states(near=4, far=0)
-    targets["south-0"].paused_until = NOW + 5
+    targets["south-0"].cooling_until = NOW + 5
     chosen = play(targets, demand=demand, near_demand=demand)
     assert least < share(chosen, "south-0") < most
 
 
-def test_when_all_are_paused_the_longest_paused_is_used():
+def test_when_all_are_cooling_the_longest_cooling_is_used():
     targets = states(near=3, far=0)
     for number, state in enumerate(targets.values()):
-        state.paused_until = NOW + 5 - number
+        state.cooling_until = NOW + 5 - number
     choice = choose(targets, Need("south"), NOW, random.Random(1))
     assert choice.state.target.target == "south-2"
     assert choice.basis is Basis.NEEDED
--- a/tests/node/test_logs.py
+++ b/tests/node/test_logs.py
@@ -40,7 +40,7 @@
     writer = LineWriter(pipe[1])
     for _ in range(10 * MAX_LINES_PER_S):
         log(writer, "attempt")
-    log(writer, "target paused")
+    log(writer, "target cool-down")
     # A second may end while the lines come.
     assert MAX_LINES_PER_S < writer.waiting <= 2 * MAX_LINES_PER_S + 1
     left_out = 10 * MAX_LINES_PER_S + 1 - writer.waiting
@@ -78,11 +78,11 @@
     writer = LineWriter(pipe[1])
     log(writer, "attempt", status="failed", detail="free text")
     log(writer, "attempt", status="failed")
-    log(writer, "target paused", cause="broken", number=7)
+    log(writer, "target cool-down", cause="broken", number=7)
     log(writer, "hub changed")
     assert writer.events == {
         LoggedEvent("attempt", "failed"): 2,
-        LoggedEvent("target paused", "broken"): 1,
+        LoggedEvent("target cool-down", "broken"): 1,
         LoggedEvent("hub changed", ""): 1,
     }
 
