Bound the share of a service that cools down at once

Each entry chose alone; the floor is a promise over all of them.

Now at most a fifth of the targets without a recent failure cool down. Those that failed longest ago are readmitted first. All entries hear of the same failures, so they agree without a further message.

Ruled out: a shorter fixed cool-down, which was measured worse before, and one that is ended by a single success, which changed nothing.

--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -12,7 +12,7 @@
     Origin,
 )
 from wasabitray_core.controllers.cool_downs import (
-    apply_cool_down,
+    apply_word,
     is_news,
     judge_attempt,
 )
@@ -44,6 +44,7 @@
     TargetState,
     availability,
     choose,
+    find_surplus,
 )
 from wasabitray_core.requests import LoadReport, Target
 from wasabitray_core.states import AttemptStatus, RefusalReason, WorkClass
@@ -267,7 +268,7 @@
         for service in self._services.values():
             state = service.targets.get(message.target)
             if state is not None and is_news(state, message, now):
-                apply_cool_down(state, message, now)
+                apply_word(state, message, now)
 
     @receive.register
     def _(self, message: FleetSize, origin: Origin) -> None:
@@ -275,22 +276,22 @@
         self._burst = self._retries.burst(message.entries)
 
     def _judge_target(self, state: TargetState, release: Release) -> None:
-        """Cool down a target that failed; readmit one that recovered."""
+        """Tell the fleet what an attempt says about its target."""
+        if not self._cool_downs:
+            return
         now = self._now()
-        cool_down = (
-            judge_attempt(state, release, now) if self._cool_downs else None
-        )
-        if cool_down is None:
+        word = judge_attempt(state, release, now)
+        if word is None:
             return
-        apply_cool_down(state, cool_down, now)
-        self._outbox.tell(ControllerName.MEMBERSHIP, Spread(cool_down))
+        apply_word(state, word, now)
+        self._outbox.tell(ControllerName.MEMBERSHIP, Spread(word))
         self._outbox.report(
             "target cool-down",
-            target=cool_down.target,
+            target=word.target,
             service=release.service,
-            cause=cool_down.cause.name.lower(),
-            number=cool_down.number,
-            duration_s=cool_down.duration_s,
+            cause=word.cause.name.lower(),
+            number=word.number,
+            duration_s=word.duration_s,
         )
 
     # Queues
@@ -369,6 +370,8 @@
             *self._demand(service),
         )
         now = self._now()
+        for state in find_surplus(service.targets.values(), now):
+            state.cooling_until = now
         choice = choose(service.targets, need, now, self._context.random)
         if choice is None:
             return False
--- a/packages/core/src/wasabitray_core/controllers/feed_table.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_table.py
@@ -85,7 +85,7 @@
 
 @is_newer.register
 def _(item: CoolDown, known: CoolDown) -> bool:
-    return item.number > known.number
+    return item.rank > known.rank
 
 
 @is_newer.register
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -119,17 +119,30 @@
 
 @dataclass(frozen=True, slots=True)
 class CoolDown:
-    """A target that just failed; all entries let it cool down.
+    """A word to all entries about a target's failures.
 
     Attributes:
-        number: rises with each cool-down of the target.
-        duration_s: seconds that it lasts, counted from its receipt.
+        number: rises with each word about the target.
+        duration_s: seconds without requests from its receipt; 0 for a word
+            that begins no cool-down.
+        successes: in a row since the failure that began the cool-down.
     """
 
     target: TargetId
     number: int
     duration_s: float
     cause: CoolDownCause
+    successes: int = 0
+
+    @property
+    def begins(self) -> bool:
+        """Whether it begins a cool-down."""
+        return self.cause is CoolDownCause.BROKEN
+
+    @property
+    def rank(self) -> tuple[int, bool]:
+        """Its order among the words about the target."""
+        return self.number, self.begins
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -16,9 +16,13 @@
 # Other entries' work is stated each half second; two may be lost.
 SHARED_WORK_TTL_S = 1.5
 TRIAL_CHANCE = 0.1
-# A target that failed longer ago than this is likely to work again: failure
-# episodes last a few seconds.
+# A target that failed longer ago than this may work again: failure episodes
+# last a few seconds.
 RECENT_FAILURE_S = 2.0
+# Part of a service's targets, those with a recent failure aside, that may cool
+# down at once. The users' floor of targets in use is 0.7; the rest is for
+# targets that get no request by chance or are out of use for other reasons.
+MAX_COOLING_SHARE = 0.2
 # Requests for each slot that targets may have before others wait here, and
 # before cooling targets are needed. Targets queue a few: waiting for one and a
 # half others costs less than the four in five requests that a cooling target
@@ -35,7 +39,7 @@
     PINNED = "pinned"
     """The coordinator of long work chose it."""
     TRIAL = "trial"
-    """It is on its way back and gets a trickle."""
+    """It failed lately and is readmitted with few requests."""
     LOAD = "load"
     """The least loaded, as far as it is known here."""
     NEEDED = "needed"
@@ -55,10 +59,12 @@
         reported: load of the last answer, with its time.
         avoid_until: end of this entry's own avoidance of the path.
         ramp_until: until then a new target gets one request at a time.
-        failed_at: when this entry heard of the newest cool_down.
-        cooling_until: end of the fleet's cool_down.
-        news_number: number of the newest cool_down.
-        successes: responses in a row to attempts made during the cool-down.
+        failed_at: when this entry heard of the newest failure that began a
+            cool-down.
+        cooling_until: end of the cool-down, as it is known here.
+        recovering: whether too few successes are known since that failure.
+        successes: those known, in a row.
+        news_number: number of the newest word about failures.
     """
 
     target: Target
@@ -75,13 +81,17 @@
     path_failures: int = 0
     failed_at: Seconds = Seconds(0.0)
     cooling_until: Seconds = Seconds(0.0)
-    news_number: int = 0
+    recovering: bool = False
     successes: int = 0
+    readmitted: bool = False
+    news_number: int = 0
 
     def slots(self, now: Seconds) -> int:
         """Return the slots that may be used now."""
         if self.probation or now < self.ramp_until:
             return 1
+        if self.is_readmitted(now):
+            return 1
         return self.target.slots
 
     def load(self, now: Seconds) -> float:
@@ -110,18 +120,21 @@
             now: monotonic seconds.
             use: requests for each slot that are few enough.
         """
-        allowed = use if self.hears_others(now) else 1.0
+        queues = self.hears_others(now) and not self.is_readmitted(now)
+        allowed = use if queues else 1.0
         return self.load(now) + 1 <= self.slots(now) * allowed + 1e-9
 
     def is_cooling(self, now: Seconds) -> bool:
         """Tell whether it is cooling down."""
         return now < self.cooling_until
 
+    def is_readmitted(self, now: Seconds) -> bool:
+        """Tell whether its cool-down is over and no success is known yet."""
+        return self.recovering and not self.is_cooling(now)
+
     def failure_age(self, now: Seconds) -> Seconds | None:
         """Return the seconds since the newest word of a failure, if any."""
-        if not self.news_number:
-            return None
-        return Seconds(now - self.failed_at)
+        return Seconds(now - self.failed_at) if self.failed_at else None
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,6 +191,25 @@
     return Availability(len(usable), len(cooling), len(long))
 
 
+def find_surplus(
+    states: Iterable[TargetState], now: Seconds
+) -> list[TargetState]:
+    """Return the targets whose cool-down is to end early.
+
+    Many short episodes of single targets would otherwise add up to most of a
+    service. Those that failed longest ago are the likeliest to work again.
+    All entries have heard of the same failures, so they agree on the targets
+    without a further exchange.
+    """
+    reachable = [s for s in states if not s.probation and s.avoid_until <= now]
+    cooling = [s for s in reachable if s.is_cooling(now)]
+    recent = [s for s in cooling if now - s.failed_at <= RECENT_FAILURE_S]
+    older = [s for s in cooling if now - s.failed_at > RECENT_FAILURE_S]
+    allowed = int(MAX_COOLING_SHARE * (len(reachable) - len(recent)))
+    older.sort(key=lambda s: s.failed_at)
+    return older[: max(0, len(older) - allowed)]
+
+
 def choose(
     targets: dict[TargetId, TargetState],
     need: Need,
@@ -197,12 +229,10 @@
         pinned = targets.get(need.pinned)
         return Choice(pinned, Basis.PINNED) if pinned else None
     left = [s for t, s in targets.items() if t not in need.excluded]
-    if need.trial and source.random() < TRIAL_CHANCE:
-        trials = [
-            s for s in left if s.probation and not s.busy and s.has_room(now)
-        ]
-        if trials:
-            return Choice(source.choice(trials), Basis.TRIAL)
+    if need.trial:
+        tested = _choose_trial(left, need, now, source)
+        if tested is not None:
+            return Choice(tested, Basis.TRIAL)
     usable = [s for s in left if not s.probation]
     in_use = [s for s in usable if not s.is_cooling(now)]
     if _is_short(in_use, need.demand / MAX_USE, source):
@@ -218,6 +248,28 @@
     return _least_loaded(near or reachable, now, source)
 
 
+def _choose_trial(
+    states: list[TargetState],
+    need: Need,
+    now: Seconds,
+    source: random.Random,
+) -> TargetState | None:
+    """Choose a target that failed, to see whether it works again."""
+    free = [s for s in states if s.has_room(now)]
+    if source.random() < TRIAL_CHANCE:
+        trials = [s for s in free if s.probation and not s.busy]
+        if trials:
+            return source.choice(trials)
+    readmitted = [
+        s
+        for s in free
+        if s.is_readmitted(now)
+        and not s.probation
+        and s.target.region == need.region
+    ]
+    return source.choice(readmitted) if readmitted else None
+
+
 def _with_time_for(
     near: list[TargetState],
     need: Need,
--- a/packages/core/src/wasabitray_core/states.py
+++ b/packages/core/src/wasabitray_core/states.py
@@ -43,12 +43,12 @@
 
 
 class CoolDownCause(IntEnum):
-    """Why a target gets no work for a short while."""
+    """What a word about a target's failures says."""
 
     BROKEN = 1
-    """It broke off an attempt, or its answer was no answer."""
-    RECOVERED = 2
-    """It answered while it was cooling down, which ends that."""
+    """It broke a connection without a response: it cools down."""
+    SUCCESS = 2
+    """It succeeded after its failure; a few in a row end its recovery."""
 
 
 class Outcome(Enum):
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -17,7 +17,10 @@
   5: double duration_s, 6: string evidence
 }
 struct Quarantine { 1: string fingerprint, 2: list<string> targets }
-struct CoolDown { 1: string target, 2: i64 number, 3: double duration_s, 4: i32 cause }
+struct CoolDown {
+  1: string target, 2: i64 number, 3: double duration_s, 4: i32 cause,
+  5: i32 successes
+}
 struct EntryState {
   1: string host, 2: i64 counter, 3: bool present, 4: i32 flags, 5: string region,
   6: string failure_domain, 7: string caller_address, 8: string hub
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -536,15 +536,17 @@
      - number
      - duration_s
      - cause
+     - successes
 
     """
 
 
-    def __init__(self, target=None, number=None, duration_s=None, cause=None,):
+    def __init__(self, target=None, number=None, duration_s=None, cause=None, successes=None,):
         self.target = target
         self.number = number
         self.duration_s = duration_s
         self.cause = cause
+        self.successes = successes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -575,6 +577,11 @@
                     self.cause = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.successes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -601,6 +608,10 @@
             oprot.writeFieldBegin('cause', TType.I32, 4)
             oprot.writeI32(self.cause)
             oprot.writeFieldEnd()
+        if self.successes is not None:
+            oprot.writeFieldBegin('successes', TType.I32, 5)
+            oprot.writeI32(self.successes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5366,6 +5377,7 @@
     (2, TType.I64, 'number', None, None, ),  # 2
     (3, TType.DOUBLE, 'duration_s', None, None, ),  # 3
     (4, TType.I32, 'cause', None, None, ),  # 4
+    (5, TType.I32, 'successes', None, None, ),  # 5
 )
 all_structs.append(EntryState)
 EntryState.thrift_spec = (
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -5,7 +5,13 @@
 
 import pytest
 
-from wasabitray_core.placement import Basis, Need, TargetState, choose
+from wasabitray_core.placement import (
+    Basis,
+    Need,
+    TargetState,
+    choose,
+    find_surplus,
+)
 from wasabitray_core.requests import Target
 
 NOW = 1_000.0
@@ -123,3 +129,47 @@
     assert set(play(targets)) == {"south-1"}
     targets["south-1"].busy = 2
     assert set(play(targets, count=5)) == {"south-0"}
+
+
+def cooling(count, of, failed_ago):
+    """Return targets of which some cool down, the first the longest."""
+    targets = states(near=of, far=0)
+    for number, state in enumerate(list(targets.values())[:count]):
+        state.failed_at = NOW - failed_ago + 0.1 * number
+        state.cooling_until = NOW + 12.0
+        state.recovering = True
+    return targets
+
+
+def surplus(targets):
+    found = find_surplus(targets.values(), NOW)
+    return [s.target.target for s in found]
+
+
+def test_targets_that_failed_longest_ago_return_first():
+    targets = cooling(6, of=20, failed_ago=5.0)
+    assert surplus(targets) == ["south-0", "south-1"]
+
+
+def test_recent_failures_keep_targets_out_whatever_their_number():
+    assert surplus(cooling(20, of=20, failed_ago=1.0)) == []
+
+
+def test_small_service_keeps_no_sound_target_out():
+    assert surplus(cooling(1, of=3, failed_ago=5.0)) == ["south-0"]
+
+
+def test_unreachable_targets_leave_less_room_for_cool_downs():
+    targets = cooling(4, of=20, failed_ago=5.0)
+    assert surplus(targets) == []
+    for state in list(targets.values())[10:]:
+        state.avoid_until = NOW + 1.0
+    assert surplus(targets) == ["south-0", "south-1"]
+
+
+def test_readmitted_target_is_tried_with_repeatable_work_first():
+    targets = cooling(1, of=4, failed_ago=5.0)
+    targets["south-0"].cooling_until = NOW
+    assert set(play(targets, count=50, trial=True)) == {"south-0"}
+    targets["south-0"].busy = 1
+    assert "south-0" not in play(targets, count=50, trial=True)
