Count failed responses as evidence against a target

Callers got up to 14 errors a second of two targets that answered everything with status 500 for seven seconds: on a fleet with hubs only a broken connection cooled a target down, and the sequential detector runs in a mesh alone. Such a target ends its requests early, so the choice by load sent it twice the share of the others (22 of 115 requests in two seconds).

A failed response now adds evidence that all entries share (a cumulative sum, with the successes in between estimated from the rate of requests); two close together cool the target down, one is enough for a target that is being readmitted. A single one, 1.2% of the requests of a healthy target, does not.

--- a/packages/core/src/wasabitray_core/controllers/detector.py
+++ b/packages/core/src/wasabitray_core/controllers/detector.py
@@ -24,11 +24,11 @@
 
     score: float = 0.0
 
-    def add(self, good: int, bad: int, ordinary: float) -> None:
+    def add(self, good: float, bad: float, ordinary: float) -> None:
         """Add attempts.
 
         Args:
-            good: number of good attempts.
+            good: number of good attempts, or an estimate of it.
             bad: number of bad attempts.
             ordinary: share of bad attempts among the target's peers.
         """
--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -12,6 +12,7 @@
     Origin,
 )
 from wasabitray_core.controllers.cool_downs import (
+    Judgement,
     apply_word,
     is_news,
     judge_attempt,
@@ -55,6 +56,8 @@
 AVOID_MAX_S = 8.0
 RAMP_S = 5.0
 HOLD_TIME_WEIGHT = 0.05
+# Below this a mean time of requests says nothing about their rate.
+MIN_HOLD_S = 0.001
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 5.0
 
@@ -191,7 +194,7 @@
                 state.busy_long = max(0, state.busy_long - 1)
             self._note_load(state, message, now)
             self._note_path(state, message, now)
-            self._judge_target(state, message)
+            self._judge_target(service, state, message)
         if message.status is AttemptStatus.ANSWERED:
             old = service.hold_time.get(message.work, message.elapsed)
             change = HOLD_TIME_WEIGHT * (message.elapsed - old)
@@ -275,12 +278,15 @@
         self._entries = max(1, message.entries)
         self._burst = self._retries.burst(message.entries)
 
-    def _judge_target(self, state: TargetState, release: Release) -> None:
+    def _judge_target(
+        self, service: _Service, state: TargetState, release: Release
+    ) -> None:
         """Tell the fleet what an attempt says about its target."""
         if not self._cool_downs:
             return
         now = self._now()
-        word = judge_attempt(state, release, now)
+        rate = self._rate_of_one(service, release)
+        word = judge_attempt(state, Judgement(release, rate, now))
         if word is None:
             return
         apply_word(state, word, now)
@@ -292,7 +298,17 @@
             cause=word.cause.name.lower(),
             number=word.number,
             duration_s=word.duration_s,
+            suspicion=round(word.suspicion, 2),
+        )
+
+    def _rate_of_one(self, service: _Service, release: Release) -> float:
+        """Return about how many requests a second a target gets."""
+        hold = service.hold_time.get(release.work, release.elapsed)
+        used, _ = self._demand(service)
+        in_use = sum(
+            not s.is_cooling(self._now()) for s in service.targets.values()
         )
+        return used / max(hold, MIN_HOLD_S) / max(1, in_use)
 
     # Queues
 
--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -188,7 +188,10 @@
 
     @staticmethod
     def _release(
-        exchange: Exchange, target: Target, result: AttemptResult
+        exchange: Exchange,
+        target: Target,
+        result: AttemptResult,
+        good: bool = True,
     ) -> TellController:
         release = Release(
             exchange.service,
@@ -197,6 +200,7 @@
             result.status,
             result.elapsed,
             result.load,
+            not good and result.status is AttemptStatus.ANSWERED,
         )
         return TellController(_DISPATCH, release)
 
@@ -207,7 +211,7 @@
         result: AttemptResult,
         good: bool,
     ) -> Generator[Effect, Any, None]:
-        release = self._release(exchange, target, result)
+        release = self._release(exchange, target, result, good)
         streaming = good and result.answer and result.answer.chunks
         yield AtEnd(release) if streaming else release
         if result.status is AttemptStatus.FAILED:
--- a/packages/core/src/wasabitray_core/local.py
+++ b/packages/core/src/wasabitray_core/local.py
@@ -445,7 +445,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Release:
-    """Returns a slot and tells how the attempt went."""
+    """Returns a slot and tells how the attempt went.
+
+    Attributes:
+        is_fault: whether the target responded, but with a failure.
+    """
 
     service: ServiceName
     target: TargetId
@@ -453,6 +457,7 @@
     status: AttemptStatus
     elapsed: Seconds
     load: LoadReport | None
+    is_fault: bool = False
 
 
 # Health
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -125,6 +125,8 @@
         number: rises with each word about the target.
         duration_s: seconds without requests from its receipt; 0 for a word
             that begins no cool-down.
+        suspicion: evidence from failed responses so far, as the logarithm of
+            a likelihood ratio.
         successes: in a row since the failure that began the cool-down.
     """
 
@@ -132,12 +134,13 @@
     number: int
     duration_s: float
     cause: CoolDownCause
+    suspicion: float = 0.0
     successes: int = 0
 
     @property
     def begins(self) -> bool:
         """Whether it begins a cool-down."""
-        return self.cause is CoolDownCause.BROKEN
+        return self.cause in (CoolDownCause.BROKEN, CoolDownCause.FAULTS)
 
     @property
     def rank(self) -> tuple[int, bool]:
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -65,6 +65,8 @@
         recovering: whether too few successes are known since that failure.
         successes: those known, in a row.
         news_number: number of the newest word about failures.
+        suspicion: evidence from failed responses at that word.
+        suspected_at: when this entry heard it.
     """
 
     target: Target
@@ -85,6 +87,8 @@
     successes: int = 0
     readmitted: bool = False
     news_number: int = 0
+    suspicion: float = 0.0
+    suspected_at: Seconds = Seconds(0.0)
 
     def slots(self, now: Seconds) -> int:
         """Return the slots that may be used now."""
@@ -134,7 +138,8 @@
 
     def failure_age(self, now: Seconds) -> Seconds | None:
         """Return the seconds since the newest word of a failure, if any."""
-        return Seconds(now - self.failed_at) if self.failed_at else None
+        newest = max(self.failed_at, self.suspected_at)
+        return Seconds(now - newest) if newest else None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/states.py
+++ b/packages/core/src/wasabitray_core/states.py
@@ -49,6 +49,10 @@
     """It broke a connection without a response: it cools down."""
     SUCCESS = 2
     """It succeeded after its failure; a few in a row end its recovery."""
+    FAULTS = 3
+    """It gave too many failed responses: it cools down."""
+    SUSPECTED = 4
+    """It gave a failed response, which is no proof alone."""
 
 
 class Outcome(Enum):
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -19,7 +19,7 @@
 struct Quarantine { 1: string fingerprint, 2: list<string> targets }
 struct CoolDown {
   1: string target, 2: i64 number, 3: double duration_s, 4: i32 cause,
-  5: i32 successes
+  5: double suspicion, 6: i32 successes
 }
 struct EntryState {
   1: string host, 2: i64 counter, 3: bool present, 4: i32 flags, 5: string region,
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -536,16 +536,18 @@
      - number
      - duration_s
      - cause
+     - suspicion
      - successes
 
     """
 
 
-    def __init__(self, target=None, number=None, duration_s=None, cause=None, successes=None,):
+    def __init__(self, target=None, number=None, duration_s=None, cause=None, suspicion=None, successes=None,):
         self.target = target
         self.number = number
         self.duration_s = duration_s
         self.cause = cause
+        self.suspicion = suspicion
         self.successes = successes
 
     def read(self, iprot):
@@ -578,6 +580,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.suspicion = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
                 if ftype == TType.I32:
                     self.successes = iprot.readI32()
                 else:
@@ -608,8 +615,12 @@
             oprot.writeFieldBegin('cause', TType.I32, 4)
             oprot.writeI32(self.cause)
             oprot.writeFieldEnd()
+        if self.suspicion is not None:
+            oprot.writeFieldBegin('suspicion', TType.DOUBLE, 5)
+            oprot.writeDouble(self.suspicion)
+            oprot.writeFieldEnd()
         if self.successes is not None:
-            oprot.writeFieldBegin('successes', TType.I32, 5)
+            oprot.writeFieldBegin('successes', TType.I32, 6)
             oprot.writeI32(self.successes)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5377,7 +5388,8 @@
     (2, TType.I64, 'number', None, None, ),  # 2
     (3, TType.DOUBLE, 'duration_s', None, None, ),  # 3
     (4, TType.I32, 'cause', None, None, ),  # 4
-    (5, TType.I32, 'successes', None, None, ),  # 5
+    (5, TType.DOUBLE, 'suspicion', None, None, ),  # 5
+    (6, TType.I32, 'successes', None, None, ),  # 6
 )
 all_structs.append(EntryState)
 EntryState.thrift_spec = (
--- a/tests/core/controllers/test_cool_downs.py
+++ b/tests/core/controllers/test_cool_downs.py
@@ -32,9 +32,11 @@
     return bed.ask(ask)
 
 
-def release(bed, name, status=AttemptStatus.ANSWERED, took=0.1):
+def release(
+    bed, name, status=AttemptStatus.ANSWERED, took=0.1, is_fault=False
+):
     work = WorkClass.SHORT
-    bed.tell(Release("rota", name, work, status, took, None))
+    bed.tell(Release("rota", name, work, status, took, None, is_fault))
 
 
 def cool_downs_of(status):
@@ -86,9 +88,15 @@
     def hear(self, number, cause=CoolDownCause.BROKEN, duration_s=12.0):
         self.bed.tell(CoolDown("t1", number, duration_s, cause))
 
-    def answer(self, took=0.1):
+    def answer(self, took=0.1, is_fault=False):
         self.bed.clock.advance(took + 0.01)
-        release(self.bed, "t1", took=took)
+        release(self.bed, "t1", took=took, is_fault=is_fault)
+
+    def told(self):
+        """Return the words about the target since the last look."""
+        words = [m.item for m in self.bed.outbox.told_of(Spread)]
+        self.bed.outbox.told.clear()
+        return words
 
     def test_answer_to_an_attempt_from_before_the_failure_does_not_count(self):
         release(self.bed, "t1", AttemptStatus.FAILED)
@@ -107,7 +115,7 @@
 
     def test_successes_that_different_entries_see_add_up(self):
         release(self.bed, "t1", AttemptStatus.FAILED)
-        word = CoolDown("t1", 2, 0.0, CoolDownCause.SUCCESS, 1)
+        word = CoolDown("t1", 2, 0.0, CoolDownCause.SUCCESS, 0.0, 1)
         self.bed.tell(word)
         for _ in range(RECOVERY_SUCCESSES - 1):
             assert self.is_cooling()
@@ -136,6 +144,38 @@
         self.bed.clock.advance(1.5)
         assert not self.is_cooling()
 
+    def test_ordinary_failed_response_only_raises_suspicion(self):
+        self.answer(is_fault=True)
+        assert [w.cause for w in self.told()] == [CoolDownCause.SUSPECTED]
+        assert not self.is_cooling()
+
+    def test_failed_responses_that_different_entries_see_add_up(self):
+        self.answer(is_fault=True)
+        (word,) = self.told()
+        other = TestCoolDowns()
+        other.setup_method()
+        other.bed.tell(word)
+        other.answer(is_fault=True)
+        assert [w.cause for w in other.told()] == [CoolDownCause.FAULTS]
+        assert other.is_cooling()
+
+    def test_many_attempts_between_failed_responses_clear_the_suspicion(self):
+        self.answer(is_fault=True)
+        for _ in range(20):
+            acquire(self.bed)
+            acquire(self.bed)
+            self.bed.clock.advance(0.5)
+            release(self.bed, "t2", took=0.5)
+            release(self.bed, "t3", took=0.5)
+        self.told()
+        self.answer(is_fault=True)
+        assert [w.cause for w in self.told()] == [CoolDownCause.SUSPECTED]
+
+    def test_suspicion_does_not_hide_a_failure_of_the_same_number(self):
+        self.hear(1, CoolDownCause.SUSPECTED, 0.0)
+        self.hear(1)
+        assert self.is_cooling()
+
 
 class TestReadmission:
     """A target after its cool-down, before a success is known."""
@@ -153,6 +193,13 @@
     def test_it_gets_one_request_at_a_time(self):
         assert self.granted(3) == 1
 
+    def test_failed_response_is_enough_to_cool_it_down_again(self):
+        assert self.granted(1) == 1
+        self.bed.clock.advance(0.1)
+        release(self.bed, "t1", took=0.1, is_fault=True)
+        words = [m.item for m in self.bed.outbox.told_of(Spread)]
+        assert words[-1].cause is CoolDownCause.FAULTS
+
     def test_successes_give_it_all_its_slots_again(self):
         for _ in range(RECOVERY_SUCCESSES):
             assert self.granted(1) == 1
