Give up targets that send bytes without end

A target in trouble may send bytes that are no answer for as long as its peer reads: in a header, an interim answer, a chunk extension or a trailer the parser kept them all, with quadratic work, until the attempt's time was over; a body was passed on for ever.

Now at most 128 KiB may come without a byte of a body, and a streamed body is bounded by max_body_bytes and stream_timeout_s. An early end breaks the caller's connection, so it never looks complete.

--- a/packages/node/src/wasabitray_node/answers.py
+++ b/packages/node/src/wasabitray_node/answers.py
@@ -7,12 +7,19 @@
 from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
 LAST_INTERIM_STATUS = 199
+# Bytes of heads, chunk framing and trailers that may come without any of a
+# body: the parser keeps most of them.
+MAX_OVERHEAD_BYTES = 131_072
 
 
 class ExtraAnswerError(HTTPParseError):
     """More bytes came than the answer has."""
 
 
+class OversizedAnswerError(HTTPParseError):
+    """Too much came that is no body."""
+
+
 class SingleResponse(HTTPSocketResponse):
     """Parses one answer and nothing after it.
 
@@ -24,6 +31,7 @@
     def __init__(self, *args: Any, **options: Any) -> None:
         """Read the head of the answer."""
         self._whole = False
+        self._overhead = 0
         super().__init__(*args, **options)
 
     @property
@@ -41,8 +49,21 @@
             self._whole = True
         super()._on_message_complete()
 
+    def _on_body(self, buf: bytearray) -> None:
+        self._overhead = 0
+        super()._on_body(buf)
+
     def feed(self, data: str | bytes) -> None:
-        """Parse bytes; those after the answer only spoil the connection."""
+        """Parse bytes; those after the answer only spoil the connection.
+
+        Raises:
+            OversizedAnswerError: a head, framing or trailer is too long.
+        """
+        self._overhead += len(data)
+        if self._overhead > MAX_OVERHEAD_BYTES:
+            raise OversizedAnswerError(
+                f"over {MAX_OVERHEAD_BYTES} bytes without any of a body"
+            )
         try:
             super().feed(data)
         except HTTPParseError:
--- a/packages/node/src/wasabitray_node/settings.py
+++ b/packages/node/src/wasabitray_node/settings.py
@@ -109,12 +109,21 @@
 
 
 class Limits(_Section):
-    """Bounds on what callers may send and targets may answer."""
+    """Bounds on what callers may send and targets may answer.
+
+    Attributes:
+        hold_bytes: of a body that are held before any is passed on.
+        max_body_bytes: of a caller's or a target's body.
+        stream_idle_s: seconds without a byte of a streamed body.
+        stream_timeout_s: seconds that passing on a body may take.
+        body_timeout_s: seconds that a caller's body may take.
+    """
 
     hold_bytes: int = Field(default=262_144, ge=1_024)
     max_body_bytes: int = Field(default=1_073_741_824, ge=1_024)
     connect_timeout_s: float = Field(default=1.0, gt=0)
     stream_idle_s: float = Field(default=30.0, gt=0)
+    stream_timeout_s: float = Field(default=600.0, gt=0)
     body_timeout_s: float = Field(default=30.0, gt=0)
     idle_connections_per_target: int = Field(default=16, ge=0)
     idle_connection_s: float = Field(default=30.0, ge=0)
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -181,12 +181,14 @@
         connection = exchange.connection
         assert connection is not None
         connection.socket.settimeout(self._limits.stream_idle_s)
+        ends_at = self._clock() + self._limits.stream_timeout_s
         try:
             while True:
                 with watch:
                     piece = next(rest, b"")
                 if not piece:
                     break
+                exchange.check_size(len(piece), self._clock() > ends_at)
                 yield piece
             complete = True
         finally:
@@ -211,6 +213,7 @@
         self._dialect = dialect
         self._response: SingleResponse | None = None
         self._body = b""
+        self._size = 0
         self._sent = False
         self._sender: gevent.Greenlet | None = None
         self._send_error: BaseException | None = None
@@ -312,6 +315,7 @@
             pieces.append(piece)
             size += len(piece)
         self._body = b"".join(pieces)
+        self._size = size
 
     def _read(self, response: SingleResponse) -> bytes:
         try:
@@ -339,6 +343,22 @@
         )
         return AttemptResult(AttemptStatus.ANSWERED, answer, facts.load)
 
+    def check_size(self, more: int, is_late: bool) -> None:
+        """Count bytes of the body's rest.
+
+        Raises:
+            TruncatedAnswerError: the body is too long, or takes too long.
+        """
+        self._size += more
+        if not is_late and self._size <= self._limits.max_body_bytes:
+            return
+        detail = "takes too long" if is_late else "is too long"
+        raise TruncatedAnswerError(
+            f"the body {detail}, {self._size} bytes so far",
+            step="stream answer",
+            peer=self._attempt.target.target,
+        )
+
     def _to_refusal(self, facts: TargetFacts) -> AttemptResult:
         """Return that the target did not answer this request."""
         self.abandon()
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -1,11 +1,14 @@
 """Attempts at targets on real sockets."""
 
+import itertools
 import time
 
 import gevent
+import gevent.event
 import pytest
 from gevent.server import StreamServer
 
+from wasabitray_core.errors import TruncatedAnswerError
 from wasabitray_core.filters.chain import Attempt
 from wasabitray_core.requests import Request, Target
 from wasabitray_core.states import AttemptStatus
@@ -56,3 +59,116 @@
 def test_stopping_entry_waits_no_longer_than_the_request_may_take(target):
     status = attempt(target, 0.1, 0.1, stopping=True)
     assert status is AttemptStatus.TIMED_OUT
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+FILLER = b"a" * 4_096
+ENDLESS_HEADS = {
+    "header value": (HEAD + b"X-Filler: ", FILLER),
+    "header name": (HEAD, FILLER),
+    "header lines": (HEAD, b"X-Filler: a\r\n" * 256),
+    "status line": (b"HTTP/1.1 200 ", FILLER),
+    "interim answers": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 128),
+    "no protocol": (b"", FILLER),
+    "chunk extension": (CHUNKED + b"1;x=", FILLER),
+    "trailer": (CHUNKED + b"0\r\nX-Filler: ", FILLER),
+}
+ENDLESS_BODIES = {
+    "chunks": (CHUNKED, b"1000\r\n" + FILLER + b"\r\n"),
+    "until the end of the connection": (HEAD + b"\r\n", FILLER),
+    "trailer": (
+        CHUNKED + b"100000\r\n" + b"b" * 0x100000 + b"\r\n0\r\nX-Filler: ",
+        FILLER,
+    ),
+}
+# What a target can send before it notices that nobody reads: a few times the
+# limit of the head, and the buffers of two sockets.
+MAX_SENT_BYTES = 16 * 1_048_576
+MAX_TIME_S = 5.0
+
+
+class EndlessTarget:
+    """Sends bytes without end until its peer closes."""
+
+    def __init__(self, start, filler):
+        self.start, self.filler = start, filler
+        self.sent = 0
+        self.closed = gevent.event.Event()
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+        address = f"127.0.0.1:{self.server.server_port}"
+        self.target = Target("t1", "rota", "south", "south-a", 2, address)
+
+    def serve(self, sock, _address):
+        sock.recv(65_536)
+        try:
+            for piece in itertools.chain(
+                [self.start], itertools.repeat(self.filler)
+            ):
+                sock.sendall(piece)
+                self.sent += len(piece)
+                gevent.sleep(0)
+        except OSError:
+            self.closed.set()
+
+
+@pytest.fixture
+def endless():
+    targets = []
+
+    def build(start, filler):
+        targets.append(EndlessTarget(start, filler))
+        return targets[-1]
+
+    yield build
+    for target in targets:
+        target.server.stop(timeout=0)
+
+
+def exchange(target, timeout=MAX_TIME_S, **limits):
+    limits = Limits(**limits)
+    pool = ConnectionPool(limits, time.monotonic)
+    upstream = Upstream(
+        pool, limits, time.monotonic, NativeTargetDialect(), lambda: False
+    )
+    request = Request("hobart", "GET", "/")
+    asked = Attempt(target, request, timeout, True, 0.0)
+    return upstream.attempt(asked, CallerWatch(None))
+
+
+@pytest.mark.parametrize("kind", ENDLESS_HEADS)
+def test_endless_bytes_that_are_no_answer_are_given_up(endless, kind):
+    source = endless(*ENDLESS_HEADS[kind])
+    started = time.monotonic()
+    result = exchange(source.target)
+    assert result.answer is None
+    assert result.status in (AttemptStatus.FAILED, AttemptStatus.TRUNCATED)
+    assert time.monotonic() - started < MAX_TIME_S / 2
+    assert source.closed.wait(1.0)
+    assert source.sent < MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize("kind", ENDLESS_BODIES)
+def test_endless_body_is_cut_off_and_never_looks_complete(endless, kind):
+    source = endless(*ENDLESS_BODIES[kind])
+    result = exchange(source.target, stream_timeout_s=0.5)
+    assert result.status is AttemptStatus.ANSWERED
+    held = 0
+    started = time.monotonic()
+    with pytest.raises(TruncatedAnswerError):
+        for piece in result.answer.chunks:
+            held = max(held, len(piece))
+    assert time.monotonic() - started < 1.0
+    assert held <= Limits().hold_bytes
+    assert source.closed.wait(1.0)
+
+
+def test_body_that_is_longer_than_allowed_is_cut_off(endless):
+    source = endless(*ENDLESS_BODIES["chunks"])
+    result = exchange(source.target, max_body_bytes=1_048_576)
+    read = len(result.answer.body)
+    with pytest.raises(TruncatedAnswerError):
+        for piece in result.answer.chunks:
+            read += len(piece)
+    assert read <= 2 * 1_048_576
