--- /dev/null
+++ b/bench/episodes.py
@@ -0,0 +1,63 @@
+"""Plays failure episodes and prints what callers lose.
+
+The world is that of the tests. To compare with an earlier version, give the
+folder of its checkout; both are then played with the same seeds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+FLOOR_SHARE = 0.7
+MAX_LOST_SHARE = 0.1
+DEFAULT_SEEDS = 6
+
+
+def play(name: str, seeds: int) -> str:
+    """Play a load and return its line of the table."""
+    from support.episodes import LOADS, EpisodeWorld
+
+    worlds = [EpisodeWorld(LOADS[name], n).play() for n in range(seeds)]
+    windows = [w for world in worlds for w in world.windows()]
+    below = sum(
+        w.lost_share > MAX_LOST_SHARE and w.used_share < FLOOR_SHARE
+        for w in windows
+    )
+    lost = sum(w.lost_share for w in worlds) / seeds
+    time = sum(w.mean_time for w in worlds) / seeds
+    return (
+        f"{name:14} lost {lost:.3f}  mean time {time:.3f} s  "
+        f"windows below the floor {below} of {len(windows)}"
+    )
+
+
+def main() -> int:
+    """Play this version, and another one if it is given."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=DEFAULT_SEEDS)
+    parser.add_argument("--checkout", type=Path, default=ROOT)
+    parser.add_argument("--against", type=Path)
+    asked = parser.parse_args()
+    packages = asked.checkout / "packages"
+    sys.path[:0] = [
+        str(ROOT / "tests"),
+        str(packages / "core/src"),
+        str(packages / "wire/src"),
+    ]
+    from support.episodes import LOADS
+
+    print(asked.checkout.resolve().name)
+    for name in LOADS:
+        print(play(name, asked.seeds), flush=True)
+    if asked.against is None:
+        return 0
+    other = ["--checkout", str(asked.against), "--seeds", str(asked.seeds)]
+    return subprocess.run([sys.executable, __file__, *other]).returncode
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/cli/src/wasabitray_cli/logs.py
+++ b/packages/cli/src/wasabitray_cli/logs.py
@@ -15,7 +15,9 @@
 ATTEMPT = "attempt"
 IN_FORCE = "revision in force"
 COOL_DOWN = "target cool-down"
-# Each entry logs these for itself; a cool_down is logged once, where it began.
+REPORT = "target report"
+# Each entry logs these for itself; what an attempt tells of its target is
+# logged once, where it was made..
 ABOUT_TARGETS = frozenset({"target announced", "target ejection"})
 _COMMON = ("time", "level", "message", "host")
 
@@ -144,4 +146,4 @@
 
 def _is_belief(line: LogLine, entry: str) -> bool:
     at_entry = line.event in ABOUT_TARGETS and line.host == entry
-    return at_entry or line.event == COOL_DOWN
+    return at_entry or line.event in (COOL_DOWN, REPORT)
--- a/packages/cli/src/wasabitray_cli/report.py
+++ b/packages/cli/src/wasabitray_cli/report.py
@@ -91,7 +91,7 @@
             bucket.times_ms.append(float(elapsed))
     elif line.event == ATTEMPT:
         bucket.attempts[str(line.facts.get("status"))] += 1
-    elif line.event == COOL_DOWN and line.facts.get("cause") == "broken":
+    elif line.event == COOL_DOWN:
         bucket.cool_downs += 1
     elif isinstance(revision := line.facts.get("revision"), int):
         bucket.revisions.add(revision)
--- a/packages/core/src/wasabitray_core/controllers/cool_downs.py
+++ b/packages/core/src/wasabitray_core/controllers/cool_downs.py
@@ -12,12 +12,11 @@
 from wasabitray_core.controllers.detector import CumulativeSum
 from wasabitray_core.ids import Seconds
 from wasabitray_core.local import Release
-from wasabitray_core.messages import CoolDown
+from wasabitray_core.messages import TargetReport
 from wasabitray_core.placement import TargetState
-from wasabitray_core.states import AttemptStatus, CoolDownCause
+from wasabitray_core.states import AttemptStatus, ReportKind
 
-# Longest cool-down. The share of a service that may cool down at once ends
-# most of them earlier (placement.py).
+# Longest cool-down; placement.py ends it earlier while requests are lost.
 COOL_DOWN_S = 12.0
 # Evidence that failed responses need: exp(5) is about 150 ordinary attempts
 # between false alarms, each of which costs one target a few seconds.
@@ -30,8 +29,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Judgement:
-    """What an entry adds to the evidence about a target.
+class AttemptEnd:
+    """An attempt that ended, as evidence about its target.
 
     Attributes:
         rate: requests a second that the target gets from all entries, about.
@@ -42,47 +41,49 @@
     now: Seconds
 
 
-def is_news(state: TargetState, word: CoolDown, now: Seconds) -> bool:
-    """Tell whether a word says more than what is known.
+def is_news(state: TargetState, report: TargetReport, now: Seconds) -> bool:
+    """Tell whether a report says more than what is known.
 
     Numbers count within a cool-down that lasts: an entry that started after an
     earlier one has not heard of its number.
     """
-    if word.begins and not state.is_cooling(now):
+    if report.cools_down and not state.is_cooling(now):
         return True
-    return word.rank > (state.news_number, state.is_cooling(now))
+    return report.rank > (state.report_number, state.is_cooling(now))
 
 
-def apply_word(state: TargetState, word: CoolDown, now: Seconds) -> None:
-    """Take a word about a target, from this entry or another one."""
-    state.news_number = max(word.number, state.news_number)
-    state.suspicion = word.suspicion
+def apply_report(
+    state: TargetState, report: TargetReport, now: Seconds
+) -> None:
+    """Take a report about a target, from this entry or another one."""
+    state.report_number = max(report.number, state.report_number)
+    state.suspicion = report.suspicion
     state.suspected_at = now
-    if word.begins:
+    if report.cools_down:
         state.failed_at = now
-        state.cooling_until = Seconds(now + word.duration_s)
+        state.cooling_until = Seconds(now + report.duration_s)
         state.recovering = True
         state.successes = 0
-    elif word.cause is CoolDownCause.SUCCESS:
-        state.successes = word.successes
-        if word.successes >= RECOVERY_SUCCESSES:
+    elif report.kind is ReportKind.SUCCESS:
+        state.successes = report.successes
+        if report.successes >= RECOVERY_SUCCESSES:
             state.cooling_until = now
             state.recovering = False
 
 
-def judge_attempt(state: TargetState, judgement: Judgement) -> CoolDown | None:
-    """Return the word that an attempt's end gives about its target, if any."""
-    release = judgement.release
+def judge_attempt(state: TargetState, end: AttemptEnd) -> TargetReport | None:
+    """Return what the end of an attempt tells of its target, if anything."""
+    release = end.release
     if release.status is AttemptStatus.FAILED:
-        return _word(state, CoolDownCause.BROKEN)
+        return _report(state, ReportKind.BROKEN)
     if release.is_fault or release.status in WEAK_FAILURES:
-        return _weigh_fault(state, judgement)
-    if _works_again(state, judgement):
-        return _word(state, CoolDownCause.SUCCESS)
+        return _weigh_fault(state, end)
+    if _works_again(state, end):
+        return _report(state, ReportKind.SUCCESS)
     return None
 
 
-def _weigh_fault(state: TargetState, judgement: Judgement) -> CoolDown:
+def _weigh_fault(state: TargetState, end: AttemptEnd) -> TargetReport:
     """Add a failed response to the evidence.
 
     Failed responses are ordinary now and then, so one is enough only for a
@@ -90,35 +91,35 @@
     successes: those since the last failure are estimated from the rate.
     """
     evidence = CumulativeSum(state.suspicion)
-    since = max(0.0, judgement.now - state.suspected_at)
-    evidence.add(judgement.rate * since, 0, 0.0)
+    since = max(0.0, end.now - state.suspected_at)
+    evidence.add(end.rate * since, 0, 0.0)
     evidence.add(0, 1, 0.0)
-    fails_again = state.is_readmitted(judgement.now)
+    fails_again = state.is_readmitted(end.now)
     if fails_again or evidence.score >= SUSPICION_THRESHOLD:
-        return _word(state, CoolDownCause.FAULTS)
-    return _word(state, CoolDownCause.SUSPECTED, evidence.score)
+        return _report(state, ReportKind.FAULTS)
+    return _report(state, ReportKind.SUSPECTED, evidence.score)
 
 
-def _works_again(state: TargetState, judgement: Judgement) -> bool:
+def _works_again(state: TargetState, end: AttemptEnd) -> bool:
     """Tell whether an attempt shows that a target works again.
 
     An attempt from before the failure says nothing about it.
     """
-    release = judgement.release
+    release = end.release
     if release.status is not AttemptStatus.ANSWERED or not state.recovering:
         return False
-    return judgement.now - release.elapsed > state.failed_at
+    return end.now - release.elapsed > state.failed_at
 
 
-def _word(
-    state: TargetState, cause: CoolDownCause, suspicion: float = 0.0
-) -> CoolDown:
-    begins = cause in (CoolDownCause.BROKEN, CoolDownCause.FAULTS)
-    return CoolDown(
+def _report(
+    state: TargetState, kind: ReportKind, suspicion: float = 0.0
+) -> TargetReport:
+    cools_down = kind in (ReportKind.BROKEN, ReportKind.FAULTS)
+    return TargetReport(
         state.target.target,
-        state.news_number + 1,
-        COOL_DOWN_S if begins else 0.0,
-        cause,
+        state.report_number + 1,
+        COOL_DOWN_S if cools_down else 0.0,
+        kind,
         suspicion,
-        state.successes + 1 if cause is CoolDownCause.SUCCESS else 0,
+        state.successes + 1 if kind is ReportKind.SUCCESS else 0,
     )
--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -12,8 +12,8 @@
     Origin,
 )
 from wasabitray_core.controllers.cool_downs import (
-    Judgement,
-    apply_word,
+    AttemptEnd,
+    apply_report,
     is_news,
     judge_attempt,
 )
@@ -41,7 +41,7 @@
     Tick,
     UsableTargets,
 )
-from wasabitray_core.messages import CoolDown, LongOccupancy, OthersWork
+from wasabitray_core.messages import LongOccupancy, OthersWork, TargetReport
 from wasabitray_core.placement import (
     Need,
     TargetState,
@@ -274,12 +274,12 @@
     # Cool-downs
 
     @receive.register
-    def _(self, message: CoolDown, origin: Origin) -> None:
+    def _(self, message: TargetReport, origin: Origin) -> None:
         now = self._now()
         for service in self._services.values():
             state = service.targets.get(message.target)
             if state is not None and is_news(state, message, now):
-                apply_word(state, message, now)
+                apply_report(state, message, now)
                 if message.is_failure:
                     service.losses.note_failure(now)
 
@@ -296,21 +296,21 @@
             return
         now = self._now()
         rate = self._rate_of_one(service, release)
-        word = judge_attempt(state, Judgement(release, rate, now))
-        if word is None:
+        report = judge_attempt(state, AttemptEnd(release, rate, now))
+        if report is None:
             return
-        apply_word(state, word, now)
-        if word.is_failure:
+        apply_report(state, report, now)
+        if report.is_failure:
             service.losses.note_failure(now)
-        self._outbox.tell(ControllerName.MEMBERSHIP, Spread(word))
+        self._outbox.tell(ControllerName.MEMBERSHIP, Spread(report))
         self._outbox.report(
-            "target cool-down",
-            target=word.target,
+            "target cool-down" if report.cools_down else "target report",
+            target=report.target,
             service=release.service,
-            cause=word.cause.name.lower(),
-            number=word.number,
-            duration_s=word.duration_s,
-            suspicion=round(word.suspicion, 2),
+            cause=report.kind.name.lower(),
+            number=report.number,
+            duration_s=report.duration_s,
+            suspicion=round(report.suspicion, 2),
         )
 
     def _rate_of_one(self, service: _Service, release: Release) -> float:
--- a/packages/core/src/wasabitray_core/controllers/feed_table.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_table.py
@@ -14,16 +14,16 @@
 from wasabitray_core.ids import FeedPosition, HostId, Incarnation, Seconds
 from wasabitray_core.messages import (
     Announcement,
-    CoolDown,
     Ejection,
     EntryState,
     Feed,
     FeedMark,
     News,
     Quarantine,
+    TargetReport,
 )
 
-FeedItem = Announcement | Ejection | Quarantine | CoolDown | EntryState
+FeedItem = Announcement | Ejection | Quarantine | TargetReport | EntryState
 Subject = tuple[type, str]
 
 # A quarantine is told again by the entry that meets the request next.
@@ -39,7 +39,7 @@
 
 
 @subject_of.register
-def _(item: Announcement | Ejection | CoolDown) -> str:
+def _(item: Announcement | Ejection | TargetReport) -> str:
     return item.target
 
 
@@ -84,7 +84,7 @@
 
 
 @is_newer.register
-def _(item: CoolDown, known: CoolDown) -> bool:
+def _(item: TargetReport, known: TargetReport) -> bool:
     return item.rank > known.rank
 
 
@@ -119,7 +119,7 @@
 
 
 @lifetime_of.register
-def _(item: CoolDown) -> float | None:
+def _(item: TargetReport) -> float | None:
     return max(item.duration_s, RECOVERY_TTL_S)
 
 
@@ -156,7 +156,7 @@
 
     def aged(self, now: Seconds) -> FeedItem:
         """Return the item with what is left of its time."""
-        if isinstance(self.item, CoolDown | Ejection):
+        if isinstance(self.item, TargetReport | Ejection):
             left = self.item.duration_s - (now - self.since)
             return replace(self.item, duration_s=max(0.0, left))
         return self.item
@@ -276,7 +276,7 @@
     yield from message.announcements
     yield from message.ejections
     yield from message.quarantines
-    yield from message.cool_downs
+    yield from message.reports
     if isinstance(message, Feed):
         yield from message.entry_states
 
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -59,7 +59,6 @@
 from wasabitray_core.messages import (
     Announcement,
     ConfigPull,
-    CoolDown,
     Ejection,
     EntryState,
     Feed,
@@ -68,6 +67,7 @@
     News,
     Presence,
     Quarantine,
+    TargetReport,
     Unsubscribe,
 )
 from wasabitray_core.states import HostFlag, TargetPhase
@@ -366,7 +366,7 @@
             select(items, Announcement),
             select(items, Ejection),
             select(items, Quarantine),
-            select(items, CoolDown),
+            select(items, TargetReport),
             select(items, EntryState),
         )
 
--- a/packages/core/src/wasabitray_core/controllers/membership.py
+++ b/packages/core/src/wasabitray_core/controllers/membership.py
@@ -35,11 +35,11 @@
 from wasabitray_core.messages import (
     Announcement,
     ConfigPull,
-    CoolDown,
     Ejection,
     Gossip,
     HostStatus,
     Quarantine,
+    TargetReport,
 )
 from wasabitray_core.states import HostFlag, TargetPhase
 
@@ -146,7 +146,7 @@
     @receive.register
     def _(self, message: Spread, origin: Origin) -> None:
         item = message.item
-        if isinstance(item, CoolDown):
+        if isinstance(item, TargetReport):
             return  # entries that gossip eject targets instead
         key = (type(item), _subject(item))
         self._news[key] = _News(item, self._rounds())
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -43,7 +43,6 @@
 from wasabitray_core.messages import (
     Announcement,
     ConfigPull,
-    CoolDown,
     Ejection,
     EntryState,
     EntryWork,
@@ -53,6 +52,7 @@
     News,
     Presence,
     Quarantine,
+    TargetReport,
     Unsubscribe,
 )
 from wasabitray_core.rendezvous import choose_owner
@@ -165,7 +165,7 @@
             select((item,), Announcement),
             select((item,), Ejection),
             select((item,), Quarantine),
-            select((item,), CoolDown),
+            select((item,), TargetReport),
         )
         self._outbox.send(self._hub, news)
 
@@ -350,5 +350,5 @@
     Announcement: ControllerName.TARGETS,
     Ejection: ControllerName.TARGETS,
     Quarantine: ControllerName.QUARANTINE,
-    CoolDown: ControllerName.DISPATCH,
+    TargetReport: ControllerName.DISPATCH,
 }
--- a/packages/core/src/wasabitray_core/local.py
+++ b/packages/core/src/wasabitray_core/local.py
@@ -26,12 +26,12 @@
     Announcement,
     Change,
     CommittedChange,
-    CoolDown,
     Ejection,
     EntryState,
     HostAddress,
     Quarantine,
     Snapshot,
+    TargetReport,
 )
 from wasabitray_core.placement import Availability, Basis
 from wasabitray_core.requests import LoadReport, Target
@@ -240,7 +240,7 @@
 class Spread:
     """Passes news to other hosts."""
 
-    item: Announcement | Ejection | Quarantine | CoolDown
+    item: Announcement | Ejection | Quarantine | TargetReport
 
 
 @dataclass(frozen=True, slots=True)
@@ -258,7 +258,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Register:
-    """A target's own word, given to a hub.
+    """A target's own report, given to a hub.
 
     The reply is true once the word may be acknowledged: at once for a
     target that serves, and when a majority of the hubs holds it for one
@@ -423,7 +423,7 @@
         load: slots that it had in use, as known here.
         waited: seconds in the queue.
         availability: of the service's targets when it was chosen.
-        failure_age: seconds since the newest word of a failure of the
+        failure_age: seconds since the newest report of a failure of the
             target; None without any.
         lost_share: part of the service's requests that is lost, about.
     """
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -28,10 +28,10 @@
     Term,
 )
 from wasabitray_core.states import (
-    CoolDownCause,
     EjectionPhase,
     GrantStatus,
     HostFlag,
+    ReportKind,
     TargetPhase,
 )
 
@@ -118,13 +118,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CoolDown:
-    """A word to all entries about a target's failures.
+class TargetReport:
+    """Tells all entries how a target did at an attempt.
 
     Attributes:
-        number: rises with each word about the target.
-        duration_s: seconds without requests from its receipt; 0 for a word
-            that begins no cool-down.
+        number: rises with each report about the target.
+        duration_s: seconds without requests from its receipt; 0 if it starts
+            no cool-down.
         suspicion: evidence from failed responses so far, as the logarithm of
             a likelihood ratio.
         successes: in a row since the failure that began the cool-down.
@@ -133,24 +133,24 @@
     target: TargetId
     number: int
     duration_s: float
-    cause: CoolDownCause
+    kind: ReportKind
     suspicion: float = 0.0
     successes: int = 0
 
     @property
-    def begins(self) -> bool:
-        """Whether it begins a cool-down."""
-        return self.cause in (CoolDownCause.BROKEN, CoolDownCause.FAULTS)
+    def cools_down(self) -> bool:
+        """Whether it starts a cool-down."""
+        return self.kind in (ReportKind.BROKEN, ReportKind.FAULTS)
 
     @property
     def is_failure(self) -> bool:
         """Whether it tells of a failed attempt."""
-        return self.cause is not CoolDownCause.SUCCESS
+        return self.kind is not ReportKind.SUCCESS
 
     @property
     def rank(self) -> tuple[int, bool]:
-        """Its order among the words about the target."""
-        return self.number, self.begins
+        """Its order among the reports about the target."""
+        return self.number, self.cools_down
 
 
 @dataclass(frozen=True, slots=True)
@@ -259,7 +259,7 @@
     announcements: tuple[Announcement, ...] = ()
     ejections: tuple[Ejection, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
-    cool_downs: tuple[CoolDown, ...] = ()
+    reports: tuple[TargetReport, ...] = ()
     entry_states: tuple[EntryState, ...] = ()
 
 
@@ -270,7 +270,7 @@
     announcements: tuple[Announcement, ...] = ()
     ejections: tuple[Ejection, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
-    cool_downs: tuple[CoolDown, ...] = ()
+    reports: tuple[TargetReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -70,8 +70,8 @@
         cooling_until: end of the cool-down, as it is known here.
         recovering: whether too few successes are known since that failure.
         successes: those known, in a row.
-        news_number: number of the newest word about failures.
-        suspicion: evidence from failed responses at that word.
+        report_number: number of the newest report about it.
+        suspicion: evidence from failed responses at that report.
         suspected_at: when this entry heard it.
     """
 
@@ -92,7 +92,7 @@
     recovering: bool = False
     successes: int = 0
     readmitted: bool = False
-    news_number: int = 0
+    report_number: int = 0
     suspicion: float = 0.0
     suspected_at: Seconds = Seconds(0.0)
 
@@ -155,7 +155,7 @@
         return (waited or not self.is_cooling(now)) and self.load(now) <= 0
 
     def failure_age(self, now: Seconds) -> Seconds | None:
-        """Return the seconds since the newest word of a failure, if any."""
+        """Return the seconds since the newest report of a failure, if any."""
         newest = max(self.failed_at, self.suspected_at)
         return Seconds(now - newest) if newest else None
 
--- a/packages/core/src/wasabitray_core/states.py
+++ b/packages/core/src/wasabitray_core/states.py
@@ -42,8 +42,8 @@
     SERVE = "serve"
 
 
-class CoolDownCause(IntEnum):
-    """What a word about a target's failures says."""
+class ReportKind(IntEnum):
+    """How a target did at an attempt."""
 
     BROKEN = 1
     """It broke a connection without a response: it cools down."""
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -17,8 +17,8 @@
   5: double duration_s, 6: string evidence
 }
 struct Quarantine { 1: string fingerprint, 2: list<string> targets }
-struct CoolDown {
-  1: string target, 2: i64 number, 3: double duration_s, 4: i32 cause,
+struct TargetReport {
+  1: string target, 2: i64 number, 3: double duration_s, 4: i32 kind,
   5: double suspicion, 6: i32 successes
 }
 struct EntryState {
@@ -36,12 +36,12 @@
   1: string origin, 2: string incarnation, 3: i64 after, 4: i64 position,
   5: i64 revision, 6: bool in_contact, 7: i32 entries, 8: list<HostAddress> hubs,
   9: list<Announcement> announcements, 10: list<Ejection> ejections,
-  11: list<Quarantine> quarantines, 12: list<CoolDown> cool_downs,
+  11: list<Quarantine> quarantines, 12: list<TargetReport> reports,
   13: list<EntryState> entry_states
 }
 struct News {
   1: list<Announcement> announcements, 2: list<Ejection> ejections,
-  3: list<Quarantine> quarantines, 4: list<CoolDown> cool_downs
+  3: list<Quarantine> quarantines, 4: list<TargetReport> reports
 }
 struct Gossip {
   1: list<HostStatus> statuses, 2: list<Announcement> announcements,
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -529,24 +529,24 @@
         return not (self == other)
 
 
-class CoolDown(object):
+class TargetReport(object):
     """
     Attributes:
      - target
      - number
      - duration_s
-     - cause
+     - kind
      - suspicion
      - successes
 
     """
 
 
-    def __init__(self, target=None, number=None, duration_s=None, cause=None, suspicion=None, successes=None,):
+    def __init__(self, target=None, number=None, duration_s=None, kind=None, suspicion=None, successes=None,):
         self.target = target
         self.number = number
         self.duration_s = duration_s
-        self.cause = cause
+        self.kind = kind
         self.suspicion = suspicion
         self.successes = successes
 
@@ -576,7 +576,7 @@
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.I32:
-                    self.cause = iprot.readI32()
+                    self.kind = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -598,7 +598,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('CoolDown')
+        oprot.writeStructBegin('TargetReport')
         if self.target is not None:
             oprot.writeFieldBegin('target', TType.STRING, 1)
             oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
@@ -611,9 +611,9 @@
             oprot.writeFieldBegin('duration_s', TType.DOUBLE, 3)
             oprot.writeDouble(self.duration_s)
             oprot.writeFieldEnd()
-        if self.cause is not None:
-            oprot.writeFieldBegin('cause', TType.I32, 4)
-            oprot.writeI32(self.cause)
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.I32, 4)
+            oprot.writeI32(self.kind)
             oprot.writeFieldEnd()
         if self.suspicion is not None:
             oprot.writeFieldBegin('suspicion', TType.DOUBLE, 5)
@@ -1119,13 +1119,13 @@
      - announcements
      - ejections
      - quarantines
-     - cool_downs
+     - reports
      - entry_states
 
     """
 
 
-    def __init__(self, origin=None, incarnation=None, after=None, position=None, revision=None, in_contact=None, entries=None, hubs=None, announcements=None, ejections=None, quarantines=None, cool_downs=None, entry_states=None,):
+    def __init__(self, origin=None, incarnation=None, after=None, position=None, revision=None, in_contact=None, entries=None, hubs=None, announcements=None, ejections=None, quarantines=None, reports=None, entry_states=None,):
         self.origin = origin
         self.incarnation = incarnation
         self.after = after
@@ -1137,7 +1137,7 @@
         self.announcements = announcements
         self.ejections = ejections
         self.quarantines = quarantines
-        self.cool_downs = cool_downs
+        self.reports = reports
         self.entry_states = entry_states
 
     def read(self, iprot):
@@ -1230,12 +1230,12 @@
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
-                    self.cool_downs = []
+                    self.reports = []
                     (_etype41, _size38) = iprot.readListBegin()
                     for _i42 in range(_size38):
-                        _elem43 = CoolDown()
+                        _elem43 = TargetReport()
                         _elem43.read(iprot)
-                        self.cool_downs.append(_elem43)
+                        self.reports.append(_elem43)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1316,10 +1316,10 @@
                 iter53.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.cool_downs is not None:
-            oprot.writeFieldBegin('cool_downs', TType.LIST, 12)
-            oprot.writeListBegin(TType.STRUCT, len(self.cool_downs))
-            for iter54 in self.cool_downs:
+        if self.reports is not None:
+            oprot.writeFieldBegin('reports', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.reports))
+            for iter54 in self.reports:
                 iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -1354,16 +1354,16 @@
      - announcements
      - ejections
      - quarantines
-     - cool_downs
+     - reports
 
     """
 
 
-    def __init__(self, announcements=None, ejections=None, quarantines=None, cool_downs=None,):
+    def __init__(self, announcements=None, ejections=None, quarantines=None, reports=None,):
         self.announcements = announcements
         self.ejections = ejections
         self.quarantines = quarantines
-        self.cool_downs = cool_downs
+        self.reports = reports
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1409,12 +1409,12 @@
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
-                    self.cool_downs = []
+                    self.reports = []
                     (_etype77, _size74) = iprot.readListBegin()
                     for _i78 in range(_size74):
-                        _elem79 = CoolDown()
+                        _elem79 = TargetReport()
                         _elem79.read(iprot)
-                        self.cool_downs.append(_elem79)
+                        self.reports.append(_elem79)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1449,10 +1449,10 @@
                 iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.cool_downs is not None:
-            oprot.writeFieldBegin('cool_downs', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.cool_downs))
-            for iter83 in self.cool_downs:
+        if self.reports is not None:
+            oprot.writeFieldBegin('reports', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.reports))
+            for iter83 in self.reports:
                 iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -5381,13 +5381,13 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'targets', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
-all_structs.append(CoolDown)
-CoolDown.thrift_spec = (
+all_structs.append(TargetReport)
+TargetReport.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
     (2, TType.I64, 'number', None, None, ),  # 2
     (3, TType.DOUBLE, 'duration_s', None, None, ),  # 3
-    (4, TType.I32, 'cause', None, None, ),  # 4
+    (4, TType.I32, 'kind', None, None, ),  # 4
     (5, TType.DOUBLE, 'suspicion', None, None, ),  # 5
     (6, TType.I32, 'successes', None, None, ),  # 6
 )
@@ -5445,7 +5445,7 @@
     (9, TType.LIST, 'announcements', (TType.STRUCT, [Announcement, None], False), None, ),  # 9
     (10, TType.LIST, 'ejections', (TType.STRUCT, [Ejection, None], False), None, ),  # 10
     (11, TType.LIST, 'quarantines', (TType.STRUCT, [Quarantine, None], False), None, ),  # 11
-    (12, TType.LIST, 'cool_downs', (TType.STRUCT, [CoolDown, None], False), None, ),  # 12
+    (12, TType.LIST, 'reports', (TType.STRUCT, [TargetReport, None], False), None, ),  # 12
     (13, TType.LIST, 'entry_states', (TType.STRUCT, [EntryState, None], False), None, ),  # 13
 )
 all_structs.append(News)
@@ -5454,7 +5454,7 @@
     (1, TType.LIST, 'announcements', (TType.STRUCT, [Announcement, None], False), None, ),  # 1
     (2, TType.LIST, 'ejections', (TType.STRUCT, [Ejection, None], False), None, ),  # 2
     (3, TType.LIST, 'quarantines', (TType.STRUCT, [Quarantine, None], False), None, ),  # 3
-    (4, TType.LIST, 'cool_downs', (TType.STRUCT, [CoolDown, None], False), None, ),  # 4
+    (4, TType.LIST, 'reports', (TType.STRUCT, [TargetReport, None], False), None, ),  # 4
 )
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
--- a/tests/core/test_target_floor.py
+++ b/tests/core/test_target_floor.py
@@ -6,7 +6,13 @@
 """
 
 import pytest
-from support.episodes import FLOOR_WINDOW_S, EpisodeWorld, Load
+from support.episodes import (
+    CALM,
+    FLOOR_WINDOW_S,
+    LOADS,
+    EpisodeWorld,
+    Load,
+)
 
 from wasabitray_core.controllers.cool_downs import COOL_DOWN_S
 
@@ -14,23 +20,6 @@
 MAX_LOST_SHARE = 0.1
 SEEDS = (1, 2, 3, 4, 5, 6)
 
-CALM = Load(rate=45.0, work_s=0.38)
-LOADS = {
-    "calm": CALM,
-    "crest": Load(rate=180.0, work_s=0.38),
-    "two broken": Load(rate=45.0, work_s=0.38, broken=2),
-    "most broken": Load(rate=45.0, work_s=0.38, broken=12),
-    "small slots": Load(rate=60.0, work_s=0.14, targets=13, slots=2),
-    "120 entries": Load(
-        rate=328.0,
-        work_s=0.14,
-        entries=120,
-        targets=96,
-        slots=2,
-        length_s=16.0,
-    ),
-}
-
 
 def misses(world, max_lost):
     """Return the windows in which too few sound targets were used."""
--- a/tests/support/episodes.py
+++ b/tests/support/episodes.py
@@ -91,6 +91,24 @@
     idempotent: float = 0.0
 
 
+CALM = Load(rate=45.0, work_s=0.38)
+LOADS = {
+    "calm": CALM,
+    "crest": Load(rate=180.0, work_s=0.38),
+    "two broken": Load(rate=45.0, work_s=0.38, broken=2),
+    "most broken": Load(rate=45.0, work_s=0.38, broken=12),
+    "small slots": Load(rate=60.0, work_s=0.14, targets=13, slots=2),
+    "120 entries": Load(
+        rate=328.0,
+        work_s=0.14,
+        entries=120,
+        targets=96,
+        slots=2,
+        length_s=16.0,
+    ),
+}
+
+
 @dataclass(slots=True)
 class FakeTarget:
     """A target with slots, a queue, and episodes in which it fails."""
