--- a/packages/cli/src/wasabitray_cli/logs.py
+++ b/packages/cli/src/wasabitray_cli/logs.py
@@ -17,7 +17,7 @@
 COOL_DOWN = "target cool-down"
 REPORT = "target report"
 # Each entry logs these for itself; what an attempt tells of its target is
-# logged once, where it was made..
+# logged once, where it was made.
 ABOUT_TARGETS = frozenset({"target announced", "target ejection"})
 _COMMON = ("time", "level", "message", "host")
 
--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -458,8 +458,8 @@
             AttemptStatus.MISDIRECTED,
             AttemptStatus.TIMED_OUT,
         ):
-            cool_down = AVOID_FIRST_S * 2**state.path_failures
-            state.avoid_until = Seconds(now + min(AVOID_MAX_S, cool_down))
+            avoided = AVOID_FIRST_S * 2**state.path_failures
+            state.avoid_until = Seconds(now + min(AVOID_MAX_S, avoided))
             state.path_failures += 1
 
 
--- a/packages/core/src/wasabitray_core/controllers/feed_table.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_table.py
@@ -28,7 +28,7 @@
 
 # A quarantine is told again by the entry that meets the request next.
 QUARANTINE_TTL_S = 120.0
-# The end of a cool_down is kept until every reader has it.
+# Reports that start no cool-down are kept until every reader has it.
 RECOVERY_TTL_S = 5.0
 
 
