--- a/packages/core/src/wasabitray_core/controllers/losses.py
+++ b/packages/core/src/wasabitray_core/controllers/losses.py
@@ -14,9 +14,11 @@
 # Memory of its rate of requests, of which it has a few each second: with a
 # shorter one the estimate of the fleet's rate is off by half at times.
 RATE_MEMORY_S = 12.0
-# Served requests that an entry takes for granted before it has seen any of
-# its own: one loss among few says little of the fleet.
-PRIOR_REQUESTS = 12.0
+# Served requests that an entry adds to its own: some losses among few requests
+# say little of the fleet, and each entry that errs tries targets in vain.
+PRIOR_REQUESTS = 40.0
+# Fewer requests of the fleet than this give no share.
+MIN_REQUESTS = 12.0
 
 
 class Losses:
@@ -56,7 +58,7 @@
         self._forget(now)
         own = self._lost.value(now) / (self._ended.value(now) + PRIOR_REQUESTS)
         expected = self._requests.rate(now) * entries * WINDOW_S
-        fleet = len(self._failures) / max(expected, PRIOR_REQUESTS)
+        fleet = len(self._failures) / max(expected, MIN_REQUESTS)
         return max(own, fleet)
 
     def _forget(self, now: Seconds) -> None:
