--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -279,9 +279,7 @@
         for service in self._services.values():
             state = service.targets.get(message.target)
             if state is not None and is_news(state, message, now):
-                apply_report(state, message, now)
-                if message.is_failure:
-                    service.losses.note_failure(now)
+                _take_report(service, state, message, now)
 
     @receive.register
     def _(self, message: FleetSize, origin: Origin) -> None:
@@ -299,9 +297,7 @@
         report = judge_attempt(state, AttemptEnd(release, rate, now))
         if report is None:
             return
-        apply_report(state, report, now)
-        if report.is_failure:
-            service.losses.note_failure(now)
+        _take_report(service, state, report, now)
         self._outbox.tell(ControllerName.MEMBERSHIP, Spread(report))
         self._outbox.report(
             "target cool-down" if report.cools_down else "target report",
@@ -463,5 +459,14 @@
             state.path_failures += 1
 
 
+def _take_report(
+    service: _Service, state: TargetState, report: TargetReport, now: Seconds
+) -> None:
+    """Take what an attempt tells of a target, here or at another entry."""
+    apply_report(state, report, now)
+    if report.is_failure:
+        service.losses.note_failure(now)
+
+
 def _is_new_run(old: Target, new: Target) -> bool:
     return old.generation != new.generation or old.address != new.address
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -16,8 +16,7 @@
 # Other entries' work is stated each half second; two may be lost.
 SHARED_WORK_TTL_S = 1.5
 TRIAL_CHANCE = 0.1
-# A target that failed longer ago than this may work again: failure episodes
-# last a few seconds.
+# A target that failed within this time is no sound one by the users' floor.
 RECENT_FAILURE_S = 2.0
 # A repeatable request may try a target this long after its failure, at the
 # cost of a retry.
@@ -91,7 +90,6 @@
     cooling_until: Seconds = Seconds(0.0)
     recovering: bool = False
     successes: int = 0
-    readmitted: bool = False
     report_number: int = 0
     suspicion: float = 0.0
     suspected_at: Seconds = Seconds(0.0)
@@ -253,7 +251,8 @@
     two random ones are compared (Mitzenmacher, "The power of two choices in
     randomized load balancing", 2001), since all entries would choose the
     same one. A target that is unreachable from here gets work when no other
-    has room, a cooling one when the others can't carry the load.
+    has room, a cooling one when the others can't carry the load. One that may
+    work again is tried first, by one request at a time.
     """
     if need.pinned is not None:
         pinned = targets.get(need.pinned)
