Say nothing of failed responses that a cool-down explains

A feed keeps the newest report about a target. A suspicion that came after the break that began its cool-down, from a request sent before, would replace that report for an entry that starts or lags, which would then use the target. Such a response now tells nothing; one from an attempt made since is a failed trial and begins the cool-down anew, also before it is over.

--- a/packages/core/src/wasabitray_core/controllers/cool_downs.py
+++ b/packages/core/src/wasabitray_core/controllers/cool_downs.py
@@ -83,32 +83,34 @@
     return None
 
 
-def _weigh_fault(state: TargetState, end: AttemptEnd) -> TargetReport:
+def _weigh_fault(state: TargetState, end: AttemptEnd) -> TargetReport | None:
     """Add a failed response to the evidence.
 
     Failed responses are ordinary now and then, so one is enough only for a
-    target that is being readmitted. Entries don't tell each other of
-    successes: those since the last failure are estimated from the rate.
+    target that has not recovered. Entries don't tell each other of successes:
+    those since the last failure are estimated from the rate.
     """
+    if state.recovering:
+        again = _began_after_failure(state, end)
+        return _report(state, ReportKind.FAULTS) if again else None
     evidence = CumulativeSum(state.suspicion)
     since = max(0.0, end.now - state.suspected_at)
     evidence.add(end.rate * since, 0, 0.0)
     evidence.add(0, 1, 0.0)
-    fails_again = state.is_readmitted(end.now)
-    if fails_again or evidence.score >= SUSPICION_THRESHOLD:
+    if evidence.score >= SUSPICION_THRESHOLD:
         return _report(state, ReportKind.FAULTS)
     return _report(state, ReportKind.SUSPECTED, evidence.score)
 
 
 def _works_again(state: TargetState, end: AttemptEnd) -> bool:
-    """Tell whether an attempt shows that a target works again.
+    """Tell whether an attempt shows that a target works again."""
+    answered = end.release.status is AttemptStatus.ANSWERED
+    return answered and state.recovering and _began_after_failure(state, end)
 
-    An attempt from before the failure says nothing about it.
-    """
-    release = end.release
-    if release.status is not AttemptStatus.ANSWERED or not state.recovering:
-        return False
-    return end.now - release.elapsed > state.failed_at
+
+def _began_after_failure(state: TargetState, end: AttemptEnd) -> bool:
+    """Tell whether an attempt is newer than what is known of its target."""
+    return end.now - end.release.elapsed > state.failed_at
 
 
 def _report(
--- a/tests/core/controllers/test_cool_downs.py
+++ b/tests/core/controllers/test_cool_downs.py
@@ -159,6 +159,13 @@
         assert [r.kind for r in other.told()] == [ReportKind.FAULTS]
         assert other.is_cooling()
 
+    def test_failed_response_from_before_the_failure_tells_nothing_new(self):
+        release(self.bed, "t1", AttemptStatus.FAILED)
+        self.told()
+        self.bed.clock.advance(0.1)
+        release(self.bed, "t1", took=0.5, is_fault=True)
+        assert self.told() == []
+
     def test_many_attempts_between_failed_responses_clear_the_suspicion(self):
         self.answer(is_fault=True)
         for _ in range(20):
