--- a/packages/cli/src/wasabitray_cli/commands/report.py
+++ b/packages/cli/src/wasabitray_cli/commands/report.py
@@ -25,7 +25,7 @@
     """Sums up logs and draws them."""
 
     name = "report"
-    description = "Draw a day: ends, latency, attempts, cool_downs, revisions."
+    description = "Draw a day: ends, latency, attempts, cool-downs, revisions."
     arguments: ClassVar[list] = [
         argument("files", "Logs of hosts.", multiple=True)
     ]
--- a/packages/core/src/wasabitray_core/filters/retry.py
+++ b/packages/core/src/wasabitray_core/filters/retry.py
@@ -43,9 +43,10 @@
     def handle(self, exchange: Exchange, proceed: Proceed) -> Steps:
         """Make one or more attempts and tell how the request ended."""
         answer = yield from self._try(exchange, proceed)
-        served = answer.refusal is None and answer.fault is None
-        ended = RequestEnded(exchange.service, served)
-        yield TellController(ControllerName.DISPATCH, ended)
+        if answer.refusal is not RefusalReason.CALLER_GONE:
+            served = answer.refusal is None and answer.fault is None
+            ended = RequestEnded(exchange.service, served)
+            yield TellController(ControllerName.DISPATCH, ended)
         return answer
 
     def _try(self, exchange: Exchange, proceed: Proceed) -> Steps:
--- a/tests/core/filters/test_chain.py
+++ b/tests/core/filters/test_chain.py
@@ -21,6 +21,7 @@
     Grant,
     Refusal,
     Release,
+    RequestEnded,
     Resolve,
     Resolved,
     Sample,
@@ -180,6 +181,21 @@
     assert (note.facts["attempts"], note.facts["reason"]) == (1, "overload")
 
 
+@pytest.mark.parametrize(
+    ("statuses", "ends"),
+    [
+        ([S.ANSWERED], [True]),
+        ([S.FAILED, S.ANSWERED], [True]),
+        ([S.FAILED, S.FAILED], [False]),
+        ([S.CANCELLED], []),
+    ],
+)
+def test_end_of_a_request_is_told_once_unless_its_caller_left(statuses, ends):
+    script = Script(*statuses)
+    script.run()
+    assert [e.served for e in script.told_of(RequestEnded)] == ends
+
+
 def test_request_that_breaks_targets_is_not_spread_further():
     script = Script(S.FAILED, S.FAILED, S.FAILED)
     script.run()
