--- a/tests/cli/test_logs.py
+++ b/tests/cli/test_logs.py
@@ -21,7 +21,7 @@
 
 @pytest.fixture
 def logs(tmp_path):
-    """Logs of a request that was lost at a target in a bad spell."""
+    """Logs of a request that was lost at a target in a failure episode."""
     first = [
         line(-60, "revision in force", revision=3),
         line(-30, "revision in force", revision=4),
