--- a/bench/world.py
+++ b/bench/world.py
@@ -38,6 +38,7 @@
     AtEnd,
     Attempt,
     Effect,
+    Note,
     TellController,
 )
 from wasabitray_core.ids import ClaimId, HostId, Revision, Seconds, TargetId
@@ -265,6 +266,8 @@
                 tell = effect.tell if isinstance(effect, AtEnd) else effect
                 self.tell(tell.controller, tell.message)
                 continue
+            if isinstance(effect, Note):
+                continue  # a log line
             assert isinstance(effect, Attempt)
             self.world.attempt(self, effect, exchange, resume)
             return
