Share the simulated clock, the floor's bounds and the kinds that cool down

Cause, found by reading the change: the tests' episode world had written the benches' event clock again, the bench and the test each had the floor's bounds and its predicate, and two modules listed the kinds of report that begin a cool-down. The dispatch controller held the feedback of attempts beside its queues.

Change: one clock in tests/support/clock.py, the floor in the window, a property of ReportKind, feedback.py and episode_loads.py as modules of one job.

--- a/bench/episodes.py
+++ b/bench/episodes.py
@@ -12,21 +12,17 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-FLOOR_SHARE = 0.7
-MAX_LOST_SHARE = 0.1
 DEFAULT_SEEDS = 6
 
 
 def play(name: str, seeds: int) -> str:
     """Play a load and return its line of the table."""
-    from support.episodes import LOADS, EpisodeWorld
+    from support.episode_loads import LOADS
+    from support.episodes import EpisodeWorld
 
     worlds = [EpisodeWorld(LOADS[name], n).play() for n in range(seeds)]
     windows = [w for world in worlds for w in world.windows()]
-    below = sum(
-        w.lost_share > MAX_LOST_SHARE and w.used_share < FLOOR_SHARE
-        for w in windows
-    )
+    below = sum(w.is_below_floor for w in windows)
     lost = sum(w.lost_share for w in worlds) / seeds
     time = sum(w.mean_time for w in worlds) / seeds
     return (
@@ -48,7 +44,7 @@
         str(packages / "core/src"),
         str(packages / "wire/src"),
     ]
-    from support.episodes import LOADS
+    from support.episode_loads import LOADS
 
     print(asked.checkout.resolve().name)
     for name in LOADS:
--- a/bench/world.py
+++ b/bench/world.py
@@ -6,14 +6,19 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import math
 import random
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
+sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
+
+from support.clock import Clock
+
 from wasabitray_core.controllers.claims import ClaimsController
 from wasabitray_core.controllers.controller import Ask, Context, Origin
 from wasabitray_core.controllers.dispatch import (
@@ -78,32 +83,8 @@
 SHORT_S = 0.060
 LONG_FACTOR = 50
 SPREAD = 0.3
-
-
-class Clock:
-    """Simulated time and the events to come."""
-
-    def __init__(self) -> None:
-        """Start at a time after any process's start."""
-        self.now = 10_000.0
-        self._events: list[tuple[float, int, Callable, tuple]] = []
-        self._numbers = itertools.count()
-
-    def __call__(self) -> Seconds:
-        """Return the time."""
-        return Seconds(self.now)
-
-    def at(self, delay: float, call: Callable, *args: Any) -> None:
-        """Call something after a delay."""
-        event = (self.now + delay, next(self._numbers), call, args)
-        heapq.heappush(self._events, event)
-
-    def run_until(self, end: float) -> None:
-        """Handle events up to a time."""
-        while self._events and self._events[0][0] <= end:
-            self.now, _, call, args = heapq.heappop(self._events)
-            call(*args)
-        self.now = end
+# Simulated time begins after any process's start.
+START = Seconds(10_000.0)
 
 
 @dataclass
@@ -286,7 +267,7 @@
         build: Callable = Entry,
     ) -> None:
         """Start a fleet in which all targets are healthy and known."""
-        self.clock = Clock()
+        self.clock = Clock(START)
         self.random = random.Random(seed)
         self.reports: list[tuple] = []
         self.policy = ServicePolicy(floor=floor, retry_share=0.1)
--- a/packages/core/src/wasabitray_core/controllers/cool_downs.py
+++ b/packages/core/src/wasabitray_core/controllers/cool_downs.py
@@ -116,11 +116,10 @@
 def _report(
     state: TargetState, kind: ReportKind, suspicion: float = 0.0
 ) -> TargetReport:
-    cools_down = kind in (ReportKind.BROKEN, ReportKind.FAULTS)
     return TargetReport(
         state.target.target,
         state.report_number + 1,
-        COOL_DOWN_S if cools_down else 0.0,
+        COOL_DOWN_S if kind.cools_down else 0.0,
         kind,
         suspicion,
         state.successes + 1 if kind is ReportKind.SUCCESS else 0,
--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -17,6 +17,7 @@
     is_news,
     judge_attempt,
 )
+from wasabitray_core.controllers.feedback import note_load, note_path
 from wasabitray_core.controllers.in_flight import InFlight, take_others
 from wasabitray_core.controllers.losses import Losses
 from wasabitray_core.controllers.retry_budget import RetryBudget, RetryLimits
@@ -49,13 +50,11 @@
     choose,
     find_surplus,
 )
-from wasabitray_core.requests import LoadReport, Target
+from wasabitray_core.requests import Target
 from wasabitray_core.states import AttemptStatus, RefusalReason, WorkClass
 
 PUMP_INTERVAL_S = 0.02
 IDLE_INTERVAL_S = 1.0
-AVOID_FIRST_S = 0.5
-AVOID_MAX_S = 8.0
 RAMP_S = 5.0
 HOLD_TIME_WEIGHT = 0.05
 # Below this a mean time of requests says nothing about their rate.
@@ -195,8 +194,8 @@
             self._note_change(message.target)
             if message.work is WorkClass.LONG:
                 state.busy_long = max(0, state.busy_long - 1)
-            self._note_load(state, message, now)
-            self._note_path(state, message, now)
+            note_load(state, message, now)
+            note_path(state, message, now)
             self._judge_target(service, state, message)
         if message.status is AttemptStatus.ANSWERED:
             old = service.hold_time.get(message.work, message.elapsed)
@@ -430,34 +429,6 @@
         fleet = used * self._entries
         return fleet, fleet / max(1, len(regions))
 
-    # Feedback
-
-    @staticmethod
-    def _note_load(state: TargetState, release: Release, now: Seconds) -> None:
-        if release.status is AttemptStatus.SHED:
-            slots = state.target.slots
-            state.reported = LoadReport(slots, slots)
-            state.reported_at = now
-        elif release.load is not None:
-            state.reported = release.load
-            state.reported_at = now
-
-    @staticmethod
-    def _note_path(state: TargetState, release: Release, now: Seconds) -> None:
-        """Avoid a target that this entry can't reach, for a while."""
-        if release.status is AttemptStatus.ANSWERED:
-            state.path_failures = 0
-            state.avoid_until = now
-        elif release.status in (
-            AttemptStatus.REFUSED,
-            AttemptStatus.UNREACHABLE,
-            AttemptStatus.MISDIRECTED,
-            AttemptStatus.TIMED_OUT,
-        ):
-            avoided = AVOID_FIRST_S * 2**state.path_failures
-            state.avoid_until = Seconds(now + min(AVOID_MAX_S, avoided))
-            state.path_failures += 1
-
 
 def _take_report(
     service: _Service, state: TargetState, report: TargetReport, now: Seconds
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -140,7 +140,7 @@
     @property
     def cools_down(self) -> bool:
         """Whether it starts a cool-down."""
-        return self.kind in (ReportKind.BROKEN, ReportKind.FAULTS)
+        return self.kind.cools_down
 
     @property
     def is_failure(self) -> bool:
--- a/packages/core/src/wasabitray_core/states.py
+++ b/packages/core/src/wasabitray_core/states.py
@@ -54,6 +54,11 @@
     SUSPECTED = 4
     """It gave a failed response, which is no proof alone."""
 
+    @property
+    def cools_down(self) -> bool:
+        """Whether the target gets no requests for a while."""
+        return self in (ReportKind.BROKEN, ReportKind.FAULTS)
+
 
 class Outcome(Enum):
     """What is known about a request that got no answer of a target."""
--- a/tests/core/test_target_floor.py
+++ b/tests/core/test_target_floor.py
@@ -6,34 +6,28 @@
 """
 
 import pytest
+from support.episode_loads import CALM, LOADS, Load
 from support.episodes import (
-    CALM,
+    FLOOR_SHARE,
     FLOOR_WINDOW_S,
-    LOADS,
+    MAX_LOST_SHARE,
     EpisodeWorld,
-    Load,
 )
 
 from wasabitray_core.controllers.cool_downs import COOL_DOWN_S
 
-FLOOR_SHARE = 0.7
-MAX_LOST_SHARE = 0.1
 SEEDS = (1, 2, 3, 4, 5, 6)
 
 
-def misses(world, max_lost):
+def misses(world):
     """Return the windows in which too few sound targets were used."""
-    return [
-        w
-        for w in world.windows()
-        if w.lost_share > max_lost and w.used_share < FLOOR_SHARE
-    ]
+    return [w for w in world.windows() if w.is_below_floor]
 
 
 @pytest.mark.parametrize("load", LOADS.values(), ids=LOADS)
 def test_ejections_keep_the_floor_of_sound_targets(load):
     worlds = [EpisodeWorld(load, seed).play() for seed in SEEDS]
-    assert [misses(w, MAX_LOST_SHARE) for w in worlds] == [[]] * len(SEEDS)
+    assert [misses(w) for w in worlds] == [[]] * len(SEEDS)
 
 
 def test_targets_that_work_again_are_used_once_their_cool_down_is_over():
--- /dev/null
+++ b/tests/support/episode_loads.py
@@ -0,0 +1,54 @@
+"""Loads of a fleet whose targets fail in episodes."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What a day brings.
+
+    Attributes:
+        rate: requests a second.
+        work_s: mean seconds of work of a request.
+        episode_share: part of the time that a target breaks attempts.
+        episode_s: mean length of an episode.
+        episode_fails: part of the attempts that are broken in one.
+        error_share: part of all requests that get an error answer.
+        broken: targets that answer each request with an error.
+        broken_from: when they begin, in seconds.
+        broken_for: for how long.
+        idempotent: part of the requests that may be repeated.
+    """
+
+    rate: float
+    work_s: float
+    length_s: float = 32.0
+    entries: int = 32
+    targets: int = 20
+    slots: int = 6
+    episode_share: float = 0.3
+    episode_s: float = 12.0
+    episode_fails: float = 0.75
+    error_share: float = 0.012
+    broken: int = 0
+    broken_from: float = 6.0
+    broken_for: float = 8.0
+    idempotent: float = 0.0
+
+
+CALM = Load(rate=45.0, work_s=0.38)
+LOADS = {
+    "calm": CALM,
+    "crest": Load(rate=180.0, work_s=0.38),
+    "two broken": Load(rate=45.0, work_s=0.38, broken=2),
+    "most broken": Load(rate=45.0, work_s=0.38, broken=12),
+    "small slots": Load(rate=60.0, work_s=0.14, targets=13, slots=2),
+    "120 entries": Load(
+        rate=328.0,
+        work_s=0.14,
+        entries=120,
+        targets=96,
+        slots=2,
+        length_s=16.0,
+    ),
+}
--- a/tests/support/episodes.py
+++ b/tests/support/episodes.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import random
 from bisect import bisect_left
 from collections import Counter
 from dataclasses import dataclass, field
 
+from support.clock import Clock
 from wasabitray_core.controllers.controller import Context, Origin
 from wasabitray_core.controllers.dispatch import DispatchController
 from wasabitray_core.controllers.retry_budget import RetryLimits
@@ -56,57 +56,9 @@
 TICK_S = 0.02
 FLOOR_WINDOW_S = 2.0
 FLOOR_STEP_S = 0.25
-
-
-@dataclass(frozen=True, slots=True)
-class Load:
-    """What a day brings.
-
-    Attributes:
-        rate: requests a second.
-        work_s: mean seconds of work of a request.
-        episode_share: part of the time that a target breaks attempts.
-        episode_s: mean length of an episode.
-        episode_fails: part of the attempts that are broken in one.
-        error_share: part of all requests that get an error answer.
-        broken: targets that answer each request with an error.
-        broken_from: when they begin, in seconds.
-        broken_for: for how long.
-        idempotent: part of the requests that may be repeated.
-    """
-
-    rate: float
-    work_s: float
-    length_s: float = 32.0
-    entries: int = 32
-    targets: int = 20
-    slots: int = 6
-    episode_share: float = 0.3
-    episode_s: float = 12.0
-    episode_fails: float = 0.75
-    error_share: float = 0.012
-    broken: int = 0
-    broken_from: float = 6.0
-    broken_for: float = 8.0
-    idempotent: float = 0.0
-
-
-CALM = Load(rate=45.0, work_s=0.38)
-LOADS = {
-    "calm": CALM,
-    "crest": Load(rate=180.0, work_s=0.38),
-    "two broken": Load(rate=45.0, work_s=0.38, broken=2),
-    "most broken": Load(rate=45.0, work_s=0.38, broken=12),
-    "small slots": Load(rate=60.0, work_s=0.14, targets=13, slots=2),
-    "120 entries": Load(
-        rate=328.0,
-        work_s=0.14,
-        entries=120,
-        targets=96,
-        slots=2,
-        length_s=16.0,
-    ),
-}
+# The floor: this share of the sound targets is used, or no more is lost.
+FLOOR_SHARE = 0.7
+MAX_LOST_SHARE = 0.1
 
 
 @dataclass(slots=True)
@@ -144,6 +96,12 @@
     def lost_share(self) -> float:
         return self.lost / self.requests if self.requests else 0.0
 
+    @property
+    def is_below_floor(self) -> bool:
+        return (
+            self.lost_share > MAX_LOST_SHARE and self.used_share < FLOOR_SHARE
+        )
+
 
 class Outbox:
     """Delivers what an entry's dispatch controller sends."""
@@ -234,8 +192,8 @@
     def __init__(self, load, seed, dispatch=landed_dispatch):
         self.load = load
         self.random = random.Random(seed)
-        self.now = 0.0
-        self.events = []
+        self.clock = Clock(0.0)
+        self.at = self.clock.at
         self.numbers = itertools.count()
         self.reports = Counter()
         self.known_work = {region: Counter() for region in REGIONS}
@@ -249,12 +207,9 @@
             FakeEntry(self, n, dispatch) for n in range(load.entries)
         ]
 
-    def clock(self):
-        return self.now
-
-    def at(self, delay, call, *args):
-        event = (self.now + delay, next(self.numbers), call, args)
-        heapq.heappush(self.events, event)
+    @property
+    def now(self):
+        return self.clock.now
 
     def make_target(self, number):
         """Return a target whose episodes are drawn for the whole day."""
@@ -281,9 +236,7 @@
         """Play the whole day and return this world."""
         self.at(0.0, self.arrive)
         self.at(0.0, self.tick)
-        while self.events and self.events[0][0] <= self.load.length_s:
-            self.now, _, call, args = heapq.heappop(self.events)
-            call(*args)
+        self.clock.run_until(self.load.length_s)
         return self
 
     def arrive(self):
