--- a/tests/features/targets.feature
+++ b/tests/features/targets.feature
@@ -38,6 +38,25 @@
     And it is refused with 422 quarantined at every entry
     And no target is ejected for 1 s
 
+  Scenario: A request that crashes the only two targets of a service is stopped
+    Given a fleet of 3 control hosts and 3 entries
+    And 2 targets of service rota
+    And every entry has applied the example declarations
+    When every rota target drops requests for /rota/hobart/poison
+    And a caller sends GET /rota/hobart/poison 12 times to all entries
+    Then at most 6 attempts reached targets
+    And it is refused with 422 quarantined at every entry
+
+  Scenario: A request that crashes targets after it was answered is stopped
+    Given a fleet of 3 control hosts and 3 entries
+    And 6 targets of service rota
+    And every entry has applied the example declarations
+    When a caller sends GET /rota/hobart/poison 2 times to all entries
+    And every rota target drops requests for /rota/hobart/poison
+    And a caller sends GET /rota/hobart/poison 12 times to all entries
+    Then at most 6 attempts reached targets
+    And it is refused with 422 quarantined at every entry
+
   Scenario: All open connections to the targets go silent
     Given a fleet of 3 control hosts and 3 entries
     And 6 targets of service rota
