Count each crash of a request, and share each response to it

A caller's request under which targets end reached targets 37 times in a service of two targets, and 69 times in one of six if it had been answered before. A suspicion counted distinct targets, so two of them, or targets that come back under their names, never reached the threshold of three. And a response, even an error, cleared the suspicion for a minute at its own entry only.

A record now lists a target once for each crash. Connections that break in one crash still count once: a further crash of a target, or of any target of a request that was served within a minute, needs an attempt that began after the last known one. A served request clears its record at all entries, by an epoch that outranks earlier crashes; responses with an error status clear nothing. Hubs merge records instead of replacing them, and keep them as long as entries do.

--- a/packages/core/src/wasabitray_core/controllers/feed_table.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_table.py
@@ -11,6 +11,10 @@
 from dataclasses import dataclass, replace
 from functools import singledispatch
 
+from wasabitray_core.controllers.crashes import (
+    get_time_to_live,
+    merge_records,
+)
 from wasabitray_core.ids import FeedPosition, HostId, Incarnation, Seconds
 from wasabitray_core.messages import (
     Announcement,
@@ -26,9 +30,6 @@
 FeedItem = Announcement | Ejection | Quarantine | TargetReport | EntryState
 Subject = tuple[type, str]
 
-# After it expires, the entry that receives the request next broadcasts the
-# quarantine again.
-QUARANTINE_TTL_S = 120.0
 # Keeps reports that start no cool-down until every reader has received them.
 RECOVERY_TTL_S = 5.0
 
@@ -81,7 +82,7 @@
 
 @is_newer.register
 def _(item: Quarantine, known: Quarantine) -> bool:
-    return not set(item.targets) <= set(known.targets)
+    return merge_records(known, item) != known
 
 
 @is_newer.register
@@ -97,6 +98,17 @@
     )
 
 
+@singledispatch
+def combine(item: FeedItem, known: FeedItem) -> FeedItem:
+    """Return what a newer item and the known one show together."""
+    return item
+
+
+@combine.register
+def _(item: Quarantine, known: Quarantine) -> FeedItem:
+    return merge_records(known, item)
+
+
 @singledispatch
 def adds_information(item: FeedItem, known: FeedItem) -> bool:
     """Return whether a newer item should be sent to other hosts.
@@ -134,7 +146,7 @@
 
 @get_lifetime.register
 def _(item: Quarantine) -> float | None:
-    return QUARANTINE_TTL_S
+    return get_time_to_live(item)
 
 
 @dataclass(slots=True)
@@ -226,6 +238,9 @@
             if not adds_information(item, known.item):
                 known.item = item
                 return None
+            combined = combine(item, known.item)
+            if combined != item:
+                item, sender = combined, self._host  # new to the sender too
             del self._records[subject]  # the new record goes to the end
         self._position = FeedPosition(self._position + 1)
         if origin is None:
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -256,6 +256,8 @@
         """
         is_same = self._mark.incarnation == feed.incarnation
         read_position = self._mark.position if is_same else _FEED_START
+        if not is_same:
+            self._received_items.clear()  # a restarted hub lost its feed
         if feed.after <= read_position:
             position = max(read_position, feed.position)
             self._mark = FeedMark(feed.origin, feed.incarnation, position)
--- a/packages/core/src/wasabitray_core/filters/quarantine.py
+++ b/packages/core/src/wasabitray_core/filters/quarantine.py
@@ -56,7 +56,7 @@
     def handle(
         self, exchange: Exchange, call_next: NextFilter
     ) -> EffectGenerator:
-        """Refuse a quarantined request; report one that gets a response."""
+        """Refuse a quarantined request; report one that is served."""
         fingerprint = compute_fingerprint(exchange.request)
         exchange.fingerprint = fingerprint
         check = CheckQuarantine(fingerprint)
@@ -65,11 +65,11 @@
             return exchange.refuse(
                 RefusalReason.QUARANTINED,
                 422,
-                "every target that ran this request broke the connection",
+                "the targets that ran this request crashed",
             )
         exchange.is_suspect = suspicion is Suspicion.SUSPECT
         response = yield from call_next(exchange)
-        if response.refusal is None:
+        if response.refusal is None and response.fault is None:
             report = ReportResponse(fingerprint)
             yield TellController(_QUARANTINE, report)
         return response
--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -240,7 +240,7 @@
             # A broken connection is evidence against the request as well.
             exchange.broken_connections += 1
             report = ReportBrokenConnection(
-                exchange.fingerprint, target.target
+                exchange.fingerprint, target.target, result.elapsed
             )
             yield TellController(ControllerName.QUARANTINE, report)
         if _is_target_evidence(result):
--- a/packages/core/src/wasabitray_core/local_messages.py
+++ b/packages/core/src/wasabitray_core/local_messages.py
@@ -581,17 +581,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportResponse:
-    """A target responded to this request, so it did not crash."""
+    """A target served this request, so it did not crash."""
 
     fingerprint: Fingerprint
 
 
 @dataclass(frozen=True, slots=True)
 class ReportBrokenConnection:
-    """A target broke the connection while it had this request."""
+    """A target broke the connection while it had this request.
+
+    Attributes:
+        elapsed: seconds since the attempt began.
+    """
 
     fingerprint: Fingerprint
     target: TargetId
+    elapsed: Seconds
 
 
 # Long work
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -112,10 +112,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Quarantine:
-    """A request and the targets that broke connections while they had it."""
+    """A request that crashed targets, as far as the sender knows.
+
+    Attributes:
+        targets: the targets that broke the connection while they had the
+            request, sorted, once for each crash.
+        epoch: rises when a target serves the request. Crashes of an earlier
+            epoch no longer count.
+    """
 
     fingerprint: Fingerprint
     targets: tuple[TargetId, ...]
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -16,7 +16,7 @@
   1: string target, 2: string service_, 3: i64 version, 4: i32 phase,
   5: double duration_s, 6: string evidence
 }
-struct Quarantine { 1: string fingerprint, 2: list<string> targets }
+struct Quarantine { 1: string fingerprint, 2: list<string> targets, 3: i32 epoch }
 struct TargetReport {
   1: string target, 2: i64 number, 3: double duration_s, 4: i32 kind,
   5: double suspicion, 6: i32 successes
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -458,13 +458,15 @@
     Attributes:
      - fingerprint
      - targets
+     - epoch
 
     """
 
 
-    def __init__(self, fingerprint=None, targets=None,):
+    def __init__(self, fingerprint=None, targets=None, epoch=None,):
         self.fingerprint = fingerprint
         self.targets = targets
+        self.epoch = epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -490,6 +492,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.epoch = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -511,6 +518,10 @@
                 oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I32, 3)
+            oprot.writeI32(self.epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5380,6 +5391,7 @@
     None,  # 0
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'targets', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.I32, 'epoch', None, None, ),  # 3
 )
 all_structs.append(TargetReport)
 TargetReport.thrift_spec = (
--- /dev/null
+++ b/tests/core/controllers/test_crashes.py
@@ -0,0 +1,47 @@
+"""What hosts know together of a request that crashed targets."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wasabitray_core.controllers.crashes import (
+    add_crash,
+    clear_crashes,
+    is_quarantined,
+    merge_records,
+)
+from wasabitray_core.controllers.feed_table import FeedTable
+from wasabitray_core.messages import Quarantine
+
+RECORDS = st.builds(
+    lambda targets, epoch: Quarantine("f", tuple(sorted(targets)), epoch),
+    st.lists(st.sampled_from(("t1", "t2", "t3")), max_size=5),
+    st.integers(0, 2),
+)
+
+
+@given(RECORDS, RECORDS, RECORDS)
+def test_order_and_repetition_of_merges_do_not_matter(a, b, c):
+    assert merge_records(a, b) == merge_records(b, a)
+    assert merge_records(a, merge_records(b, c)) == merge_records(
+        merge_records(a, b), c
+    )
+    merged = merge_records(a, b)
+    assert merge_records(merged, a) == merged
+
+
+@given(RECORDS, st.sampled_from(("t1", "t4")))
+def test_own_crash_or_response_is_never_lost_in_a_merge(record, target):
+    crashed = add_crash(record, target)
+    assert merge_records(record, crashed) == crashed
+    cleared = clear_crashes(record)
+    assert merge_records(crashed, cleared) == cleared
+    assert not is_quarantined(cleared)
+
+
+def test_hub_passes_on_the_crashes_that_all_entries_reported():
+    table = FeedTable("c1", "run-1")
+    table.put(Quarantine("f", ("t1", "t2")), "e1", 0.0)
+    record = table.put(Quarantine("f", ("t3",)), "e2", 0.1)
+    assert record.item.targets == ("t1", "t2", "t3")
+    assert record.item in table.get_items_after(0, "e2", 0.2)
+    assert table.put(Quarantine("f", ("t2",)), "e3", 0.3) is None
