Let the leader allow the trials of a quarantined request

A quarantined request reached targets again after each block, once for each entry: 6 or 7 times where six targets served three entries, and with 32 to 120 entries without a bound. A request that waited for a slot, or was about to be retried, was sent although the quarantine had arrived meanwhile. Each entry kept the limit of the fleet for itself.

Attempts of a quarantined request are now trials. An entry asks the leader of the control group, which counts them over all entries and allows two, 10 and 60 s apart; a trial that certainly did not run is returned. Every attempt is admitted after it has its slot. Hubs name the leader in their feed. An entry that refuses the request repeats the quarantine every 5 s, since a restarted hub has lost its feed.

Scenarios in both topologies see a request stopped at 6 attempts and served again after the targets are repaired.

--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -620,6 +620,7 @@
         if contact != self._sent_contact:
             self._sent_contact = contact
             self._outbox.tell(ControllerName.MEMBERSHIP, contact)
+            self._outbox.tell(ControllerName.TRIALS, contact)
 
     # Applying
 
--- a/packages/core/src/wasabitray_core/controllers/crashes.py
+++ b/packages/core/src/wasabitray_core/controllers/crashes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from dataclasses import replace
 
@@ -10,10 +11,14 @@
 
 # Crashes, without a response in between, that quarantine a request.
 MIN_CRASHES = 3
+# Waits before the first and before the second trial of a quarantined request.
+# Three trials are promised at most; the third is left for entries that do not
+# know of the quarantine yet.
+TRIAL_WAITS_S = (10.0, 60.0)
 # How long hosts remember a request that crashed targets, but too few for a
 # quarantine.
 SUSPICION_TTL_S = 600.0
-# How long a quarantine lasts if no trial ends it.
+# How long a quarantine lasts after the newest crash or trial.
 QUARANTINE_TTL_S = 3_600.0
 # How long hosts remember that a target served the request, so that reports of
 # earlier crashes which arrive late are ignored.
@@ -25,6 +30,12 @@
     return len(record.targets) >= MIN_CRASHES
 
 
+def get_trial_wait(record: Quarantine) -> float:
+    """Return the seconds from now to the next trial, infinite if none."""
+    used = record.trials - record.unused_trials
+    return TRIAL_WAITS_S[used] if used < len(TRIAL_WAITS_S) else math.inf
+
+
 def get_time_to_live(record: Quarantine) -> float:
     """Return for how many seconds a host keeps a record."""
     if is_quarantined(record):
@@ -41,7 +52,12 @@
         return max(known, other, key=lambda r: r.epoch)
     # The union of two counters has the larger count of each target.
     crashes = Counter(known.targets) | Counter(other.targets)
-    return replace(known, targets=_sort(crashes))
+    return replace(
+        known,
+        targets=_sort(crashes),
+        trials=max(known.trials, other.trials),
+        unused_trials=max(known.unused_trials, other.unused_trials),
+    )
 
 
 def add_crash(record: Quarantine, target: TargetId) -> Quarantine:
@@ -54,5 +70,15 @@
     return Quarantine(record.fingerprint, (), record.epoch + 1)
 
 
+def count_trial(record: Quarantine) -> Quarantine:
+    """Return the record with one more trial."""
+    return replace(record, trials=record.trials + 1)
+
+
+def count_unused_trial(record: Quarantine) -> Quarantine:
+    """Return the record with one more trial that did not run."""
+    return replace(record, unused_trials=record.unused_trials + 1)
+
+
 def _sort(crashes: Counter[TargetId]) -> tuple[TargetId, ...]:
     return tuple(sorted(crashes.elements()))
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -385,6 +385,7 @@
             select_by_kind(items, Quarantine),
             select_by_kind(items, TargetReport),
             select_by_kind(items, EntryState),
+            self._group_contact.leader,
         )
 
     # Hubs
--- a/packages/core/src/wasabitray_core/controllers/membership.py
+++ b/packages/core/src/wasabitray_core/controllers/membership.py
@@ -29,6 +29,7 @@
     GroupContact,
     HostView,
     Isolation,
+    SendToLeader,
     SetFlag,
     Tick,
 )
@@ -154,6 +155,12 @@
         if _is_urgent(item):
             self._send_urgently(item)
 
+    @receive.register
+    def _(self, message: SendToLeader, origin: Origin) -> None:
+        for host, peer in self._peers.items():
+            if peer.status.flags & HostFlag.LEADER:
+                self._outbox.send(host, message.message)
+
     @receive.register
     def _(self, message: GroupContact, origin: Origin) -> None:
         """Ignored: hosts of a mesh find the leader by its flag."""
--- a/packages/core/src/wasabitray_core/controllers/quarantine.py
+++ b/packages/core/src/wasabitray_core/controllers/quarantine.py
@@ -15,25 +15,38 @@
 from wasabitray_core.controllers.crashes import (
     add_crash,
     clear_crashes,
+    count_unused_trial,
     get_time_to_live,
+    get_trial_wait,
     is_quarantined,
     merge_records,
 )
 from wasabitray_core.ids import Fingerprint, Seconds, TargetId
 from wasabitray_core.local_messages import (
+    AdmitAttempt,
     Broadcast,
     CheckQuarantine,
     ControllerName,
     GetStatus,
     ReportBrokenConnection,
     ReportResponse,
+    ReportUnusedTrial,
+    SendToLeader,
     Suspicion,
     Tick,
 )
-from wasabitray_core.messages import Quarantine
+from wasabitray_core.messages import Quarantine, TrialReply, TrialRequest
 
-MIN_BLOCK_S = 30.0
-MAX_BLOCK_S = 600.0
+IDLE_INTERVAL_S = 1.0
+WAITING_INTERVAL_S = 0.2
+
+# How long an attempt waits for the leader to allow it as a trial.
+TRIAL_REPLY_TIMEOUT_S = 1.0
+# Time between two trial requests of an entry while the leader denies them.
+TRIAL_RETRY_S = 2.0
+# An entry repeats a quarantine while it refuses the request, since hubs that
+# restarted have lost it.
+REBROADCAST_INTERVAL_S = 5.0
 # For this long after a response, connections that break at the same time are
 # taken for one failure that several targets share.
 RESPONSE_TTL_S = 60.0
@@ -51,15 +64,19 @@
         record: what this entry knows of it, from all entries.
         crashed_at: when this entry learned of each target's newest crash.
         expires_at: when the record is dropped if nothing new is learned.
-        blocked_until: time until which no attempt is made.
-        block_s: duration of the next block.
+        trial_at: when the next trial may be requested.
+        waiting: the attempt that waits for the leader's reply.
+        waits_until: when it is refused without a reply.
+        broadcast_at: when the record was last broadcast.
     """
 
     record: Quarantine
     expires_at: Seconds
     crashed_at: dict[TargetId, Seconds] = field(default_factory=dict)
-    blocked_until: Seconds = _NEVER
-    block_s: float = MIN_BLOCK_S
+    trial_at: Seconds = _NEVER
+    waiting: Origin | None = None
+    waits_until: Seconds = _NEVER
+    broadcast_at: Seconds = _NEVER
 
     @property
     def is_quarantined(self) -> bool:
@@ -74,18 +91,23 @@
     """Owns what is known of the requests that may crash targets.
 
     Entries share each crash and each response after one, because a caller
-    that sends the request again can reach another entry. After a block, one
-    attempt is allowed.
+    that sends the request again can reach another entry. Some time after a
+    request was quarantined, the leader allows a trial attempt of one entry.
     """
 
     name: ClassVar[ControllerName] = ControllerName.QUARANTINE
-    tick_interval_s = 1.0
 
     def __init__(self, context: Context) -> None:
         """Start without any suspect."""
         super().__init__(context)
         self._suspects: OrderedDict[Fingerprint, _Suspect] = OrderedDict()
         self._responses: OrderedDict[Fingerprint, Seconds] = OrderedDict()
+        self._waiting_count = 0
+
+    @property
+    def tick_interval_s(self) -> float:  # type: ignore[override]
+        """Seconds between ticks; short while an attempt waits."""
+        return WAITING_INTERVAL_S if self._waiting_count else IDLE_INTERVAL_S
 
     @singledispatchmethod
     def receive(self, message: Any, origin: Origin) -> None:
@@ -96,20 +118,52 @@
     def _(self, message: Tick, origin: Origin) -> None:
         now = self._now()
         for fingerprint, suspect in list(self._suspects.items()):
-            if suspect.expires_at < now:
+            if suspect.waiting is not None and suspect.waits_until <= now:
+                self._end_wait(suspect, Suspicion.QUARANTINED)
+            if suspect.waiting is None and suspect.expires_at < now:
                 del self._suspects[fingerprint]
 
     @receive.register
     def _(self, message: CheckQuarantine, origin: Origin) -> None:
         suspect = self._suspects.get(message.fingerprint)
-        if suspect is None or not suspect.record.targets:
-            self._reply(origin, Suspicion.NONE)
-        elif suspect.is_quarantined and self._now() < suspect.blocked_until:
-            self._reply(origin, Suspicion.QUARANTINED)
-        else:
-            if suspect.is_quarantined:
-                self._block(suspect)  # allows this one attempt only
-            self._reply(origin, Suspicion.SUSPECT)
+        suspicion = self._get_suspicion(suspect)
+        if suspicion is Suspicion.QUARANTINED:
+            assert suspect is not None
+            self._repeat_broadcast(suspect)
+        self._reply(origin, suspicion)
+
+    @receive.register
+    def _(self, message: AdmitAttempt, origin: Origin) -> None:
+        suspect = self._suspects.get(message.fingerprint)
+        suspicion = self._get_suspicion(suspect)
+        if suspicion is not Suspicion.TRIAL:
+            self._reply(origin, suspicion)
+            return
+        assert suspect is not None
+        suspect.waiting = origin
+        suspect.waits_until = Seconds(self._now() + TRIAL_REPLY_TIMEOUT_S)
+        suspect.trial_at = Seconds(self._now() + TRIAL_RETRY_S)
+        self._waiting_count += 1
+        request = SendToLeader(TrialRequest(suspect.record))
+        self._outbox.tell(ControllerName.MEMBERSHIP, request)
+
+    @receive.register
+    def _(self, message: TrialReply, origin: Origin) -> None:
+        suspect = self._suspects.get(message.record.fingerprint)
+        if suspect is None or suspect.waiting is None:
+            return  # the reply came too late
+        self._apply(suspect, merge_records(suspect.record, message.record))
+        is_allowed = message.granted and suspect.record == message.record
+        self._end_wait(
+            suspect,
+            Suspicion.TRIAL if is_allowed else Suspicion.QUARANTINED,
+        )
+
+    @receive.register
+    def _(self, message: ReportUnusedTrial, origin: Origin) -> None:
+        suspect = self._suspects.get(message.fingerprint)
+        if suspect is not None and suspect.is_quarantined:
+            self._apply(suspect, count_unused_trial(suspect.record))
 
     @receive.register
     def _(self, message: ReportResponse, origin: Origin) -> None:
@@ -175,14 +229,14 @@
                 suspect.crashed_at[target] = now
         suspect.record = record
         suspect.expires_at = Seconds(now + get_time_to_live(record))
-        broadcast = Broadcast(record)
-        self._outbox.tell(ControllerName.MEMBERSHIP, broadcast)
-        if suspect.is_quarantined and not was_quarantined:
-            self._block(suspect)
+        self._broadcast(suspect)
+        if not suspect.is_quarantined:
+            if was_quarantined:
+                self._log("quarantine ended", record)
+            return
+        suspect.trial_at = Seconds(now + get_trial_wait(record))
+        if not was_quarantined:
             self._log("request quarantined", record)
-        elif was_quarantined and not suspect.is_quarantined:
-            suspect.block_s = MIN_BLOCK_S
-            self._log("quarantine ended", record)
 
     def _log(self, event: str, record: Quarantine) -> None:
         self._outbox.log_event(
@@ -207,7 +261,27 @@
         )
         del self._suspects[next(candidates, oldest)]
 
-    def _block(self, suspect: _Suspect) -> None:
-        now = self._now()
-        suspect.blocked_until = Seconds(now + suspect.block_s)
-        suspect.block_s = min(MAX_BLOCK_S, 2 * suspect.block_s)
+    def _get_suspicion(self, suspect: _Suspect | None) -> Suspicion:
+        """Return what is known; TRIAL if a trial may be requested now."""
+        if suspect is None or not suspect.record.targets:
+            return Suspicion.NONE
+        if not suspect.is_quarantined:
+            return Suspicion.SUSPECT
+        is_due = suspect.waiting is None and self._now() >= suspect.trial_at
+        return Suspicion.TRIAL if is_due else Suspicion.QUARANTINED
+
+    def _end_wait(self, suspect: _Suspect, suspicion: Suspicion) -> None:
+        """Reply to the attempt that waits for the leader."""
+        assert suspect.waiting is not None
+        self._reply(suspect.waiting, suspicion)
+        suspect.waiting = None
+        self._waiting_count -= 1
+
+    def _broadcast(self, suspect: _Suspect) -> None:
+        suspect.broadcast_at = self._now()
+        broadcast = Broadcast(suspect.record)
+        self._outbox.tell(ControllerName.MEMBERSHIP, broadcast)
+
+    def _repeat_broadcast(self, suspect: _Suspect) -> None:
+        if self._now() - suspect.broadcast_at >= REBROADCAST_INTERVAL_S:
+            self._broadcast(suspect)
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -37,6 +37,7 @@
     Isolation,
     PeerAddresses,
     SeedsChanged,
+    SendToLeader,
     SetFlag,
     Tick,
 )
@@ -111,6 +112,7 @@
         self._seeds: tuple[HostId, ...] = ()
         self._known_hubs: dict[HostId, HostAddress] = {}
         self._hub: HostId | None = None
+        self._leader = HostId("")
         self._mark = FeedMark(HostId(""), _NO_INCARNATION, _FEED_START)
         self._last_hub_contact = context.clock()
         self._last_leader_contact = context.clock()
@@ -170,6 +172,11 @@
         )
         self._outbox.send(self._hub, update)
 
+    @receive.register
+    def _(self, message: SendToLeader, origin: Origin) -> None:
+        if self._leader:
+            self._outbox.send(self._leader, message.message)
+
     @receive.register
     def _(self, message: EntryWork, origin: Origin) -> None:
         if self._hub is not None and self._is_in_region(self._hub):
@@ -183,6 +190,7 @@
             return
         now = self._now()
         self._last_hub_contact = now
+        self._leader = message.leader
         if message.in_contact:
             self._last_leader_contact = now
         self._record_position(message)
--- /dev/null
+++ b/packages/core/src/wasabitray_core/controllers/trials.py
@@ -0,0 +1,122 @@
+"""Trials of quarantined requests, granted by the leader."""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Any, ClassVar
+
+from wasabitray_core.controllers.controller import (
+    Context,
+    Controller,
+    Origin,
+)
+from wasabitray_core.controllers.crashes import (
+    QUARANTINE_TTL_S,
+    count_trial,
+    get_trial_wait,
+    merge_records,
+)
+from wasabitray_core.ids import Fingerprint, Seconds
+from wasabitray_core.local_messages import (
+    ControllerName,
+    GetStatus,
+    GroupContact,
+    Tick,
+)
+from wasabitray_core.messages import Quarantine, TrialReply, TrialRequest
+
+MAX_RECORDS = 4_096
+
+
+@dataclass(slots=True)
+class _Granted:
+    """The trials that were granted for a request.
+
+    Attributes:
+        record: what is known of the request.
+        newest_at: when the newest trial was granted.
+    """
+
+    record: Quarantine
+    newest_at: Seconds
+
+
+class TrialsController(Controller):
+    """Grants the trials of quarantined requests on the leader's host.
+
+    The number of targets that a request may still reach is a limit of the
+    fleet, so a single host grants the attempts. A new leader learns from the
+    entries' records of the trials that were granted before.
+    """
+
+    name: ClassVar[ControllerName] = ControllerName.TRIALS
+    tick_interval_s = 60.0
+
+    def __init__(self, context: Context) -> None:
+        """Start without any request."""
+        super().__init__(context)
+        self._is_leader = False
+        self._granted: OrderedDict[Fingerprint, _Granted] = OrderedDict()
+
+    @singledispatchmethod
+    def receive(self, message: Any, origin: Origin) -> None:
+        """Handle one message."""
+        raise TypeError(f"{self!r} does not handle {message!r}")
+
+    @receive.register
+    def _(self, message: Tick, origin: Origin) -> None:
+        expired_before = self._now() - QUARANTINE_TTL_S
+        for fingerprint, granted in list(self._granted.items()):
+            if granted.newest_at < expired_before:
+                del self._granted[fingerprint]
+
+    @receive.register
+    def _(self, message: GroupContact, origin: Origin) -> None:
+        self._is_leader = message.in_contact and message.leader == self.host
+
+    @receive.register
+    def _(self, message: TrialRequest, origin: Origin) -> None:
+        if origin.peer is None or not self._is_leader:
+            return
+        record = self._learn(message.record)
+        may_grant = self._is_due(record)
+        if may_grant:
+            record = self._grant(record)
+        self._outbox.log_event(
+            "trial granted" if may_grant else "trial denied",
+            fingerprint=record.fingerprint,
+            peer=origin.peer,
+            trials=record.trials,
+        )
+        self._outbox.send(origin.peer, TrialReply(record, may_grant))
+
+    @receive.register
+    def _(self, message: GetStatus, origin: Origin) -> None:
+        self._reply(
+            origin, {f: g.record.trials for f, g in self._granted.items()}
+        )
+
+    def _learn(self, record: Quarantine) -> Quarantine:
+        granted = self._granted.get(record.fingerprint)
+        if granted is None:
+            return record
+        granted.record = merge_records(granted.record, record)
+        return granted.record
+
+    def _is_due(self, record: Quarantine) -> bool:
+        wait = get_trial_wait(record)
+        granted = self._granted.get(record.fingerprint)
+        if granted is None:
+            return math.isfinite(wait)
+        return self._now() >= granted.newest_at + wait
+
+    def _grant(self, record: Quarantine) -> Quarantine:
+        record = count_trial(record)
+        self._granted[record.fingerprint] = _Granted(record, self._now())
+        self._granted.move_to_end(record.fingerprint)
+        if len(self._granted) > MAX_RECORDS:
+            self._granted.popitem(last=False)
+        return record
--- a/packages/core/src/wasabitray_core/filters/quarantine.py
+++ b/packages/core/src/wasabitray_core/filters/quarantine.py
@@ -18,7 +18,7 @@
     ReportResponse,
     Suspicion,
 )
-from wasabitray_core.requests import Exchange, Request
+from wasabitray_core.requests import Exchange, Request, Response
 from wasabitray_core.states import RefusalReason
 
 _QUARANTINE = ControllerName.QUARANTINE
@@ -50,6 +50,15 @@
     return Fingerprint(digest.hexdigest())
 
 
+def refuse_quarantined(exchange: Exchange) -> Response:
+    """Return the response to a quarantined request."""
+    return exchange.refuse(
+        RefusalReason.QUARANTINED,
+        422,
+        "the targets that ran this request crashed",
+    )
+
+
 class QuarantineFilter(Filter):
     """Refuses a request that crashed several targets that ran it."""
 
@@ -62,12 +71,8 @@
         check = CheckQuarantine(fingerprint)
         suspicion = yield AskController(_QUARANTINE, check)
         if suspicion is Suspicion.QUARANTINED:
-            return exchange.refuse(
-                RefusalReason.QUARANTINED,
-                422,
-                "the targets that ran this request crashed",
-            )
-        exchange.is_suspect = suspicion is Suspicion.SUSPECT
+            return refuse_quarantined(exchange)
+        exchange.is_suspect = suspicion is not Suspicion.NONE
         response = yield from call_next(exchange)
         if response.refusal is None and response.fault is None:
             report = ReportResponse(fingerprint)
--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -17,18 +17,22 @@
     TellController,
 )
 from wasabitray_core.filters.check import SERVER_ERRORS, find_failure
+from wasabitray_core.filters.quarantine import refuse_quarantined
 from wasabitray_core.ids import Seconds
 from wasabitray_core.local_messages import (
     AcquireSlot,
+    AdmitAttempt,
     AttemptSample,
     ControllerName,
     LongSlotReserved,
     ReleaseLongSlot,
     ReleaseSlot,
     ReportBrokenConnection,
+    ReportUnusedTrial,
     ReserveLongSlot,
     SlotGrant,
     SlotRefusal,
+    Suspicion,
 )
 from wasabitray_core.requests import (
     AttemptResult,
@@ -107,15 +111,17 @@
         if not isinstance(grant, SlotGrant):
             return _refuse(exchange, grant)
         target = grant.target
-        now = self._clock()
-        if now >= min(exchange.deadline, exchange.start_by):
-            # The process may have been suspended while it waited.
+        # The request may have been quarantined while it waited for the slot.
+        admission = AdmitAttempt(exchange.fingerprint)
+        suspicion = yield AskController(ControllerName.QUARANTINE, admission)
+        if suspicion is Suspicion.QUARANTINED:
             yield self._build_release(exchange, target, _NOT_SENT)
-            refusal = SlotRefusal(RefusalReason.DEADLINE)
-            return _refuse(exchange, refusal)
-        if not exchange.is_caller_waiting():
+            return refuse_quarantined(exchange)
+        refusal = self._find_reason_not_to_send(exchange)
+        if refusal is not None:
             yield self._build_release(exchange, target, _NOT_SENT)
-            return _refuse(exchange, SlotRefusal(RefusalReason.CALLER_GONE))
+            yield from _report_trial(exchange, suspicion, False)
+            return _refuse(exchange, refusal)
         exchange.tried_targets.append(target.target)
         # A reused connection may be dead already, and a request that is lost
         # on it can't be distinguished from one that ran.
@@ -138,6 +144,7 @@
             exchange.unsent_attempts += 1
         yield _describe_attempt(exchange, grant, result)
         exchange.may_have_run = exchange.may_have_run or result.may_have_run
+        yield from _report_trial(exchange, suspicion, result.may_have_run)
         failure = find_failure(exchange, result)
         response = self._build_response(exchange, target, result, failure)
         yield from self._report_outcome(
@@ -145,6 +152,19 @@
         )
         return response
 
+    def _find_reason_not_to_send(
+        self, exchange: Exchange
+    ) -> SlotRefusal | None:
+        """Return why a request with a slot should not be sent any more.
+
+        The process may have been suspended while the request waited.
+        """
+        if self._clock() >= min(exchange.deadline, exchange.start_by):
+            return SlotRefusal(RefusalReason.DEADLINE)
+        if not exchange.is_caller_waiting():
+            return SlotRefusal(RefusalReason.CALLER_GONE)
+        return None
+
     def _get_attempt_timeout(self, exchange: Exchange) -> Seconds:
         """Return an attempt's timeout, which leaves time for a retry.
 
@@ -254,6 +274,15 @@
             yield TellController(ControllerName.HEALTH, sample)
 
 
+def _report_trial(
+    exchange: Exchange, suspicion: Suspicion, may_have_run: bool
+) -> Generator[Effect, Any, None]:
+    """Report a trial of a quarantined request that did not run."""
+    if suspicion is Suspicion.TRIAL and not may_have_run:
+        report = ReportUnusedTrial(exchange.fingerprint)
+        yield TellController(ControllerName.QUARANTINE, report)
+
+
 def _describe_attempt(
     exchange: Exchange, grant: SlotGrant, result: AttemptResult
 ) -> LogDecision:
--- a/packages/core/src/wasabitray_core/local_messages.py
+++ b/packages/core/src/wasabitray_core/local_messages.py
@@ -35,6 +35,7 @@
     Quarantine,
     Snapshot,
     TargetReport,
+    TrialRequest,
 )
 from wasabitray_core.placement import Availability, Basis
 from wasabitray_core.requests import LoadReport, Target
@@ -59,6 +60,7 @@
     CLAIMS = "claims"
     GRANTS = "grants"
     QUARANTINE = "quarantine"
+    TRIALS = "trials"
     LONG_SLOTS = "long-slots"
     ADDRESSES = "addresses"
     SHARED_WORK = "shared-work"
@@ -251,6 +253,13 @@
     item: Announcement | Ejection | Quarantine | TargetReport
 
 
+@dataclass(frozen=True, slots=True)
+class SendToLeader:
+    """Sends a message to the leader's host, if it is known."""
+
+    message: TrialRequest
+
+
 @dataclass(frozen=True, slots=True)
 class InFlightSubscribers:
     """Hosts that receive the in-flight attempts of a hub's entries.
@@ -571,11 +580,23 @@
     fingerprint: Fingerprint
 
 
+@dataclass(frozen=True, slots=True)
+class AdmitAttempt:
+    """Asks whether an attempt may be made now; the reply is a Suspicion.
+
+    For a quarantined request, the reply may have to wait for the leader.
+    """
+
+    fingerprint: Fingerprint
+
+
 class Suspicion(Enum):
     """Whether a request is suspected of crashing its targets."""
 
     NONE = "none"
     SUSPECT = "suspect"
+    TRIAL = "trial"
+    """It is quarantined, but one attempt is allowed."""
     QUARANTINED = "quarantined"
 
 
@@ -586,6 +607,13 @@
     fingerprint: Fingerprint
 
 
+@dataclass(frozen=True, slots=True)
+class ReportUnusedTrial:
+    """A trial attempt ended before the target ran the request."""
+
+    fingerprint: Fingerprint
+
+
 @dataclass(frozen=True, slots=True)
 class ReportBrokenConnection:
     """A target broke the connection while it had this request.
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -119,11 +119,35 @@
             request, sorted, once for each crash.
         epoch: rises when a target serves the request. Crashes of an earlier
             epoch no longer count.
+        trials: attempts that the leader allowed during the quarantine.
+        unused_trials: how many of them certainly did not run.
     """
 
     fingerprint: Fingerprint
     targets: tuple[TargetId, ...]
     epoch: int = 0
+    trials: int = 0
+    unused_trials: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TrialRequest:
+    """Asks the leader to allow an attempt of a quarantined request."""
+
+    record: Quarantine
+
+
+@dataclass(frozen=True, slots=True)
+class TrialReply:
+    """The leader's reply to a trial request.
+
+    Attributes:
+        record: what the leader knows of the request; if the attempt is
+            allowed, it counts that attempt.
+    """
+
+    record: Quarantine
+    granted: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -259,6 +283,7 @@
             its group.
         entries: number of entries that are present.
         hubs: all control hosts that the sender knows; not in each message.
+        leader: the leader of the sender's group, empty if it knows none.
     """
 
     origin: HostId
@@ -274,6 +299,7 @@
     quarantines: tuple[Quarantine, ...] = ()
     reports: tuple[TargetReport, ...] = ()
     entry_states: tuple[EntryState, ...] = ()
+    leader: HostId = HostId("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -745,4 +771,6 @@
     | LongOccupancy
     | EntryWork
     | OthersWork
+    | TrialRequest
+    | TrialReply
 )
--- a/packages/node/src/wasabitray_node/assembly.py
+++ b/packages/node/src/wasabitray_node/assembly.py
@@ -30,6 +30,7 @@
     SubscriberController,
 )
 from wasabitray_core.controllers.targets import TargetsController
+from wasabitray_core.controllers.trials import TrialsController
 from wasabitray_core.errors import CorruptLogError
 from wasabitray_core.ids import (
     FailureDomainName,
@@ -221,6 +222,7 @@
         self._add(QuarantineController)
 
     def _add_consensus(self) -> None:
+        self._add(TrialsController)
         settings = self._settings
         assert settings.data_folder is not None
         self.storage = Storage(settings.data_folder)
--- a/packages/node/src/wasabitray_node/tasks.py
+++ b/packages/node/src/wasabitray_node/tasks.py
@@ -56,6 +56,8 @@
     m.LongOccupancy: ControllerName.DISPATCH,
     m.EntryWork: ControllerName.SHARED_WORK,
     m.OthersWork: ControllerName.DISPATCH,
+    m.TrialRequest: ControllerName.TRIALS,
+    m.TrialReply: ControllerName.QUARANTINE,
 }
 
 
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -16,7 +16,12 @@
   1: string target, 2: string service_, 3: i64 version, 4: i32 phase,
   5: double duration_s, 6: string evidence
 }
-struct Quarantine { 1: string fingerprint, 2: list<string> targets, 3: i32 epoch }
+struct Quarantine {
+  1: string fingerprint, 2: list<string> targets, 3: i32 epoch,
+  4: i32 trials, 5: i32 unused_trials
+}
+struct TrialRequest { 1: Quarantine record }
+struct TrialReply { 1: Quarantine record, 2: bool granted }
 struct TargetReport {
   1: string target, 2: i64 number, 3: double duration_s, 4: i32 kind,
   5: double suspicion, 6: i32 successes
@@ -37,7 +42,7 @@
   5: i64 revision, 6: bool in_contact, 7: i32 entries, 8: list<HostAddress> hubs,
   9: list<Announcement> announcements, 10: list<Ejection> ejections,
   11: list<Quarantine> quarantines, 12: list<TargetReport> reports,
-  13: list<EntryState> entry_states
+  13: list<EntryState> entry_states, 14: string leader
 }
 struct News {
   1: list<Announcement> announcements, 2: list<Ejection> ejections,
@@ -130,7 +135,8 @@
   22: LongSlotRelease long_slot_release,
   23: CampaignNow campaign_now, 24: LongOccupancy long_occupancy,
   25: Presence presence, 26: Unsubscribe unsubscribe, 27: Feed feed, 28: News news,
-  29: EntryWork entry_work, 30: OthersWork others_work
+  29: EntryWork entry_work, 30: OthersWork others_work,
+  31: TrialRequest trial_request, 32: TrialReply trial_reply
 }
 
 union StoredItem { 1: Ballot ballot, 2: LogRecord log_record, 3: Snapshot snapshot, 4: Member member }
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -459,14 +459,18 @@
      - fingerprint
      - targets
      - epoch
+     - trials
+     - unused_trials
 
     """
 
 
-    def __init__(self, fingerprint=None, targets=None, epoch=None,):
+    def __init__(self, fingerprint=None, targets=None, epoch=None, trials=None, unused_trials=None,):
         self.fingerprint = fingerprint
         self.targets = targets
         self.epoch = epoch
+        self.trials = trials
+        self.unused_trials = unused_trials
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -497,6 +501,16 @@
                     self.epoch = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.trials = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.unused_trials = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -522,6 +536,141 @@
             oprot.writeFieldBegin('epoch', TType.I32, 3)
             oprot.writeI32(self.epoch)
             oprot.writeFieldEnd()
+        if self.trials is not None:
+            oprot.writeFieldBegin('trials', TType.I32, 4)
+            oprot.writeI32(self.trials)
+            oprot.writeFieldEnd()
+        if self.unused_trials is not None:
+            oprot.writeFieldBegin('unused_trials', TType.I32, 5)
+            oprot.writeI32(self.unused_trials)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TrialRequest(object):
+    """
+    Attributes:
+     - record
+
+    """
+
+
+    def __init__(self, record=None,):
+        self.record = record
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.record = Quarantine()
+                    self.record.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TrialRequest')
+        if self.record is not None:
+            oprot.writeFieldBegin('record', TType.STRUCT, 1)
+            self.record.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TrialReply(object):
+    """
+    Attributes:
+     - record
+     - granted
+
+    """
+
+
+    def __init__(self, record=None, granted=None,):
+        self.record = record
+        self.granted = granted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.record = Quarantine()
+                    self.record.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TrialReply')
+        if self.record is not None:
+            oprot.writeFieldBegin('record', TType.STRUCT, 1)
+            self.record.write(oprot)
+            oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.BOOL, 2)
+            oprot.writeBool(self.granted)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1132,11 +1281,12 @@
      - quarantines
      - reports
      - entry_states
+     - leader
 
     """
 
 
-    def __init__(self, origin=None, incarnation=None, after=None, position=None, revision=None, in_contact=None, entries=None, hubs=None, announcements=None, ejections=None, quarantines=None, reports=None, entry_states=None,):
+    def __init__(self, origin=None, incarnation=None, after=None, position=None, revision=None, in_contact=None, entries=None, hubs=None, announcements=None, ejections=None, quarantines=None, reports=None, entry_states=None, leader=None,):
         self.origin = origin
         self.incarnation = incarnation
         self.after = after
@@ -1150,6 +1300,7 @@
         self.quarantines = quarantines
         self.reports = reports
         self.entry_states = entry_states
+        self.leader = leader
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1261,6 +1412,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRING:
+                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1341,6 +1497,10 @@
                 iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.leader is not None:
+            oprot.writeFieldBegin('leader', TType.STRING, 14)
+            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4893,11 +5053,13 @@
      - news
      - entry_work
      - others_work
+     - trial_request
+     - trial_reply
 
     """
 
 
-    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None, long_occupancy=None, presence=None, unsubscribe=None, feed=None, news=None, entry_work=None, others_work=None,):
+    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None, long_occupancy=None, presence=None, unsubscribe=None, feed=None, news=None, entry_work=None, others_work=None, trial_request=None, trial_reply=None,):
         self.gossip = gossip
         self.config_pull = config_pull
         self.config_push = config_push
@@ -4927,6 +5089,8 @@
         self.news = news
         self.entry_work = entry_work
         self.others_work = others_work
+        self.trial_request = trial_request
+        self.trial_reply = trial_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5111,6 +5275,18 @@
                     self.others_work.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.STRUCT:
+                    self.trial_request = TrialRequest()
+                    self.trial_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 32:
+                if ftype == TType.STRUCT:
+                    self.trial_reply = TrialReply()
+                    self.trial_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5237,6 +5413,14 @@
             oprot.writeFieldBegin('others_work', TType.STRUCT, 30)
             self.others_work.write(oprot)
             oprot.writeFieldEnd()
+        if self.trial_request is not None:
+            oprot.writeFieldBegin('trial_request', TType.STRUCT, 31)
+            self.trial_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.trial_reply is not None:
+            oprot.writeFieldBegin('trial_reply', TType.STRUCT, 32)
+            self.trial_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5392,6 +5576,19 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'targets', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.I32, 'epoch', None, None, ),  # 3
+    (4, TType.I32, 'trials', None, None, ),  # 4
+    (5, TType.I32, 'unused_trials', None, None, ),  # 5
+)
+all_structs.append(TrialRequest)
+TrialRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'record', [Quarantine, None], None, ),  # 1
+)
+all_structs.append(TrialReply)
+TrialReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'record', [Quarantine, None], None, ),  # 1
+    (2, TType.BOOL, 'granted', None, None, ),  # 2
 )
 all_structs.append(TargetReport)
 TargetReport.thrift_spec = (
@@ -5459,6 +5656,7 @@
     (11, TType.LIST, 'quarantines', (TType.STRUCT, [Quarantine, None], False), None, ),  # 11
     (12, TType.LIST, 'reports', (TType.STRUCT, [TargetReport, None], False), None, ),  # 12
     (13, TType.LIST, 'entry_states', (TType.STRUCT, [EntryState, None], False), None, ),  # 13
+    (14, TType.STRING, 'leader', 'UTF8', None, ),  # 14
 )
 all_structs.append(News)
 News.thrift_spec = (
@@ -5782,6 +5980,8 @@
     (28, TType.STRUCT, 'news', [News, None], None, ),  # 28
     (29, TType.STRUCT, 'entry_work', [EntryWork, None], None, ),  # 29
     (30, TType.STRUCT, 'others_work', [OthersWork, None], None, ),  # 30
+    (31, TType.STRUCT, 'trial_request', [TrialRequest, None], None, ),  # 31
+    (32, TType.STRUCT, 'trial_reply', [TrialReply, None], None, ),  # 32
 )
 all_structs.append(StoredItem)
 StoredItem.thrift_spec = (
--- a/tests/core/controllers/test_crashes.py
+++ b/tests/core/controllers/test_crashes.py
@@ -13,9 +13,11 @@
 from wasabitray_core.messages import Quarantine
 
 RECORDS = st.builds(
-    lambda targets, epoch: Quarantine("f", tuple(sorted(targets)), epoch),
+    lambda targets, *counts: Quarantine("f", tuple(sorted(targets)), *counts),
     st.lists(st.sampled_from(("t1", "t2", "t3")), max_size=5),
     st.integers(0, 2),
+    st.integers(0, 2),
+    st.integers(0, 2),
 )
 
 
--- a/tests/core/controllers/test_quarantine.py
+++ b/tests/core/controllers/test_quarantine.py
@@ -3,20 +3,30 @@
 import pytest
 from support.fakes import ControllerBed
 
-from wasabitray_core.controllers.crashes import SUSPICION_TTL_S
+from wasabitray_core.controllers.crashes import (
+    QUARANTINE_TTL_S,
+    SUSPICION_TTL_S,
+    TRIAL_WAITS_S,
+    count_trial,
+)
 from wasabitray_core.controllers.quarantine import (
-    MIN_BLOCK_S,
+    REBROADCAST_INTERVAL_S,
     RESPONSE_TTL_S,
+    TRIAL_REPLY_TIMEOUT_S,
+    TRIAL_RETRY_S,
     QuarantineController,
 )
 from wasabitray_core.local_messages import (
+    AdmitAttempt,
     Broadcast,
     CheckQuarantine,
     ReportBrokenConnection,
     ReportResponse,
+    ReportUnusedTrial,
+    SendToLeader,
     Suspicion,
 )
-from wasabitray_core.messages import Quarantine
+from wasabitray_core.messages import Quarantine, TrialReply, TrialRequest
 
 ATTEMPT_S = 0.1
 
@@ -119,12 +129,83 @@
     assert check_quarantine(bed) is Suspicion.NONE
 
 
-def test_one_attempt_is_allowed_after_each_block_and_blocks_double(bed):
-    crash(bed, "t1", "t2", "t3")
-    bed.clock.advance(MIN_BLOCK_S + 0.1)
-    assert check_quarantine(bed) is Suspicion.SUSPECT
-    assert check_quarantine(bed) is Suspicion.QUARANTINED
-    bed.clock.advance(MIN_BLOCK_S + 0.1)
-    assert check_quarantine(bed) is Suspicion.QUARANTINED
-    bed.clock.advance(MIN_BLOCK_S)
-    assert check_quarantine(bed) is Suspicion.SUSPECT
+def ask_for_trial(bed):
+    """Ask to make an attempt; return the token of the reply."""
+    return bed.start_ask(AdmitAttempt("f"))
+
+
+def get_trial_requests(bed):
+    messages = [m.message for m in bed.outbox.get_told(SendToLeader)]
+    return [m.record for m in messages if isinstance(m, TrialRequest)]
+
+
+class TestTrials:
+    """Attempts of a quarantined request."""
+
+    @pytest.fixture
+    def bed(self):
+        bed = ControllerBed(QuarantineController)
+        crash(bed, "t1", "t2", "t3")
+        return bed
+
+    def test_no_trial_is_requested_before_the_wait_is_over(self, bed):
+        bed.clock.advance(TRIAL_WAITS_S[0] - 0.1)
+        assert check_quarantine(bed) is Suspicion.QUARANTINED
+        assert bed.ask(AdmitAttempt("f")) is Suspicion.QUARANTINED
+        assert get_trial_requests(bed) == []
+
+    def test_only_the_attempt_that_the_leader_allows_is_made(self, bed):
+        bed.clock.advance(TRIAL_WAITS_S[0])
+        assert check_quarantine(bed) is Suspicion.TRIAL
+        token = ask_for_trial(bed)
+        assert bed.ask(AdmitAttempt("f")) is Suspicion.QUARANTINED
+        (record,) = get_trial_requests(bed)
+        bed.receive("c1", TrialReply(count_trial(record), True))
+        assert bed.outbox.replies[token] is Suspicion.TRIAL
+        assert get_broadcasts(bed)[-1].trials == 1
+        bed.clock.advance(TRIAL_WAITS_S[0])
+        assert check_quarantine(bed) is Suspicion.QUARANTINED
+
+    def test_attempt_that_the_leader_denies_is_not_made(self, bed):
+        bed.clock.advance(TRIAL_WAITS_S[0])
+        token = ask_for_trial(bed)
+        (record,) = get_trial_requests(bed)
+        bed.receive("c1", TrialReply(count_trial(record), False))
+        assert bed.outbox.replies[token] is Suspicion.QUARANTINED
+        assert check_quarantine(bed) is Suspicion.QUARANTINED
+
+    def test_attempt_without_a_reply_of_the_leader_is_not_made(self, bed):
+        bed.clock.advance(TRIAL_WAITS_S[0])
+        token = ask_for_trial(bed)
+        bed.tick(TRIAL_REPLY_TIMEOUT_S)
+        assert bed.outbox.replies[token] is Suspicion.QUARANTINED
+        late = TrialReply(count_trial(get_trial_requests(bed)[0]), True)
+        bed.receive("c1", late)
+        bed.clock.advance(TRIAL_RETRY_S)
+        assert check_quarantine(bed) is Suspicion.TRIAL
+
+    def test_quarantine_stays_after_the_last_trial(self, bed):
+        used = len(TRIAL_WAITS_S)
+        bed.receive("e2", Quarantine("f", ("t1", "t2", "t3"), trials=used))
+        bed.tick(QUARANTINE_TTL_S - 1.0)
+        assert check_quarantine(bed) is Suspicion.QUARANTINED
+
+    def test_trial_that_did_not_run_may_be_repeated(self, bed):
+        used = len(TRIAL_WAITS_S)
+        bed.receive("e2", Quarantine("f", ("t1", "t2", "t3"), trials=used))
+        bed.tell(ReportUnusedTrial("f"))
+        bed.clock.advance(TRIAL_WAITS_S[-1])
+        assert check_quarantine(bed) is Suspicion.TRIAL
+
+    def test_trial_that_is_served_ends_the_quarantine(self, bed):
+        bed.tell(ReportResponse("f"))
+        assert check_quarantine(bed) is Suspicion.NONE
+
+    def test_refusals_repeat_the_quarantine_for_hubs_that_lost_it(self, bed):
+        known = len(get_broadcasts(bed))
+        check_quarantine(bed)
+        assert len(get_broadcasts(bed)) == known
+        bed.clock.advance(REBROADCAST_INTERVAL_S)
+        check_quarantine(bed)
+        check_quarantine(bed)
+        assert len(get_broadcasts(bed)) == known + 1
--- /dev/null
+++ b/tests/core/controllers/test_trials.py
@@ -0,0 +1,68 @@
+"""Which trials of quarantined requests the leader grants."""
+
+import pytest
+from support.fakes import ControllerBed
+
+from wasabitray_core.controllers.crashes import TRIAL_WAITS_S, count_trial
+from wasabitray_core.controllers.trials import TrialsController
+from wasabitray_core.local_messages import GroupContact
+from wasabitray_core.messages import Quarantine, TrialReply, TrialRequest
+
+RECORD = Quarantine("f", ("t1", "t2", "t3"))
+
+
+@pytest.fixture
+def bed():
+    bed = ControllerBed(TrialsController, host="c1")
+    bed.tell(GroupContact(True, "c1", ("c1", "c2", "c3")))
+    return bed
+
+
+def request_trial(bed, record=RECORD, entry="e1"):
+    """Request a trial; return the reply, None if there is none."""
+    bed.outbox.sent.clear()
+    bed.receive(entry, TrialRequest(record))
+    replies = [m for _, m in bed.outbox.sent if isinstance(m, TrialReply)]
+    return replies[0] if replies else None
+
+
+def test_one_entry_at_a_time_gets_a_trial(bed):
+    assert request_trial(bed).granted
+    other = request_trial(bed, entry="e2")
+    assert (other.granted, other.record.trials) == (False, 1)
+
+
+def test_no_more_trials_are_granted_than_the_fleet_may_make(bed):
+    granted = 0
+    for _ in range(20):
+        granted += request_trial(bed).granted
+        bed.clock.advance(max(TRIAL_WAITS_S))
+    assert granted == len(TRIAL_WAITS_S)
+
+
+def test_new_leader_counts_the_trials_that_entries_know_of(bed):
+    record = RECORD
+    for _ in TRIAL_WAITS_S:
+        record = count_trial(record)
+    assert not request_trial(bed, record).granted
+
+
+def test_served_request_that_crashes_targets_again_gets_new_trials(bed):
+    for _ in TRIAL_WAITS_S:
+        bed.clock.advance(max(TRIAL_WAITS_S))
+        request_trial(bed)
+    bed.clock.advance(max(TRIAL_WAITS_S))
+    again = Quarantine("f", RECORD.targets, epoch=1)
+    assert request_trial(bed, again).granted
+
+
+@pytest.mark.parametrize(
+    "contact",
+    [
+        GroupContact(True, "c2", ("c1", "c2", "c3")),
+        GroupContact(False, "c1", ("c1", "c2", "c3")),
+    ],
+)
+def test_only_a_leader_in_contact_replies(bed, contact):
+    bed.tell(contact)
+    assert request_trial(bed) is None
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -38,6 +38,14 @@
     And of 10 requests to /write/x none runs twice
     And all entries stop using i1 immediately
 
+  Scenario: A request that crashes the instances which run it
+    When the instances crash on /read/poison
+    And /read/poison is sent 12 times to every entry
+    Then at most 6 requests to /read/poison reached instances
+    And every entry refuses /read/poison with status 429
+    When the instances no longer crash on /read/poison
+    Then every entry serves /read/poison within 20 s
+
   Scenario: Bodies and answers of odd shape
     Then a chunked upload of 1000000 bytes reaches an instance in full
     When the instances respond without a Content-Length
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -306,6 +306,56 @@
         instance.mode = mode
 
 
+def set_crash_path(context, path):
+    for instance in context.fleet.instances.values():
+        instance.crash_path = path
+
+
+@when("the instances crash on {path}")
+def crash_on_path(context, path):
+    set_crash_path(context, path)
+
+
+@when("the instances no longer crash on {path}")
+def stop_crashing(context, path):
+    set_crash_path(context, "")
+
+
+@when("{path} is sent {count:d} times to every entry")
+def send_to_every_entry(context, path, count):
+    for _ in range(count):
+        for entry in context.fleet.entries:
+            context.fleet.send(entry, "GET", path)
+
+
+@then("at most {count:d} requests to {path} reached instances")
+def few_requests_reached_instances(context, count, path):
+    reached = sum(
+        r.target == path
+        for i in context.fleet.instances.values()
+        for r in i.requests
+    )
+    assert 0 < reached <= count, reached
+
+
+@then("every entry refuses {path} with status {status:d}")
+def every_entry_refuses(context, path, status):
+    for entry in context.fleet.entries:
+        response = context.fleet.send(entry, "GET", path)
+        assert response.status == status, response
+
+
+@then("every entry serves {path} within {seconds:d} s")
+def every_entry_serves(context, path, seconds):
+    def is_served():
+        return all(
+            context.fleet.send(entry, "GET", path).status == 200
+            for entry in context.fleet.entries
+        )
+
+    wait_for(is_served, seconds, f"a response to {path} at every entry")
+
+
 @when("the instances respond without a Content-Length")
 def omit_content_length(context):
     set_mode(context, "unframed")
--- a/tests/features/steps/target_steps.py
+++ b/tests/features/steps/target_steps.py
@@ -131,6 +131,17 @@
         assert response.json()["reason"] == reason
 
 
+@then("GET {path} is served at every entry within {seconds:d} s")
+def served_everywhere(context, path, seconds):
+    def is_served():
+        return all(
+            send_get(context, entry, path).status == 200
+            for entry in context.fleet.entry_names
+        )
+
+    wait_for(is_served, seconds, "a response to a request that crashed before")
+
+
 @when("every open connection to the rota targets stops responding")
 def silence_connections(context):
     for name in get_targets(context, "rota"):
--- a/tests/features/targets.feature
+++ b/tests/features/targets.feature
@@ -56,6 +56,8 @@
     And a caller sends GET /rota/hobart/poison 12 times to all entries
     Then at most 6 attempts reached targets
     And it is refused with 422 quarantined at every entry
+    When every rota target recovers
+    Then GET /rota/hobart/poison is served at every entry within 20 s
 
   Scenario: All open connections to the targets go silent
     Given a fleet of 3 control hosts and 3 entries
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -98,12 +98,13 @@
             them as not executed; `other`, respond as an instance other
             than the expected one does.
         delay_s: time that each request takes.
+        crash_path: requests with this path break their connection.
     """
 
     def __init__(self, name, service, address, zone, registries, born=1_000):
         self.name, self.service, self.zone = name, service, zone
         self.address, self.registries, self.born = address, registries, born
-        self.mode, self.delay_s = "serve", 0.0
+        self.mode, self.delay_s, self.crash_path = "serve", 0.0, ""
         self.state, self.sequence = "ready", 0
         self.requests: list[ReceivedRequest] = []
         host, _, port = address.rpartition(":")
@@ -192,7 +193,7 @@
             sock.sendall(build_response(413, response_headers, b"too long"))
             return False
         request.body = reader.read_body(headers)
-        if self.mode == "reset":
+        if self.mode == "reset" or target == self.crash_path:
             sock.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
             )
