Take a crash on a reused connection or after the head as evidence

A request whose targets crashed after the head of the response, or while it ran on a reused connection, was never suspected: only an attempt that failed on a new connection before the head was reported. An attempt now counts if its connection broke, whatever the connection and however far the response was. A connection that stays open without a response is still no evidence, since a path that is cut looks the same.

Two of the three cases of the new test failed before.

--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -257,8 +257,8 @@
         )
         yield AfterResponse(release) if is_streaming else release
         if result.status is AttemptStatus.FAILED:
-            # A broken connection is evidence against the request as well.
             exchange.broken_connections += 1
+        if result.may_be_crash:
             report = ReportBrokenConnection(
                 exchange.fingerprint, target.target, result.elapsed
             )
--- a/packages/core/src/wasabitray_core/requests.py
+++ b/packages/core/src/wasabitray_core/requests.py
@@ -145,15 +145,29 @@
 )
 
 
+_BROKEN_STATUSES = frozenset(
+    {
+        AttemptStatus.FAILED,
+        AttemptStatus.TRUNCATED,
+        AttemptStatus.STALE_CONNECTION,
+    }
+)
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
-    """The result of one attempt at a target."""
+    """The result of one attempt at a target.
+
+    Attributes:
+        is_silent: whether the connection stayed open without a response.
+    """
 
     status: AttemptStatus
     response: Response | None = None
     load: LoadReport | None = None
     elapsed: Seconds = Seconds(0.0)
     detail: str = ""
+    is_silent: bool = False
 
     @property
     def was_sent(self) -> bool:
@@ -165,6 +179,11 @@
         """Whether the target may have started to run the request."""
         return self.status not in _NOT_RUN_STATUSES
 
+    @property
+    def may_be_crash(self) -> bool:
+        """Whether the connection broke, as it does if the target crashes."""
+        return self.status in _BROKEN_STATUSES and not self.is_silent
+
 
 def _return_true() -> bool:
     return True
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -107,7 +107,12 @@
         elapsed = Seconds(self._clock() - started)
         self._release_connection(exchange, result, watch)
         return AttemptResult(
-            result.status, result.response, result.load, elapsed, result.detail
+            result.status,
+            result.response,
+            result.load,
+            elapsed,
+            result.detail,
+            result.is_silent,
         )
 
     def _connect(self, attempt: Attempt) -> Connection:
@@ -150,7 +155,7 @@
             status = AttemptStatus.TRUNCATED
         else:
             status = AttemptStatus.FAILED
-        return AttemptResult(status, detail=detail)
+        return AttemptResult(status, detail=detail, is_silent=timed_out)
 
     def _release_connection(
         self,
--- a/tests/core/filters/test_chain.py
+++ b/tests/core/filters/test_chain.py
@@ -17,9 +17,13 @@
 from wasabitray_core.local_messages import (
     AcquireClaim,
     AcquireSlot,
+    AdmitAttempt,
     AttemptSample,
     ClaimVerdict,
     ReleaseSlot,
+    ReportBrokenConnection,
+    ReportResponse,
+    ReportUnusedTrial,
     RequestEnded,
     ResolveRoute,
     RouteResolved,
@@ -57,6 +61,8 @@
         self.attempts, self.sent_messages, self.log_lines = [], [], []
         self.slots = itertools.count(1)
         self.suspended_s = 0.0
+        self.admission = Suspicion.NONE
+        self.admissions = iter(())
 
     def run(self, key=""):
         request = Request("hobart", "POST", "/x", key=key)
@@ -96,6 +102,8 @@
                 return SlotRefusal(RefusalReason.OVERLOAD, 1.0)
             name = f"t{next(self.slots)}" if self.slots else "t1"
             return SlotGrant(Target(name, "rota", "r", "d", 2))
+        if isinstance(message, AdmitAttempt):
+            return next(self.admissions, self.admission)
         return Suspicion.NONE
 
     def get_sent(self, kind):
@@ -204,6 +212,68 @@
     assert len(script.attempts) == 2
 
 
+@pytest.mark.parametrize("status", [S.FAILED, S.TRUNCATED, S.STALE_CONNECTION])
+def test_broken_connection_is_reported_as_a_crash_of_its_request(status):
+    result = AttemptResult(status, elapsed=0.25)
+    script = Script(result, idempotent=False)
+    script.run(key="k")
+    (report,) = script.get_sent(ReportBrokenConnection)
+    assert report.fingerprint == script.exchange.fingerprint
+    assert (report.target, report.elapsed) == ("t1", 0.25)
+
+
+@pytest.mark.parametrize(
+    "result",
+    [
+        AttemptResult(S.STALE_CONNECTION, is_silent=True),
+        AttemptResult(S.TIMED_OUT, is_silent=True),
+        AttemptResult(S.UNREACHABLE),
+        AttemptResult(S.CANCELLED),
+        AttemptResult(S.ANSWERED, Response(500)),
+    ],
+)
+def test_attempt_whose_connection_did_not_break_is_no_crash(result):
+    script = Script(*[result] * 6, idempotent=False)
+    script.run(key="k")
+    assert script.get_sent(ReportBrokenConnection) == []
+
+
+@pytest.mark.parametrize(("status", "reports"), [(200, 1), (404, 1), (500, 0)])
+def test_only_a_request_that_was_served_is_cleared(status, reports):
+    script = Script(AttemptResult(S.ANSWERED, Response(status)), attempts=1)
+    script.run()
+    assert len(script.get_sent(ReportResponse)) == reports
+
+
+def test_request_quarantined_while_it_waits_for_a_slot_is_not_sent():
+    script = Script(idempotent=False)
+    script.admission = Suspicion.QUARANTINED
+    response = script.run(key="k")
+    assert (response.refusal, response.outcome) == (
+        RefusalReason.QUARANTINED,
+        Outcome.NOT_RUN,
+    )
+    assert len(script.get_sent(ReleaseSlot)) == 1
+
+
+def test_retry_of_a_request_that_was_quarantined_meanwhile_is_not_sent():
+    script = Script(S.FAILED)
+    script.admissions = iter([Suspicion.NONE, Suspicion.QUARANTINED])
+    response = script.run()
+    assert len(script.attempts) == 1
+    assert response.refusal is RefusalReason.TARGET_FAILED
+
+
+@pytest.mark.parametrize(
+    ("status", "reports"), [(S.UNREACHABLE, 1), (S.SHED, 1), (S.FAILED, 0)]
+)
+def test_trial_that_did_not_run_is_returned(status, reports):
+    script = Script(status, idempotent=False, attempts=1)
+    script.admissions = iter([Suspicion.TRIAL, Suspicion.QUARANTINED])
+    script.run(key="k")
+    assert len(script.get_sent(ReportUnusedTrial)) == reports
+
+
 def test_error_response_of_the_target_is_returned():
     error = AttemptResult(S.ANSWERED, Response(500, body=b"why"))
     script = Script(error, idempotent=False)
