Tell streamed uploads apart by their length and first bytes

The fingerprint of a request left out a streamed body, so all large uploads of a caller to one path were taken for the same request: one that crashed its targets quarantined the others, and one that was served cleared it. The entry now reads the first kilobyte before the request enters the filter chain, and the fingerprint covers it and the length.

Before, all three cases of the test of uploads had the same fingerprint.

--- a/packages/core/src/wasabitray_core/filters/quarantine.py
+++ b/packages/core/src/wasabitray_core/filters/quarantine.py
@@ -28,7 +28,8 @@
     """Return a digest that is the same when a caller resends a request.
 
     It covers the organisation and the idempotency key or, without a key, the
-    organisation, authority, caller, method, path, query and body.
+    organisation, authority, caller, method, path, query and body. Of a body
+    that is streamed, it covers the length and the first bytes.
     """
     digest = hashlib.blake2b(digest_size=16)
     identity = (
@@ -46,7 +47,8 @@
     for part in identity:
         digest.update(f"{len(part)}:{part}".encode())
     if not request.key:
-        digest.update(request.body)
+        digest.update(f"{request.length}:".encode())
+        digest.update(request.body or request.body_start)
     return Fingerprint(digest.hexdigest())
 
 
--- a/packages/core/src/wasabitray_core/requests.py
+++ b/packages/core/src/wasabitray_core/requests.py
@@ -40,6 +40,8 @@
         stream: a larger body in chunks; it can be read only once.
         length: size of the body in bytes, None if it is not known before the
             end of the body.
+        body_start: the first bytes of a streamed body, which the stream
+            contains too.
         key: idempotency key that the caller gave, empty if none.
         id: identifies the request in logs. A request that the caller sends
             again has another id.
@@ -60,6 +62,7 @@
     id: CallerRequestId = CallerRequestId("")
     authority: AuthorityName = AuthorityName("")
     caller: str = ""
+    body_start: bytes = b""
 
     def __repr__(self) -> str:
         return f"<Request [{self.method} {self.path}]>"
--- a/packages/node/src/wasabitray_node/bodies.py
+++ b/packages/node/src/wasabitray_node/bodies.py
@@ -13,6 +13,9 @@
 from wasabitray_node.watch import CallerGoneError
 
 READ_SIZE_BYTES = 65_536
+# Bytes of a streamed body that are read before the request enters the filter
+# chain, to tell it from other requests.
+BODY_START_BYTES = 1_024
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,11 +26,13 @@
         content: a small body as a whole.
         stream: the pieces of a large body.
         length: the number of bytes, None if it is known only at the end.
+        start: the first bytes of a large body; the stream has them too.
     """
 
     content: bytes = b""
     stream: Iterator[bytes] | None = None
     length: int | None = 0
+    start: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,10 +66,7 @@
         if length > self._limits.max_body_bytes:
             return RequestRejection(413, "the body is larger than the limit")
         if length > self._limits.hold_bytes:
-            return Body(
-                stream=_stream_by_length(stream, length, on_complete),
-                length=length,
-            )
+            return self._stream_with_length(stream, length, on_complete)
         if not length:
             return Body()
         content = self._buffer(stream, length)
@@ -78,6 +80,16 @@
             else _to_body(content)
         )
 
+    def _stream_with_length(
+        self, stream: Any, length: int, on_complete: Callable[[], None]
+    ) -> Body | RequestRejection:
+        start = self._buffer(stream, BODY_START_BYTES)
+        if isinstance(start, RequestRejection):
+            return start
+        remaining = length - len(start)
+        pieces = _stream_by_length(stream, remaining, on_complete)
+        return Body(stream=_prepend(start, pieces), length=length, start=start)
+
     def _read_chunked(
         self, stream: Any, on_complete: Callable[[], None]
     ) -> Body | RequestRejection:
@@ -91,7 +103,9 @@
         pieces = _prepend(
             content, _stream_chunks(stream, remaining_limit, on_complete)
         )
-        return Body(stream=pieces, length=None)
+        return Body(
+            stream=pieces, length=None, start=content[:BODY_START_BYTES]
+        )
 
     def _buffer(self, stream: Any, size: int) -> bytes | RequestRejection:
         try:
--- a/packages/node/src/wasabitray_node/callers.py
+++ b/packages/node/src/wasabitray_node/callers.py
@@ -266,6 +266,7 @@
             metadata.id or new_request_id(),
             metadata.authority,
             req.remote_addr or "",
+            body.start,
         )
         return request, rejection
 
