Refuse registrations that the rest of the fleet can't carry

Another writer's odd entry ended control hosts' links, or was answered with 500. Deeply nested JSON raised RecursionError, which is no ValueError; slots up to 2**63 were accepted, but messages between hosts carry 32 bits, and names with surrogates, which can't be encoded at all; an id with a line break could add a header to requests; a configuration version of 2**63 or more would have ended the process that syncs it. A departure with an unreadable body removed the instance.

One function reads JSON bodies, with a limit on their size. Announcements on the native interface are parsed without recursion. Nothing of a registration is stored on disk, so a restart meets none that got in before.

--- a/packages/node/src/wasabitray_node/announcements.py
+++ b/packages/node/src/wasabitray_node/announcements.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import json
-
 import falcon
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -22,6 +20,7 @@
 from wasabitray_node.tasks import Router
 
 ANNOUNCEMENTS_PATH = "/v1/announcements"
+MAX_BODY_BYTES = 65_536
 
 
 class AnnouncementBody(BaseModel):
@@ -57,17 +56,13 @@
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Handle one announcement."""
         try:
-            body = AnnouncementBody.model_validate(
-                json.loads(req.bounded_stream.read())
+            body = AnnouncementBody.model_validate_json(
+                req.bounded_stream.read(MAX_BODY_BYTES)
             )
         except ValidationError as error:
             raise build_bad_request(
                 describe_problems(error, "announcement")
             ) from None
-        except ValueError as error:
-            raise build_bad_request(
-                [f"announcement: not JSON: {error}"]
-            ) from None
         phase = TargetPhase.LEAVING if body.leaving else TargetPhase.ACTIVE
         announcement = Announcement(
             TargetId(body.address),
--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import re
 import socket
@@ -11,6 +12,7 @@
 import gevent
 from gevent.event import Event
 from gevent.pywsgi import LoggingLogAdapter, WSGIHandler, WSGIServer
+from result import Err, Ok, Result
 
 from wasabitray_node.settings import split_address
 from wasabitray_node.sockets import has_input
@@ -32,6 +34,24 @@
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^`|~0-9A-Za-z-]+")
 
 
+def read_json(req: falcon.Request, max_bytes: int) -> Result[Any, str]:
+    """Return the decoded body of a request, or why it can't be read.
+
+    Args:
+        req: the request.
+        max_bytes: largest size of the body.
+    """
+    body = req.bounded_stream.read(max_bytes + 1)
+    if len(body) > max_bytes:
+        return Err(f"the body is longer than {max_bytes} bytes")
+    try:
+        return Ok(json.loads(body))
+    except RecursionError:
+        return Err("the body is nested too deeply")
+    except ValueError as error:
+        return Err(f"the body is not JSON: {error}")
+
+
 class _IdleConnectionEndedError(Exception):
     """The server is stopping, and the connection carries no request."""
 
--- a/packages/node/src/wasabitray_node/operators.py
+++ b/packages/node/src/wasabitray_node/operators.py
@@ -57,7 +57,7 @@
     model_config = ConfigDict(extra="forbid")
 
     change: str = Field(min_length=8, max_length=128)
-    expected: int = Field(ge=0)
+    expected: int = Field(ge=0, lt=2**63)
     author: str
     wall_time: str
     edits: list[EditBody] = Field(min_length=1)
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -23,6 +23,7 @@
   Scenario: A word that can't be read harms nobody
     When instances send invalid registrations
     Then a request to /read/x and its response arrive unchanged
+    And every entry uses a new instance of its region within 5 s
 
   Scenario: An instance that leaves gets nothing more
     When i1 announces that it is leaving and is acknowledged
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -14,6 +14,7 @@
     encode_request_head,
     make_config,
     read_response,
+    send,
 )
 
 # At the end of a day, the platform's operator retries a read for at least this
@@ -197,7 +198,15 @@
     fleet = context.fleet
     valid_fields = fleet.instances["i1"].build_registration()
     for number, invalid_fields in enumerate(
-        ({"state": "tired"}, {"slots": None}, {"address": 5}, {"zone": []})
+        (
+            {"state": "tired"},
+            {"slots": None},
+            {"slots": 2**40},
+            {"address": 5},
+            {"address": "10.0.0.1:70000"},
+            {"zone": []},
+            {"service": "\ud800"},
+        )
     ):
         for control in fleet.controls:
             path = f"/-/instances/i-bad-{number}"
@@ -208,6 +217,31 @@
                 valid_fields | invalid_fields,
             )
             assert response.status == 400
+    deeply_nested = b"[" * 100_000
+    for control in fleet.controls:
+        for method in ("PUT", "DELETE"):
+            address = fleet.registry_address(control)
+            path = "/-/instances/i-i1"
+            response = send(address, method, path, deeply_nested)
+            assert response.status == 400
+
+
+@then("every entry uses a new instance of its region within {seconds:d} s")
+def new_instance_is_used(context, seconds):
+    new_instances = ("i3", "i4")  # one in each region
+    for name in new_instances:
+        context.fleet.start_instance(name, "rota")
+    expected = tuple(f"i-{name} ".encode() for name in new_instances)
+    used_by = set()
+
+    def is_used_everywhere():
+        for entry in context.fleet.entries:
+            response = context.fleet.send(entry, "GET", "/read/x")
+            if response.body.startswith(expected):
+                used_by.add(entry)
+        return used_by == set(context.fleet.entries)
+
+    wait_for(is_used_everywhere, seconds, "requests at new instances")
 
 
 @when("{name} announces that it is leaving and is acknowledged")
--- a/tests/platform/test_units.py
+++ b/tests/platform/test_units.py
@@ -34,7 +34,9 @@
     assert format_version(12) == "r12"
 
 
-@pytest.mark.parametrize("text", ["12", "r", "r-1", "v1", 12, None])
+@pytest.mark.parametrize(
+    "text", ["12", "r", "r-1", "v1", 12, None, f"r{2**63}", "r" + "9" * 5_000]
+)
 def test_invalid_version_is_refused(text):
     with pytest.raises(ValueError):
         parse_version(text)
