Keep a link and its readers alive whatever a message holds

A message that can't be encoded raised an error that the task of the link did not handle, so nothing reached that peer any more; one that can't be decoded closed the link, and a feed that holds it is sent again until it is read, so the reader stopped following. Hosts that read the list fell silent (LOST).

A link now drops such a message alone, with a line, and sends the rest of its batch again. A reader drops an item of a feed alone, and any other message as a whole, since changes and log records follow from each other. A field that an earlier version doesn't send gets its default.

--- a/packages/node/src/wasabitray_node/links.py
+++ b/packages/node/src/wasabitray_node/links.py
@@ -17,12 +17,14 @@
 from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TFramedTransport, TTransportException
 
+from wasabitray_core.errors import PeerError
 from wasabitray_core.ids import HostId
 from wasabitray_core.messages import Hello
-from wasabitray_node.logs import log_event
+from wasabitray_node.logs import log_error, log_event
 from wasabitray_node.settings import split_address
 from wasabitray_wire import (
     PROTOCOL,
+    encoded_size,
     from_wire,
     hello_from_wire,
     hello_to_wire,
@@ -129,7 +131,27 @@
             client = self._client or self._connect()
             count = min(MAX_BATCH_MESSAGES, len(self._queue))
             batch = [self._queue.popleft() for _ in range(count)]
-            client.deliver([to_wire(message) for message in batch])
+            try:
+                client.deliver([to_wire(message) for message in batch])
+            except _LINK_ERRORS:
+                raise
+            except Exception as error:
+                # The connection may have a part of the batch in its buffer.
+                self._close(error)
+                self._queue.extendleft(reversed(self._drop_invalid(batch)))
+
+    def _drop_invalid(self, batch: list[Any]) -> list[Any]:
+        """Return the messages of a batch that can be encoded; log others."""
+        valid = []
+        for message in batch:
+            try:
+                encoded_size(message)
+            except Exception as error:
+                _log_dropped(self._peer, type(message).__name__, error)
+            else:
+                valid.append(message)
+        # Without an invalid message, the cause of the error is unknown.
+        return valid if len(valid) < len(batch) else []
 
     def _connect(self) -> Peer.Client:
         # The link uses the host's own IP address as its source, so that
@@ -255,7 +277,19 @@
         if self._peer is None:
             raise _refuse_link("messages came before a hello", "")
         for message in messages:
-            self._receive(self._peer, from_wire(message))
+            try:
+                decoded = from_wire(message, self._log_dropped_item)
+            except PeerError as error:
+                _log_dropped(self._peer, "message", error)
+            else:
+                self._receive(self._peer, decoded)
+
+    def _log_dropped_item(self, kind: str, error: Exception) -> None:
+        _log_dropped(self._peer, kind, error)
+
+
+def _log_dropped(peer: HostId | None, kind: str, error: Exception) -> None:
+    log_event("message dropped", peer=peer, kind=kind, reason=str(error))
 
 
 def _refuse_link(reason: str, peer: str) -> TTransportException:
@@ -310,5 +344,7 @@
                 processor.process(protocol, protocol)
         except _LINK_ERRORS:
             pass  # the sending side logs "link down"
+        except Exception as error:  # bytes that the protocol can't read
+            log_error("link failed", error, peer=address[0])
         finally:
             transport.close()
--- a/packages/wire/src/wasabitray_wire/codec.py
+++ b/packages/wire/src/wasabitray_wire/codec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.Thrift import TException
 from thrift.TSerialization import deserialize, serialize
@@ -9,13 +11,23 @@
 from wasabitray_core.errors import PeerError
 from wasabitray_core.messages import (
     Ballot,
+    EntryWork,
+    Feed,
+    Gossip,
     Hello,
     LogRecord,
     Member,
+    News,
+    OthersWork,
     PeerMessage,
     Snapshot,
 )
-from wasabitray_wire.convert import make_decoder, make_encoder
+from wasabitray_wire.convert import (
+    get_item_kinds,
+    make_decoder,
+    make_encoder,
+    to_snake_case,
+)
 from wasabitray_wire.gen import ttypes
 
 PROTOCOL = TCompactProtocolAcceleratedFactory()
@@ -31,24 +43,64 @@
 
 _MALFORMED = (TException, ValueError, EOFError, TypeError, AttributeError)
 
+DropReporter = Callable[[str, Exception], None]
+"""Called with the kind of an item that is left out, and the error."""
+
+# Messages whose items don't depend on each other.
+_KINDS_OF_ITEMS = (Feed, News, Gossip, EntryWork, OthersWork)
+
 
 def to_wire(message: PeerMessage) -> ttypes.PeerMessage:
     """Return the generated struct of a message."""
     return _encode_message(message)
 
 
-def from_wire(message: ttypes.PeerMessage) -> PeerMessage:
+def from_wire(
+    message: ttypes.PeerMessage, report_dropped: DropReporter | None = None
+) -> PeerMessage:
     """Return the message of a generated struct.
 
+    Malformed items of a feed and of similar messages are left out.
+
+    Args:
+        message: the generated struct.
+        report_dropped: called for each item that is left out.
+
     Raises:
         PeerError: the message is malformed or unknown to this version.
     """
+    try:
+        return _decode_message(message)
+    except _MALFORMED:
+        _drop_malformed_items(message, report_dropped)
     try:
         return _decode_message(message)
     except _MALFORMED as error:
         raise PeerError(str(error), step="decode message") from error
 
 
+def _drop_malformed_items(
+    message: ttypes.PeerMessage, report_dropped: DropReporter | None
+) -> None:
+    """Remove the items that can't be decoded from a generated struct."""
+    for kind in _KINDS_OF_ITEMS:
+        struct = getattr(message, to_snake_case(kind.__name__))
+        if struct is None:
+            continue
+        for name, item_kind in get_item_kinds(kind).items():
+            decode = make_decoder(item_kind)
+            valid = []
+            for item in getattr(struct, name) or ():
+                try:
+                    decode(item)
+                except _MALFORMED as error:
+                    if report_dropped is not None:
+                        report_dropped(item_kind.__name__, error)
+                else:
+                    valid.append(item)
+            setattr(struct, name, valid)
+
+
 def hello_to_wire(hello: Hello) -> ttypes.Hello:
     """Return the generated struct of a hello."""
     return _encode_hello(hello)
--- a/packages/wire/src/wasabitray_wire/convert.py
+++ b/packages/wire/src/wasabitray_wire/convert.py
@@ -10,7 +10,7 @@
 import types
 import typing
 from collections.abc import Callable
-from dataclasses import fields, is_dataclass
+from dataclasses import MISSING, fields, is_dataclass
 from enum import Enum
 from functools import cache
 from typing import Any
@@ -53,6 +53,16 @@
     return typing.get_type_hints(kind)
 
 
+@cache
+def get_item_kinds(kind: type) -> dict[str, type]:
+    """Return the fields of a message that hold items, and their kinds."""
+    return {
+        get_field_name(name): typing.get_args(hint)[0]
+        for name, hint in _get_hints(kind).items()
+        if typing.get_origin(hint) is tuple
+    }
+
+
 @cache
 def make_encoder(hint: Any, union: str = "") -> Converter:
     """Return the converter from a core value to a generated one.
@@ -105,7 +115,8 @@
 def make_decoder(hint: Any) -> Converter:
     """Return the converter from a generated value to a core one.
 
-    The converter raises ValueError if a required field is missing.
+    A field that is missing, such as one that an earlier version doesn't send,
+    gets its default. The converter raises ValueError if it has none.
     """
     optional = _get_optional_type(hint)
     if optional is not None:
@@ -132,10 +143,19 @@
 def _make_struct_decoder(kind: type) -> Converter:
     hints = _get_hints(kind)
     parts = [
-        (get_field_name(f.name), make_decoder(hints[f.name]))
+        (get_field_name(f.name), make_decoder(hints[f.name]), f.default)
         for f in fields(kind)
     ]
-    return lambda v: kind(*[d(getattr(_require(v), n)) for n, d in parts])
+
+    def decode(value: Any) -> Any:
+        values = []
+        for name, convert, default in parts:
+            part = getattr(_require(value), name)
+            is_missing = part is None and default is not MISSING
+            values.append(default if is_missing else convert(part))
+        return kind(*values)
+
+    return decode
 
 
 def _make_union_decoder(hint: Any) -> Converter:
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -1,6 +1,7 @@
 """Tests that messages and stored items are the same after decoding."""
 
 import typing
+from dataclasses import replace
 
 import pytest
 
@@ -75,6 +76,34 @@
     assert hasattr(ttypes.PeerMessage(), to_snake_case(kind.__name__))
 
 
+def test_field_that_an_earlier_version_lacks_gets_its_default():
+    feed = m.Feed("c1", "run", 0, 1, 0, True, 4, leader="c2")
+    struct = to_wire(feed)
+    struct.feed.leader = None
+    assert from_wire(struct) == replace(feed, leader="")
+    struct.feed.origin = None
+    with pytest.raises(PeerError):
+        from_wire(struct)
+
+
+def test_malformed_item_of_a_feed_is_left_out_alone():
+    quarantines = (m.Quarantine("f", ("t1",)), m.Quarantine("g", ("t2",)))
+    feed = m.Feed("c1", "run", 0, 1, 0, True, 4, quarantines=quarantines)
+    struct = to_wire(feed)
+    struct.feed.quarantines[0].targets = None
+    dropped = []
+    decoded = from_wire(struct, lambda kind, error: dropped.append(kind))
+    assert decoded == replace(feed, quarantines=quarantines[1:])
+    assert dropped == ["Quarantine"]
+
+
+def test_change_without_a_record_is_refused_as_a_whole():
+    struct = to_wire(m.ConfigPush((m.CommittedChange(4, CHANGE),) * 2))
+    struct.config_push.changes[0].revision = None
+    with pytest.raises(PeerError):
+        from_wire(struct)
+
+
 def test_truncated_bytes_are_refused():
     data = encode_item(SNAPSHOT)
     for cut in range(len(data) - 1):
