Send idle targets requests before busy choices by chance

Among equally loaded targets the choice was random, so with 1 to 2 requests a target and window a fifth was missed by chance, and targets that were readmitted got each request first, so the others got what was left.

A target that no entry of the region used for a second now goes before others with the same load; while many requests are lost, trials leave such targets their share. Entries keep one age for all shared load instead of one for each target, so a change of an attempt no longer walks through all targets.

The simulated hub streams in-flight attempts for these loads, as the real one does.

The test of shared attempts was wrong in two ways: all entries drew the same random numbers, and the entries that share nothing were told that the others have no attempts.

--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -51,6 +51,7 @@
 from wasabitray_core.messages import LongOccupancy, OthersWork, TargetReport
 from wasabitray_core.placement import (
     PlacementRequest,
+    SharedLoad,
     TargetState,
     choose_target,
     find_early_readmissions,
@@ -129,6 +130,8 @@
         self._entry_count = 1
         self._retry_burst = self._retry_limits.get_burst(1)
         self._services: dict[ServiceName, _Service] = {}
+        self._targets: dict[TargetId, TargetState] = {}
+        self._shared_load = SharedLoad()
         self._in_flight = (
             InFlightReporter(context.clock()) if shares_in_flight else None
         )
@@ -172,11 +175,18 @@
             state = service.targets.get(name)
             if state is None or _is_restarted(state.target, usable.target):
                 state = TargetState(
-                    usable.target, usable.probation, ramp_until
+                    usable.target,
+                    usable.probation,
+                    ramp_until,
+                    shared_load=self._shared_load,
                 )
             state.target = usable.target
             state.probation = usable.probation
             targets[name] = state
+        for name in service.targets.keys() - targets.keys():
+            if self._targets.get(name) is service.targets[name]:
+                del self._targets[name]  # no other service has the target
+        self._targets.update(targets)
         service.targets = targets
         self._drain_queues(service)
 
@@ -287,8 +297,9 @@
     @receive.register
     def _(self, message: OthersWork, origin: Origin) -> None:
         now = self._now()
+        self._shared_load.received_at = now
+        apply_others_work(self._targets, message, now)
         for service in self._services.values():
-            apply_others_work(service.targets, message, now)
             if service.count_waiting():
                 self._drain_queues(service)
 
@@ -439,6 +450,8 @@
 
     def _try_grant(self, service: _Service, waiter: Waiter) -> bool:
         request = waiter.request
+        now = self._now()
+        lost_share = service.losses.estimate_share(self._entry_count, now)
         placement_request = PlacementRequest(
             self._region,
             request.excluded,
@@ -448,9 +461,8 @@
             and not request.retry,
             request.large,
             *self._estimate_demand(service),
+            lost_share,
         )
-        now = self._now()
-        lost_share = service.losses.estimate_share(self._entry_count, now)
         for state in find_early_readmissions(
             service.targets.values(), lost_share, now
         ):
@@ -463,6 +475,7 @@
         state = choice.state
         load = state.load(now)
         state.busy += 1
+        state.used_at = now
         self._record_in_flight_change(state.target.target)
         service.usage.adjust(+1, now)
         if request.work is WorkClass.LONG:
--- a/packages/core/src/wasabitray_core/controllers/in_flight.py
+++ b/packages/core/src/wasabitray_core/controllers/in_flight.py
@@ -61,9 +61,22 @@
 def apply_others_work(
     targets: Targets, message: OthersWork, now: Seconds
 ) -> None:
-    """Apply the other entries' in-flight attempts, as the hub reports them."""
-    reported = {w.target: w.attempts for w in message.targets}
-    for target, state in targets.items():
-        default = 0 if message.full else state.others_attempts
-        state.others_attempts = reported.get(target, default)
-        state.others_received_at = now
+    """Apply the other entries' in-flight attempts, as the hub reports them.
+
+    Args:
+        targets: the targets of all services.
+        message: the hub's message.
+        now: monotonic seconds.
+    """
+    if message.full:
+        listed = {w.target for w in message.targets}
+        for target, state in targets.items():
+            if target not in listed:
+                state.others_attempts = 0
+    for work in message.targets:
+        known_state = targets.get(work.target)
+        if known_state is None:
+            continue
+        if work.attempts > known_state.others_attempts:
+            known_state.used_at = now
+        known_state.others_attempts = work.attempts
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -9,7 +9,7 @@
 import math
 import random
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from wasabitray_core.ids import RegionName, Seconds, TargetId
@@ -51,6 +51,12 @@
 MAX_REGION_REQUESTS_PER_SLOT = 2.0
 
 
+# A target that got no request for this long goes before others with the same
+# load, so that no sound target stays idle by chance. The users' floor counts
+# the targets that get requests within two seconds.
+MAX_IDLE_S = 1.0
+
+
 class Basis(Enum):
     """Why a target was chosen."""
 
@@ -64,6 +70,17 @@
     """It is cooling down, but the other targets can't carry the load."""
 
 
+@dataclass(slots=True)
+class SharedLoad:
+    """The load that the hub reports; the targets' states share it.
+
+    Attributes:
+        received_at: when the hub's last message came.
+    """
+
+    received_at: Seconds = Seconds(-math.inf)
+
+
 @dataclass(slots=True)
 class TargetState:
     """What this entry knows of one target, and its use of the target.
@@ -76,7 +93,8 @@
         long_held: slots that long work of all entries uses.
         others_attempts: in-flight attempts of the other entries, from the
             hub's last message.
-        others_received_at: when that message came.
+        used_at: when a request of this entry or, as far as it is known, of
+            another one was last sent to the target.
         reported_load: load that the target last reported.
         reported_at: when that report came.
         avoid_until: until this time this entry avoids its path to the target.
@@ -89,6 +107,7 @@
         report_number: number of the newest report about the target.
         suspicion: evidence from failed responses, as of that report.
         suspected_at: when this entry received that report.
+        shared_load: age of the other entries' load.
     """
 
     target: Target
@@ -98,7 +117,7 @@
     busy_long: int = 0
     long_held: int = 0
     others_attempts: int = 0
-    others_received_at: Seconds = Seconds(-math.inf)
+    used_at: Seconds = Seconds(-math.inf)
     reported_load: LoadReport | None = None
     reported_at: Seconds = Seconds(0.0)
     avoid_until: Seconds = Seconds(0.0)
@@ -110,6 +129,7 @@
     report_number: int = 0
     suspicion: float = 0.0
     suspected_at: Seconds = Seconds(0.0)
+    shared_load: SharedLoad = field(default_factory=SharedLoad)
 
     def slots(self, now: Seconds) -> int:
         """Return how many slots may be used now."""
@@ -133,7 +153,11 @@
 
     def has_shared_load(self, now: Seconds) -> bool:
         """Tell whether the other entries' load is known."""
-        return now - self.others_received_at < SHARED_WORK_TTL_S
+        return now - self.shared_load.received_at < SHARED_WORK_TTL_S
+
+    def is_idle(self, now: Seconds) -> bool:
+        """Tell whether no entry of the region has used it for a while."""
+        return self.has_shared_load(now) and now - self.used_at > MAX_IDLE_S
 
     def has_free_capacity(
         self, now: Seconds, requests_per_slot: float = MAX_REQUESTS_PER_SLOT
@@ -190,6 +214,7 @@
         large: whether the body is expensive to send to another region.
         demand: estimate of the service's slots that all entries use now.
         region_demand: the part of it that the entries of this region use.
+        lost_share: estimated share of the service's requests that is lost.
     """
 
     region: RegionName
@@ -199,6 +224,7 @@
     large: bool = False
     demand: float = 0.0
     region_demand: float = 0.0
+    lost_share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -281,11 +307,11 @@
         pinned = targets.get(request.pinned_target)
         return PlacementChoice(pinned, Basis.PINNED) if pinned else None
     candidates = [s for t, s in targets.items() if t not in request.excluded]
-    trial = _choose_trial(candidates, request, now, rng)
-    if trial is not None:
-        return PlacementChoice(trial, Basis.TRIAL)
     usable = [s for s in candidates if not s.probation]
     in_use = [s for s in usable if not s.is_cooling(now)]
+    trial = _choose_trial(candidates, in_use, request, now, rng)
+    if trial is not None:
+        return PlacementChoice(trial, Basis.TRIAL)
     if _is_overflow(in_use, request.demand / MAX_REQUESTS_PER_SLOT, rng):
         cooling = [
             s for s in usable if s.is_cooling(now) and s.has_free_capacity(now)
@@ -303,6 +329,7 @@
 
 def _choose_trial(
     states: list[TargetState],
+    in_use: list[TargetState],
     request: PlacementRequest,
     now: Seconds,
     rng: random.Random,
@@ -310,7 +337,8 @@
     """Choose a target for a trial request, to see whether it works again.
 
     A repeatable request may go to a target some seconds after its failure,
-    any other request only when the target's cool-down is over.
+    any other request only when the target's cool-down is over. While many
+    requests are lost, trials leave idle targets their share of the others.
     """
     if request.trial and rng.random() < TRIAL_PROBABILITY:
         free = [s for s in states if s.has_free_capacity(now)]
@@ -319,7 +347,18 @@
             return rng.choice(trials)
     in_region = [s for s in states if s.target.region == request.region]
     recovering = [s for s in in_region if s.may_get_trial(now, request.trial)]
-    return rng.choice(recovering) if recovering else None
+    is_losing = request.lost_share > EARLY_READMISSION_LOST_SHARE
+    if not recovering or not is_losing:
+        return rng.choice(recovering) if recovering else None
+    idle = [
+        s
+        for s in in_use
+        if s.target.region == request.region
+        and not s.recovering
+        and s.is_idle(now)
+    ]
+    chosen = rng.choice([*recovering, *idle])
+    return chosen if chosen.recovering else None
 
 
 def _filter_faster_in_region(
@@ -376,8 +415,12 @@
 ) -> PlacementChoice | None:
     if not states:
         return None
-    load_known = all(s.has_shared_load(now) for s in states)
-    compared = len(states) if load_known else min(2, len(states))
-    sample = rng.sample(states, compared)  # ties go to a random one
-    chosen = min(sample, key=lambda s: s.load(now) / s.target.slots)
-    return PlacementChoice(chosen, Basis.LOAD)
+    if not all(s.has_shared_load(now) for s in states):
+        sample = rng.sample(states, min(2, len(states)))
+        chosen = min(sample, key=lambda s: s.load(now) / s.target.slots)
+        return PlacementChoice(chosen, Basis.LOAD)
+    loads = [s.load(now) / s.target.slots for s in states]
+    least = min(loads)
+    tied = [s for s, load in zip(states, loads, strict=True) if load == least]
+    idle = [s for s in tied if s.is_idle(now)]
+    return PlacementChoice(rng.choice(idle or tied), Basis.LOAD)
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -67,7 +67,7 @@
     for name, state in targets.items():
         region = name.partition("-")[0]
         state.others_attempts = others.get(region, 0)
-        state.others_received_at = NOW
+        state.shared_load.received_at = NOW
     return targets
 
 
--- a/tests/core/test_shared_load.py
+++ b/tests/core/test_shared_load.py
@@ -31,18 +31,20 @@
 ENTRIES = [f"e{n}" for n in range(10)]
 RATE = 0.7 * len(TARGETS) * SLOTS / SERVICE_TIME_S
 WORK = WorkClass.SHORT
+SEEDS = (1, 2, 3)
 
 
 class Simulation:
     """Simulates the load in steps and measures the requests' times."""
 
-    def __init__(self, shares_in_flight):
-        self.random = random.Random(11)
+    def __init__(self, shares_in_flight, seed):
+        self.random = random.Random(seed)
         self.entries = {
             e: self.make_entry(e, shares_in_flight) for e in ENTRIES
         }
         self.hub = ControllerBed(SharedWorkController, host="c1")
-        self.hub.tell(InFlightSubscribers(tuple(ENTRIES), ()))
+        subscribers = tuple(ENTRIES) if shares_in_flight else ()
+        self.hub.tell(InFlightSubscribers(subscribers, ()))
         self.next_ticks = dict.fromkeys([*ENTRIES, "c1"], 0.0)
         self.running = {t: [] for t in TARGETS}
         self.queues = {t: deque() for t in TARGETS}
@@ -54,6 +56,7 @@
             DispatchController,
             "south",
             host=name,
+            seed=self.random.randrange(2**32),
             shares_in_flight=shares_in_flight,
         )
         usable = tuple(
@@ -134,8 +137,10 @@
 
 
 def test_entries_that_share_their_attempts_wait_less_for_a_slot():
-    separate = Simulation(shares_in_flight=False).run()
-    shared = Simulation(shares_in_flight=True).run()
-    assert len(shared) > 1_000
+    separate, shared = [], []
+    for seed in SEEDS:
+        separate += Simulation(False, seed).run()
+        shared += Simulation(True, seed).run()
+    assert len(shared) > len(SEEDS) * 1_000
     assert mean_wait(shared) < 2 / 3 * mean_wait(separate)
     assert percentile(shared, 0.95) < percentile(separate, 0.95)
--- a/tests/core/test_target_floor.py
+++ b/tests/core/test_target_floor.py
@@ -6,7 +6,7 @@
 """
 
 import pytest
-from support.episode_loads import CALM, LOADS, Load
+from support.episode_loads import CALM, LOADS, SPARSE_LOADS, Load
 from support.episodes import (
     FLOOR_SHARE,
     FLOOR_WINDOW_S,
@@ -30,6 +30,12 @@
     assert [find_windows_below_floor(w) for w in worlds] == [[]] * len(SEEDS)
 
 
+@pytest.mark.parametrize("load", SPARSE_LOADS.values(), ids=SPARSE_LOADS)
+def test_sound_targets_get_requests_while_few_come_and_many_are_lost(load):
+    worlds = [EpisodeWorld(load, seed).run() for seed in SEEDS]
+    assert [find_windows_below_floor(w) for w in worlds] == [[]] * len(SEEDS)
+
+
 def test_targets_that_work_again_are_used_after_their_cool_down():
     after = COOL_DOWN_S + FLOOR_WINDOW_S
     for seed in SEEDS:
--- a/tests/support/episode_loads.py
+++ b/tests/support/episode_loads.py
@@ -1,6 +1,6 @@
 """Loads for a simulated fleet whose targets fail in episodes."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +22,8 @@
         broken_from: when they begin to do so, in seconds.
         broken_for: how long they do so, in seconds.
         idempotent: share of the requests that may be repeated.
+        streams_in_flight: whether entries learn of each other's in-flight
+            attempts all the time, as from a hub, or only when they choose.
     """
 
     rate: float
@@ -38,6 +40,18 @@
     broken_from: float = 6.0
     broken_for: float = 8.0
     idempotent: float = 0.0
+    streams_in_flight: bool = False
+
+
+FEW_REQUESTS = Load(
+    rate=40.0,
+    work_s=0.3,
+    entries=108,
+    targets=53,
+    slots=2,
+    length_s=24.0,
+    streams_in_flight=True,
+)
 
 
 CALM = Load(rate=45.0, work_s=0.38)
@@ -56,3 +70,10 @@
         length_s=16.0,
     ),
 }
+# Loads with so few requests that a target may get none for two seconds.
+SPARSE_LOADS = {
+    "few": FEW_REQUESTS,
+    "many episodes": replace(FEW_REQUESTS, episode_share=0.45),
+    "ten broken": replace(FEW_REQUESTS, broken=10),
+    "fewer, ten broken": replace(FEW_REQUESTS, rate=28.0, broken=10),
+}
--- a/tests/support/episodes.py
+++ b/tests/support/episodes.py
@@ -15,7 +15,11 @@
 from support.clock import Clock
 from wasabitray_core.controllers.controller import Context, Origin
 from wasabitray_core.controllers.dispatch import DispatchController
+from wasabitray_core.controllers.in_flight import FULL_UPDATE_INTERVAL_S
 from wasabitray_core.controllers.retry_budget import RetryLimits
+from wasabitray_core.controllers.shared_work import (
+    SEND_INTERVAL_S as HUB_INTERVAL_S,
+)
 from wasabitray_core.documents import RenderedTemplate, Route, ServicePolicy
 from wasabitray_core.filters.chain import (
     AskController,
@@ -26,9 +30,11 @@
 from wasabitray_core.filters.retry import RetryFilter
 from wasabitray_core.filters.slot import SlotFilter
 from wasabitray_core.local_messages import (
+    AdmitAttempt,
     Broadcast,
     ControllerName,
     FleetSize,
+    Suspicion,
     Tick,
     UsableTarget,
     UsableTargets,
@@ -49,6 +55,8 @@
 SAME_REGION_LATENCY_S, OTHER_REGION_LATENCY_S = 0.0005, 0.03
 HUB_DELAY_S = 0.003
 IN_FLIGHT_DELAY_S = 0.025
+# The same, up to the hub, which passes it on at most HUB_INTERVAL_S later.
+STREAMED_IN_FLIGHT_DELAY_S = 0.006
 RESET_DELAY_S = 0.003
 # A broken target's error response takes less time than a normal response.
 ERROR_TIME_FACTOR = 0.4
@@ -159,15 +167,18 @@
     def tell(self, message, token=None):
         self.dispatch.receive(message, Origin(reply_token=token))
 
-    def apply_others_in_flight(self):
+    def apply_others_in_flight(self, changed=None):
         """Apply the in-flight attempts of the region's other entries.
 
-        A change of them is known IN_FLIGHT_DELAY_S after it happened, the time
-        that a report takes.
+        Args:
+            changed: the targets whose attempts changed; None for all.
         """
-        counts = self.world.known_in_flight[self.region] - self.own_in_flight
-        in_flight = tuple(TargetWork(t, n) for t, n in counts.items())
-        self.tell(OthersWork(in_flight, True))
+        known = self.world.known_in_flight[self.region]
+        in_flight = tuple(
+            TargetWork(t, known[t] - self.own_in_flight[t])
+            for t in (known if changed is None else changed)
+        )
+        self.tell(OthersWork(in_flight, changed is None))
 
     def submit(self, exchange, done):
         self.run_effects(self.chain.run(exchange), None, exchange, done)
@@ -187,8 +198,12 @@
             result = None
             if isinstance(effect, LogDecision):
                 continue
+            if isinstance(getattr(effect, "message", None), AdmitAttempt):
+                result = Suspicion.NONE  # no request is quarantined here
+                continue
             if isinstance(effect, AskController):
-                self.apply_others_in_flight()
+                if not self.world.load.streams_in_flight:
+                    self.apply_others_in_flight()
                 self.tell(effect.message, token=resume)
                 return
             if isinstance(effect, Attempt):
@@ -216,6 +231,7 @@
         self.numbers = itertools.count()
         self.events = Counter()
         self.known_in_flight = {region: Counter() for region in REGIONS}
+        self.changed_in_flight = {region: set() for region in REGIONS}
         self.arrivals = []
         self.failures = {}
         self.outcomes = []
@@ -230,6 +246,14 @@
     def now(self):
         return self.clock.now
 
+    @property
+    def in_flight_delay_s(self):
+        return (
+            STREAMED_IN_FLIGHT_DELAY_S
+            if self.load.streams_in_flight
+            else IN_FLIGHT_DELAY_S
+        )
+
     def make_target(self, number):
         """Return a target whose episodes are drawn for the whole run."""
         load = self.load
@@ -255,6 +279,9 @@
         """Simulate the load's whole duration and return this world."""
         self.call_later(0.0, self.send_request)
         self.call_later(0.0, self.tick_entries)
+        if self.load.streams_in_flight:
+            self.call_later(0.0, self.send_all_in_flight)
+            self.call_later(0.0, self.send_changed_in_flight)
         self.clock.run_until(self.load.length_s)
         return self
 
@@ -290,11 +317,24 @@
         self.call_later(TICK_S, self.tick_entries)
         for entry in self.entries:
             if entry.dispatch.tick_interval_s <= TICK_S:
-                entry.apply_others_in_flight()
+                if not self.load.streams_in_flight:
+                    entry.apply_others_in_flight()
                 entry.tell(Tick())
 
     # Links
 
+    def send_all_in_flight(self):
+        self.call_later(FULL_UPDATE_INTERVAL_S, self.send_all_in_flight)
+        for entry in self.entries:
+            entry.apply_others_in_flight()
+
+    def send_changed_in_flight(self):
+        self.call_later(HUB_INTERVAL_S, self.send_changed_in_flight)
+        for entry in self.entries:
+            if changed := self.changed_in_flight[entry.region]:
+                entry.apply_others_in_flight(changed)
+        self.changed_in_flight = {region: set() for region in REGIONS}
+
     def broadcast(self, sender, update):
         """Send an update to the other entries through the hubs."""
         for entry in self.entries:
@@ -314,6 +354,7 @@
         """Change the count of an entry's in-flight attempts at a target."""
         entry.own_in_flight[target] += change
         self.known_in_flight[entry.region][target] += change
+        self.changed_in_flight[entry.region].add(target)
 
     def attempt(self, entry, effect, resume):
         """Send a request to a fake target."""
@@ -325,7 +366,7 @@
         )
         sent = self.now
         self.call_later(
-            IN_FLIGHT_DELAY_S, self.record_in_flight, entry, name, 1
+            self.in_flight_delay_s, self.record_in_flight, entry, name, 1
         )
 
         def done(status, response=None):
@@ -336,7 +377,7 @@
             result = AttemptResult(status, response, load, elapsed)
             self.call_later(latency, resume, result)
             self.call_later(
-                latency + IN_FLIGHT_DELAY_S,
+                latency + self.in_flight_delay_s,
                 self.record_in_flight,
                 entry,
                 name,
