--- a/packages/node/src/wasabitray_node/dialects.py
+++ b/packages/node/src/wasabitray_node/dialects.py
@@ -89,9 +89,20 @@
         """Return the headers of an attempt, including `Host`."""
 
     def parse_response(
-        self, attempt: Attempt, status: int, headers: Headers
+        self,
+        attempt: Attempt,
+        status: int,
+        headers: Headers,
+        is_reused: bool = False,
     ) -> ResponseMetadata:
-        """Return the metadata in the head of a response."""
+        """Return the metadata in the head of a response.
+
+        Args:
+            attempt: the attempt that the response is expected for.
+            status: the response's status code.
+            headers: its headers.
+            is_reused: whether its connection carried another request before.
+        """
 
 
 class NativeCallerDialect:
@@ -169,9 +180,17 @@
         )
 
     def parse_response(
-        self, attempt: Attempt, status: int, headers: Headers
+        self,
+        attempt: Attempt,
+        status: int,
+        headers: Headers,
+        is_reused: bool = False,
     ) -> ResponseMetadata:
-        """Return the metadata in the head of a response."""
+        """Return the metadata in the head of a response.
+
+        These responses have no id. A request that must not run twice gets a
+        new connection, so a refusal of an earlier request can't reach it.
+        """
         outcome = find_header(headers, h.OUTCOME_HEADER)
         load = parse_load(find_header(headers, h.LOAD_HEADER))
         if status in SHED_STATUSES and outcome == NOT_RUN:
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -351,7 +351,10 @@
         assert parsed is not None
         headers = tuple((n, v) for n, v in parsed.items())
         status = parsed.status_code
-        metadata = self._dialect.parse_response(self._attempt, status, headers)
+        assert self.connection is not None
+        metadata = self._dialect.parse_response(
+            self._attempt, status, headers, self.connection.reused
+        )
         if metadata.status is not AttemptStatus.ANSWERED:
             return self._build_refusal(metadata)
         response = Response(
--- a/tests/platform/test_dialects.py
+++ b/tests/platform/test_dialects.py
@@ -23,8 +23,10 @@
 VALID_HEADERS = (("Request-Id", "id-1"), ("Server-Stamp", "s"))
 
 
-def parse(status=200, headers=VALID_HEADERS):
-    return PlatformTargetDialect().parse_response(ATTEMPT, status, headers)
+def parse(status=200, headers=VALID_HEADERS, is_reused=False):
+    return PlatformTargetDialect().parse_response(
+        ATTEMPT, status, headers, is_reused
+    )
 
 
 def make_refusal(status, outcome, reason=RefusalReason.OVERLOAD):
@@ -60,6 +62,25 @@
     assert metadata.status is AttemptStatus.SHED
 
 
+@pytest.mark.parametrize("status", [400, 408, 421, 429, 503])
+@pytest.mark.parametrize(
+    ("headers", "is_reused"),
+    [((("Request-Id", "id-0"),), False), ((("Request-Id", "id-0"),), True),
+     ((), True)],
+)  # fmt: skip
+def test_refusal_of_another_request_promises_nothing(
+    status, headers, is_reused
+):
+    metadata = parse(status, (*headers, ("Not-Executed", "1")), is_reused)
+    assert metadata.status is AttemptStatus.INVALID
+
+
+@pytest.mark.parametrize("status", [421, 429, 503])
+def test_refusal_without_an_id_on_a_new_connection_means_not_run(status):
+    metadata = parse(status, (("Not-Executed", "1"),), is_reused=False)
+    assert metadata.status in (AttemptStatus.SHED, AttemptStatus.MISDIRECTED)
+
+
 def test_misdirected_request_has_not_run():
     metadata = parse(421, (("Instance-Id", "i-9"),))
     assert metadata.status is AttemptStatus.MISDIRECTED
