Test heads of responses that end early, at each byte

A target that stops in the middle of its answer's head must not become a 200 with a short body (MIXED, ORDER). It doesn't: at each cut of a head with a length, chunked, without a length, that ends the connection, and after an interim response, by an end or a reset, on a new and on a reused connection, the attempt has no response and counts as a possible crash. No fault was found; the 24 cases guard it.

--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -1,6 +1,7 @@
 """Attempts at targets on real sockets."""
 
 import itertools
+import socket
 import time
 
 import gevent
@@ -176,3 +177,67 @@
         for piece in result.response.chunks:
             read += len(piece)
     assert read <= 2 * 1_048_576
+
+
+OK = b"HTTP/1.1 200 OK\r\nServer-Stamp: s-1\r\n"
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+CUT_HEADS = {
+    "with a length": OK + b"Content-Length: 2\r\n\r\n",
+    "empty body": OK + b"Content-Length: 0\r\n\r\n",
+    "chunked": OK + b"Transfer-Encoding: chunked\r\n\r\n",
+    "without a length": OK + b"\r\n",
+    "after an interim response": EARLY_HINTS + OK + b"\r\n",
+    "ends the connection": OK + b"Connection: close\r\n\r\n",
+}
+COMPLETE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+# Closes a socket with a reset instead of an end.
+LINGER_RESET = b"\1\0\0\0\0\0\0\0"
+
+
+class CuttingTarget:
+    """Sends a part of a response's head and ends the connection."""
+
+    def __init__(self):
+        self.responses = []
+        self.resets = False
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+        address = f"127.0.0.1:{self.server.server_port}"
+        self.target = Target("t1", "rota", "south", "south-a", 2, address)
+
+    def serve(self, sock, _address):
+        while self.responses and sock.recv(65_536):
+            response = self.responses.pop(0)
+            sock.sendall(response)
+            if response != COMPLETE:
+                break
+        if self.resets:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+
+
+@pytest.fixture
+def cutting():
+    target = CuttingTarget()
+    yield target
+    target.server.stop(timeout=0)
+
+
+@pytest.mark.parametrize("resets", [False, True], ids=["end", "reset"])
+@pytest.mark.parametrize("is_reused", [False, True], ids=["new", "reused"])
+@pytest.mark.parametrize("kind", CUT_HEADS)
+def test_head_that_ends_early_is_no_response(cutting, kind, is_reused, resets):
+    cutting.resets = resets
+    limits = Limits()
+    pool = ConnectionPool(limits, time.monotonic)
+    upstream = Upstream(pool, limits, time.monotonic, NativeTargetDialect())
+    request = Request("hobart", "GET", "/")
+    effect = Attempt(cutting.target, request, MAX_TIME_S, not is_reused, 0.0)
+    for cut in range(len(CUT_HEADS[kind])):
+        cutting.responses = [CUT_HEADS[kind][:cut]]
+        if is_reused:
+            cutting.responses.insert(0, COMPLETE)
+            first = upstream.attempt(effect, CallerWatch(None))
+            assert first.status is AttemptStatus.ANSWERED
+        result = upstream.attempt(effect, CallerWatch(None))
+        assert result.response is None, cut
+        assert result.may_be_crash, cut
