Send requests to regions whose entries can't use their targets

With a region's entries gone its targets got nothing for as long as that lasted, while over a tenth of the requests was lost elsewhere (FLOOR): a third of a service's sound targets idle. Entries prefer targets of their own region, and no entry looked at where the others are.

Entries now know how many entries serve in each region, from the states that hubs send. A region with less than half of the average number of entries for its targets gets the missing share of the requests from the entries of the other regions; all of them compute the same share. Large bodies stay in their region.

--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Any, ClassVar
@@ -58,6 +59,11 @@
     measure_availability,
 )
 from wasabitray_core.requests import Target
+from wasabitray_core.spillover import (
+    NO_SPILLOVER,
+    Spillover,
+    find_spillover,
+)
 from wasabitray_core.states import AttemptStatus, RefusalReason, WorkClass
 
 # Interval of ticks while requests wait in a queue, and while none does.
@@ -85,6 +91,7 @@
     hold_time: dict[WorkClass, float] = field(default_factory=dict)
     usage: SlotUsage = field(default_factory=SlotUsage)
     losses: LossEstimate = field(default_factory=LossEstimate)
+    spillover: Spillover = NO_SPILLOVER
 
     def count_waiting(self) -> int:
         return sum(len(q) for q in self.queues.values())
@@ -128,6 +135,7 @@
         self._cool_downs = cool_downs
         self._startup_wait_until = Seconds(context.clock() + startup_wait_s)
         self._entry_count = 1
+        self._entries_by_region: dict[RegionName, int] = {}
         self._retry_burst = self._retry_limits.get_burst(1)
         self._services: dict[ServiceName, _Service] = {}
         self._targets: dict[TargetId, TargetState] = {}
@@ -188,6 +196,7 @@
                 del self._targets[name]  # no other service has the target
         self._targets.update(targets)
         service.targets = targets
+        self._update_spillover(service)
         self._drain_queues(service)
 
     @receive.register
@@ -328,8 +337,25 @@
     @receive.register
     def _(self, message: FleetSize, origin: Origin) -> None:
         self._entry_count = max(1, message.entries)
+        self._entries_by_region = dict(message.by_region)
+        for service in self._services.values():
+            self._update_spillover(service)
         self._retry_burst = self._retry_limits.get_burst(message.entries)
 
+    def _update_spillover(self, service: _Service) -> None:
+        before = service.spillover
+        regions = Counter(s.target.region for s in service.targets.values())
+        service.spillover = find_spillover(
+            regions, self._entries_by_region, self._region
+        )
+        if service.spillover.regions != before.regions:
+            self._outbox.log_event(
+                "region spillover",
+                targets=len(service.targets),
+                regions=sorted(service.spillover.regions),
+                share=round(service.spillover.share, 3),
+            )
+
     def _report_attempt(
         self, service: _Service, state: TargetState, release: ReleaseSlot
     ) -> None:
@@ -462,6 +488,7 @@
             request.large,
             *self._estimate_demand(service),
             lost_share,
+            service.spillover,
         )
         for state in find_early_readmissions(
             service.targets.values(), lost_share, now
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any, ClassVar
@@ -121,6 +122,8 @@
         self._received_items: dict[Subject, FeedItem] = {}
         self._entry_states: dict[HostId, EntryState] = {}
         self._entry_count = 0
+        self._serving_by_region: tuple[tuple[RegionName, int], ...] = ()
+        self._sent_fleet_size: FleetSize | None = None
 
     @property
     def hub(self) -> HostId | None:
@@ -201,10 +204,8 @@
                 continue
             self._received_items[(type(item), get_subject(item))] = item
             self._outbox.tell(_CONTROLLER_BY_KIND[type(item)], item)
-        if message.entries != self._entry_count:
-            self._entry_count = message.entries
-            size = FleetSize(message.entries)
-            self._outbox.tell(ControllerName.DISPATCH, size)
+        self._entry_count = message.entries
+        self._publish_fleet_size()
         if self._switch_to_region_hub():
             return  # the hub in this region sends the rest, at a lower cost
         self._newest_revision = max(self._newest_revision, message.revision)
@@ -255,6 +256,15 @@
         )
         view = EntriesView((own_state, *other_states))
         self._outbox.tell(ControllerName.ADDRESSES, view)
+        serving = Counter(s.region for s in view.entries if _is_serving(s))
+        self._serving_by_region = tuple(sorted(serving.items()))
+        self._publish_fleet_size()
+
+    def _publish_fleet_size(self) -> None:
+        size = FleetSize(self._entry_count, self._serving_by_region)
+        if self._entry_count and size != self._sent_fleet_size:
+            self._sent_fleet_size = size
+            self._outbox.tell(ControllerName.DISPATCH, size)
 
     def _record_position(self, feed: Feed) -> None:
         """Advance the mark to the end of a feed message.
@@ -368,6 +378,13 @@
         self._send_presence()
 
 
+def _is_serving(state: EntryState) -> bool:
+    """Return whether an entry is present and takes requests."""
+    is_serving = HostFlag.SERVING in state.flags
+    is_leaving = HostFlag.LEAVING in state.flags
+    return state.present and is_serving and not is_leaving
+
+
 _CONTROLLER_BY_KIND: dict[type, ControllerName] = {
     Announcement: ControllerName.TARGETS,
     Ejection: ControllerName.TARGETS,
--- a/packages/core/src/wasabitray_core/local_messages.py
+++ b/packages/core/src/wasabitray_core/local_messages.py
@@ -322,9 +322,15 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetSize:
-    """The number of entries that share the fleet's budgets."""
+    """The number of entries that share the fleet's budgets.
+
+    Attributes:
+        by_region: number of entries that serve in each region, as far as it
+            is known.
+    """
 
     entries: int
+    by_region: tuple[tuple[RegionName, int], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -14,6 +14,7 @@
 
 from wasabitray_core.ids import RegionName, Seconds, TargetId
 from wasabitray_core.requests import LoadReport, Target
+from wasabitray_core.spillover import NO_SPILLOVER, Spillover
 
 # Age at which a target's load report no longer counts. It is short because
 # the load changes quickly where requests are short.
@@ -215,6 +216,7 @@
         demand: estimate of the service's slots that all entries use now.
         region_demand: the part of it that the entries of this region use.
         lost_share: estimated share of the service's requests that is lost.
+        spillover: requests that are sent to regions with few entries.
     """
 
     region: RegionName
@@ -225,6 +227,7 @@
     demand: float = 0.0
     region_demand: float = 0.0
     lost_share: float = 0.0
+    spillover: Spillover = NO_SPILLOVER
 
 
 @dataclass(frozen=True, slots=True)
@@ -321,6 +324,9 @@
             return _choose_longest_cooling(reachable or cooling)
     free = [s for s in in_use if s.has_free_capacity(now)]
     reachable = [s for s in free if s.avoid_until <= now] or free
+    spillover = _filter_spillover(reachable, request, rng)
+    if spillover:
+        return _choose_least_loaded(spillover, now, rng)
     in_region = [s for s in reachable if s.target.region == request.region]
     if not request.large:
         in_region = _filter_faster_in_region(in_region, request, now, rng)
@@ -361,6 +367,17 @@
     return chosen if chosen.recovering else None
 
 
+def _filter_spillover(
+    states: list[TargetState], request: PlacementRequest, rng: random.Random
+) -> list[TargetState]:
+    """Return the targets of regions with few entries, if it is their turn."""
+    spillover = request.spillover
+    is_local = request.large or not spillover.share
+    if is_local or rng.random() >= spillover.share:
+        return []
+    return [s for s in states if s.target.region in spillover.regions]
+
+
 def _filter_faster_in_region(
     in_region: list[TargetState],
     request: PlacementRequest,
--- a/tests/core/controllers/test_subscriber.py
+++ b/tests/core/controllers/test_subscriber.py
@@ -14,6 +14,7 @@
     ConfigurationApplied,
     ControllerName,
     EntriesView,
+    FleetSize,
     SeedsChanged,
     SetFlag,
 )
@@ -169,3 +170,26 @@
     bed.receive("c2", feed("c2", hubs=(SOUTH, NORTH)))
     bed.tell(work)
     assert sent(bed, EntryWork) == [("c1", work)]
+
+
+def entry_state(host, region, present=True, flags=HostFlag.SERVING):
+    return EntryState(
+        host, 1, present, flags, region, "d", "10.0.0.8:80", "c1"
+    )
+
+
+def test_dispatch_knows_how_many_entries_serve_in_each_region():
+    bed = entry_bed("c1")
+    bed.tell(SetFlag(HostFlag.SERVING, True))
+    states = (
+        entry_state("e2", "south"),
+        entry_state("e3", "north"),
+        entry_state("e4", "north", present=False),
+        entry_state("e5", "west", flags=HostFlag.SERVING | HostFlag.LEAVING),
+        entry_state("e6", "west", flags=HostFlag.NONE),
+    )
+    bed.receive("c1", feed("c1", hubs=(SOUTH,), entry_states=states))
+    size = bed.outbox.get_told(FleetSize)[-1]
+    assert size == FleetSize(4, (("north", 1), ("south", 2)))
+    bed.tick(0.5)
+    assert bed.outbox.get_told(FleetSize)[-1] is size
--- a/tests/core/test_target_floor.py
+++ b/tests/core/test_target_floor.py
@@ -6,7 +6,13 @@
 """
 
 import pytest
-from support.episode_loads import CALM, LOADS, SPARSE_LOADS, Load
+from support.episode_loads import (
+    CALM,
+    LOADS,
+    LOST_REGION_LOADS,
+    SPARSE_LOADS,
+    Load,
+)
 from support.episodes import (
     FLOOR_SHARE,
     FLOOR_WINDOW_S,
@@ -36,6 +42,15 @@
     assert [find_windows_below_floor(w) for w in worlds] == [[]] * len(SEEDS)
 
 
+@pytest.mark.parametrize(
+    "load", LOST_REGION_LOADS.values(), ids=LOST_REGION_LOADS
+)
+def test_targets_of_a_region_without_entries_get_requests(load):
+    for seed in SEEDS:
+        world = EpisodeWorld(load, seed).run()
+        assert find_windows_below_floor(world) == [], seed
+
+
 def test_targets_that_work_again_are_used_after_their_cool_down():
     after = COOL_DOWN_S + FLOOR_WINDOW_S
     for seed in SEEDS:
--- a/tests/support/episode_loads.py
+++ b/tests/support/episode_loads.py
@@ -22,6 +22,7 @@
         broken_from: when they begin to do so, in seconds.
         broken_for: how long they do so, in seconds.
         idempotent: share of the requests that may be repeated.
+        entry_regions: number of the three regions that have entries.
         streams_in_flight: whether entries learn of each other's in-flight
             attempts all the time, as from a hub, or only when they choose.
     """
@@ -40,6 +41,7 @@
     broken_from: float = 6.0
     broken_for: float = 8.0
     idempotent: float = 0.0
+    entry_regions: int = 3
     streams_in_flight: bool = False
 
 
@@ -77,3 +79,13 @@
     "ten broken": replace(FEW_REQUESTS, broken=10),
     "fewer, ten broken": replace(FEW_REQUESTS, rate=28.0, broken=10),
 }
+# Loads of which a region's entries are gone while its targets work.
+LOST_REGION_LOADS = {
+    "many requests": replace(
+        LOADS["two broken"], broken=6, entry_regions=2, streams_in_flight=True
+    ),
+    "few requests": replace(FEW_REQUESTS, entry_regions=2),
+    "few requests, ten broken": replace(
+        FEW_REQUESTS, broken=10, entry_regions=2
+    ),
+}
--- a/tests/support/episodes.py
+++ b/tests/support/episodes.py
@@ -151,7 +151,7 @@
 
     def __init__(self, world, number, dispatch):
         self.world = world
-        self.region = REGIONS[number % len(REGIONS)]
+        self.region = REGIONS[number % world.load.entry_regions]
         self.own_in_flight = Counter()
         outbox = Outbox(self)
         context = Context(f"e{number}", world.clock, world.random, outbox)
@@ -162,7 +162,10 @@
         usable = tuple(UsableTarget(t.target, False) for t in world.targets)
         names = tuple(t.target.target for t in world.targets)
         self.tell(UsableTargets(SERVICE, usable, names, ()))
-        self.tell(FleetSize(world.load.entries))
+        numbers = range(world.load.entries)
+        regions = (REGIONS[n % world.load.entry_regions] for n in numbers)
+        by_region = tuple(Counter(regions).items())
+        self.tell(FleetSize(world.load.entries, by_region))
 
     def tell(self, message, token=None):
         self.dispatch.receive(message, Origin(reply_token=token))
