Count idle sound targets by reason from the logs

Whether sound targets idle because they cool down, or because nobody chooses them, and whether entries know how much is lost, could not be read from the logs without a script.

--- a/packages/cli/src/wasabitray_cli/commands/report.py
+++ b/packages/cli/src/wasabitray_cli/commands/report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict, fields
 from pathlib import Path
 from typing import ClassVar
 
@@ -15,7 +16,8 @@
 )
 from wasabitray_cli.errors import InputError
 from wasabitray_cli.exits import ExitCode
-from wasabitray_cli.logs import read_logs
+from wasabitray_cli.idle_targets import IdleWindow, find_idle_targets
+from wasabitray_cli.logs import LogLine, read_logs
 from wasabitray_cli.report import (
     LogSummary,
     RequestOutcome,
@@ -40,6 +42,9 @@
         *COMMON_OPTIONS[1:],
         option("output", "o", "Picture.", flag=False, default=DEFAULT_FILE),
         option("seconds", "s", "Width of a bucket.", flag=False, default="2"),
+        option(
+            "idle", None, "Show idle targets per service instead of charts."
+        ),
     ]
 
     def run_checked(self) -> int:
@@ -49,6 +54,9 @@
             raise InputError("--seconds must be above 0", step="read options")
         files = [Path(name) for name in self.argument("files")]
         lines, _ = read_logs(files)
+        if self.option("idle"):
+            self._show_idle_targets(lines, width_s)
+            return ExitCode.OK
         summary = summarise(lines, width_s)
         output = Path(self.option("output"))
         plot_summary(summary, output)
@@ -62,6 +70,19 @@
             self.line(escape_markup(f"charts written to {output}"))
         return ExitCode.OK
 
+    def _show_idle_targets(self, lines: list[LogLine], width_s: float) -> None:
+        windows = find_idle_targets(lines, width_s)
+        names = [f.name for f in fields(IdleWindow)]
+        self.show_table(
+            [asdict(window) for window in windows],
+            names,
+            [[_format(getattr(w, n)) for n in names] for w in windows],
+        )
+
+
+def _format(value: object) -> str:
+    return f"{value:.2f}" if isinstance(value, float) else str(value)
+
 
 def _count_totals(summary: LogSummary) -> dict[str, int]:
     totals = {
--- a/packages/cli/src/wasabitray_cli/report.py
+++ b/packages/cli/src/wasabitray_cli/report.py
@@ -83,7 +83,7 @@
 
 def _count_line(bucket: Bucket, line: LogLine) -> None:
     if line.event in (ANSWERED, REFUSED):
-        outcome = _get_outcome(line)
+        outcome = get_outcome(line)
         if outcome is None:
             return  # the caller's error, such as an unknown route
         bucket.outcomes[outcome] += 1
@@ -100,7 +100,8 @@
         bucket.revisions.add(revision)
 
 
-def _get_outcome(line: LogLine) -> RequestOutcome | None:
+def get_outcome(line: LogLine) -> RequestOutcome | None:
+    """Return a request's outcome, None for an error of its caller."""
     status = line.facts.get("status")
     if not isinstance(status, int):
         return None
