Share the losses of a region's entries

Entries tell each other of failed targets, but an attempt that times out, a target that can't be reached and a request without a free target are known to the entry that had them, and one of 108 has too few requests to see a share.

Entries now send the requests of the last two seconds, and the lost ones, with their in-flight attempts each half second; the hub adds up its region. The estimate is the largest of the three shares, with the prior of an entry.

--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -49,7 +49,12 @@
     Tick,
     UsableTargets,
 )
-from wasabitray_core.messages import LongOccupancy, OthersWork, TargetReport
+from wasabitray_core.messages import (
+    LongOccupancy,
+    OthersWork,
+    RequestCounts,
+    TargetReport,
+)
 from wasabitray_core.placement import (
     PlacementRequest,
     SharedLoad,
@@ -308,6 +313,12 @@
         now = self._now()
         self._shared_load.received_at = now
         apply_others_work(self._targets, message, now)
+        if message.full:
+            counts = {c.service: c for c in message.requests}
+            for name, service in self._services.items():
+                count = counts.get(name)
+                ended, lost = (count.ended, count.lost) if count else (0, 0)
+                service.losses.record_others(ended, lost, now)
         for service in self._services.values():
             if service.count_waiting():
                 self._drain_queues(service)
@@ -319,11 +330,20 @@
     def _send_in_flight(self) -> None:
         if self._in_flight is None:
             return
-        services = (s.targets for s in self._services.values())
-        update = self._in_flight.build_update(services, self._now())
+        update = self._in_flight.build_update(
+            self._targets, self._count_requests, self._now()
+        )
         if update is not None:
             self._outbox.tell(ControllerName.MEMBERSHIP, update)
 
+    def _count_requests(self) -> tuple[RequestCounts, ...]:
+        now = self._now()
+        counts = (
+            RequestCounts(name, *service.losses.count_recent(now))
+            for name, service in self._services.items()
+        )
+        return tuple(c for c in counts if c.ended)
+
     # Cool-downs
 
     @receive.register
--- a/packages/core/src/wasabitray_core/controllers/in_flight.py
+++ b/packages/core/src/wasabitray_core/controllers/in_flight.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable
 
 from wasabitray_core.ids import Seconds, TargetId
-from wasabitray_core.messages import EntryWork, OthersWork, TargetWork
+from wasabitray_core.messages import (
+    EntryWork,
+    OthersWork,
+    RequestCounts,
+    TargetWork,
+)
 from wasabitray_core.placement import TargetState
 
 # Changes within this time are sent in one message. An entry has a few changes
@@ -35,27 +40,35 @@
         self._changed.add(target)
 
     def build_update(
-        self, services: Iterable[Targets], now: Seconds
+        self,
+        targets: Targets,
+        count_requests: Callable[[], tuple[RequestCounts, ...]],
+        now: Seconds,
     ) -> EntryWork | None:
         """Return the update to send now, or None.
 
         It contains the number of attempts at each target where that number
         changed or, every `FULL_UPDATE_INTERVAL_S` seconds, at each target in
-        use.
+        use, with the counts of requests.
+
+        Args:
+            targets: the targets of all services.
+            count_requests: returns the recent requests of each service.
+            now: monotonic seconds.
         """
         full = now >= self._full_update_at
         if not full and not self._changed:
             return None
         attempts = tuple(
             TargetWork(target, state.busy)
-            for targets in services
             for target, state in targets.items()
             if (state.busy if full else target in self._changed)
         )
         self._changed.clear()
-        if full:
-            self._full_update_at = Seconds(now + FULL_UPDATE_INTERVAL_S)
-        return EntryWork(attempts, full)
+        if not full:
+            return EntryWork(attempts, False)
+        self._full_update_at = Seconds(now + FULL_UPDATE_INTERVAL_S)
+        return EntryWork(attempts, True, count_requests())
 
 
 def apply_others_work(
--- a/packages/core/src/wasabitray_core/controllers/losses.py
+++ b/packages/core/src/wasabitray_core/controllers/losses.py
@@ -7,17 +7,20 @@
 
 from wasabitray_core.ids import Seconds
 
-# Length of the window in which failures that entries report are counted.
+# Length of the window in which failures and ended requests are counted.
 WINDOW_S = 2.0
+# Age at which the other entries' counts no longer hold. They come each half
+# second, so two of these messages may be lost.
+OTHERS_TTL_S = 1.5
 # Time constant of the counts of an entry's own ended and lost requests.
 LOSS_TIME_CONSTANT_S = 4.0
 # Time constant of an entry's request rate. An entry gets only a few requests
 # per second: with a shorter one the estimate of the fleet's rate is at times
 # off by half.
 RATE_TIME_CONSTANT_S = 12.0
-# Served requests added to an entry's own count as a prior. A few losses among
-# few requests show little about the fleet, and an entry that overestimates its
-# losses sends requests to targets that still fail.
+# Served requests added to the counts of an entry and of a region as a prior. A
+# few losses among few requests show little about the fleet, and an entry that
+# overestimates the losses sends requests to targets that still fail.
 PRIOR_REQUESTS = 40.0
 # Lower bound of the fleet's requests in the window when a share is derived
 # from them: with fewer, a few failures would look like a large share.
@@ -28,8 +31,9 @@
     """Estimates the share of a service's requests that is lost.
 
     All entries report the failures of targets to each other. Other losses,
-    such as requests for which no target was found, are known only to the
-    entry that had them. The estimate is the larger of the two shares.
+    such as requests for which no target was found, are counted by the entry
+    that had them, and the hub adds up the counts of its region. The estimate
+    is the largest of the shares.
     """
 
     def __init__(self) -> None:
@@ -38,6 +42,10 @@
         self._ended = DecayingCounter(LOSS_TIME_CONSTANT_S)
         self._lost = DecayingCounter(LOSS_TIME_CONSTANT_S)
         self._requests = DecayingCounter(RATE_TIME_CONSTANT_S)
+        self._recent: deque[tuple[Seconds, bool]] = deque()
+        self._recent_lost = 0
+        self._others_ended = self._others_lost = 0
+        self._others_until = Seconds(-math.inf)
 
     def record_failure(self, now: Seconds) -> None:
         """Count a failure of a target, reported by any entry."""
@@ -50,6 +58,19 @@
         self._ended.add(now)
         if not served:
             self._lost.add(now)
+        self._recent.append((now, served))
+        self._recent_lost += not served
+        self._expire_recent(now)
+
+    def count_recent(self, now: Seconds) -> tuple[int, int]:
+        """Return this entry's requests that ended recently, and the lost."""
+        self._expire_recent(now)
+        return len(self._recent), self._recent_lost
+
+    def record_others(self, ended: int, lost: int, now: Seconds) -> None:
+        """Store the counts of the other entries of the region."""
+        self._others_ended, self._others_lost = ended, lost
+        self._others_until = Seconds(now + OTHERS_TTL_S)
 
     def estimate_share(self, entries: int, now: Seconds) -> float:
         """Return the estimated share of requests that is lost.
@@ -62,7 +83,19 @@
         own = self._lost.value(now) / (self._ended.value(now) + PRIOR_REQUESTS)
         expected = self._requests.rate(now) * entries * WINDOW_S
         fleet = len(self._failures) / max(expected, MIN_REQUESTS)
-        return max(own, fleet)
+        return max(own, fleet, self._estimate_region_share(now))
+
+    def _estimate_region_share(self, now: Seconds) -> float:
+        if now >= self._others_until:
+            return 0.0
+        ended, lost = self.count_recent(now)
+        all_ended = ended + self._others_ended + PRIOR_REQUESTS
+        return (lost + self._others_lost) / all_ended
+
+    def _expire_recent(self, now: Seconds) -> None:
+        while self._recent and self._recent[0][0] < now - WINDOW_S:
+            _, served = self._recent.popleft()
+            self._recent_lost -= not served
 
     def _expire_failures(self, now: Seconds) -> None:
         while self._failures and self._failures[0] < now - WINDOW_S:
--- a/packages/core/src/wasabitray_core/controllers/shared_work.py
+++ b/packages/core/src/wasabitray_core/controllers/shared_work.py
@@ -1,4 +1,4 @@
-"""In-flight attempts of a region's entries, summed at a hub.
+"""In-flight attempts and losses of a region's entries, summed at a hub.
 
 Many entries each send a target a few requests a second, so one entry's
 in-flight attempts say little about the target's load. The sum over a region
@@ -18,14 +18,19 @@
     Controller,
     Origin,
 )
-from wasabitray_core.ids import HostId, Seconds, TargetId
+from wasabitray_core.ids import HostId, Seconds, ServiceName, TargetId
 from wasabitray_core.local_messages import (
     ControllerName,
     GetStatus,
     InFlightSubscribers,
     Tick,
 )
-from wasabitray_core.messages import EntryWork, OthersWork, TargetWork
+from wasabitray_core.messages import (
+    EntryWork,
+    OthersWork,
+    RequestCounts,
+    TargetWork,
+)
 
 # Well under the time that a request takes at a target, and long enough to
 # gather several changes in one message.
@@ -44,10 +49,18 @@
     Attributes:
         last_contact: when its last counts arrived.
         counts: its in-flight attempts at each target.
+        ended: its requests that ended recently, by service.
+        lost: those of them that were not served.
     """
 
     last_contact: Seconds
     counts: AttemptCounts = field(default_factory=Counter)
+    ended: Counter[ServiceName] = field(default_factory=Counter)
+    lost: Counter[ServiceName] = field(default_factory=Counter)
+
+    def set_requests(self, counts: tuple[RequestCounts, ...]) -> None:
+        self.ended = Counter({c.service: c.ended for c in counts})
+        self.lost = Counter({c.service: c.lost for c in counts})
 
 
 class SharedWorkController(Controller):
@@ -94,6 +107,8 @@
             counts[target_work.target] = target_work.attempts
         self._changed = self._changed or counts != source.counts
         source.counts = counts
+        if message.full:
+            source.set_requests(message.requests)
 
     @receive.register
     def _(self, message: Tick, origin: Origin) -> None:
@@ -127,13 +142,13 @@
         for host in self._subscribers.entries:
             own_source = self._sources.get(host)
             others_total = total - own_source.counts if own_source else total
-            self._send_counts(host, others_total, OthersWork, full)
+            others = [h for h in self._sources if h != host]
+            self._send_counts(host, others_total, OthersWork, full, others)
         hubs = set(self._subscribers.hubs)
-        entries_total = self._sum_counts(
-            h for h in self._sources if h not in hubs
-        )
+        entries = [h for h in self._sources if h not in hubs]
+        entries_total = self._sum_counts(entries)
         for host in self._subscribers.hubs:
-            self._send_counts(host, entries_total, EntryWork, full)
+            self._send_counts(host, entries_total, EntryWork, full, entries)
 
     def _sum_counts(self, hosts: Iterable[HostId]) -> AttemptCounts:
         total: AttemptCounts = Counter()
@@ -141,12 +156,21 @@
             total.update(self._sources[host].counts)
         return total
 
+    def _sum_requests(self, hosts: list[HostId]) -> tuple[RequestCounts, ...]:
+        ended: Counter[ServiceName] = Counter()
+        lost: Counter[ServiceName] = Counter()
+        for host in hosts:
+            ended.update(self._sources[host].ended)
+            lost.update(self._sources[host].lost)
+        return tuple(RequestCounts(s, n, lost[s]) for s, n in ended.items())
+
     def _send_counts(
         self,
         host: HostId,
         counts: AttemptCounts,
         kind: type[EntryWork | OthersWork],
         full: bool,
+        sources: list[HostId],
     ) -> None:
         """Send a subscriber the changed counts, or all counts.
 
@@ -155,7 +179,8 @@
         last_sent = self._last_sent.get(host)
         if last_sent is None or full:
             changes = tuple(TargetWork(t, n) for t, n in counts.items() if n)
-            self._outbox.send(host, kind(changes, True))
+            requests = self._sum_requests(sources)
+            self._outbox.send(host, kind(changes, True, requests))
         else:
             changes = tuple(
                 TargetWork(t, counts[t])
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -320,6 +320,19 @@
     attempts: int
 
 
+@dataclass(frozen=True, slots=True)
+class RequestCounts:
+    """Requests to a service that ended within the last two seconds.
+
+    Attributes:
+        lost: those that were not served, for any reason.
+    """
+
+    service: ServiceName
+    ended: int
+    lost: int
+
+
 @dataclass(frozen=True, slots=True)
 class EntryWork:
     """In-flight attempts of an entry, or of all entries of a hub.
@@ -327,10 +340,13 @@
     Attributes:
         full: whether targets that are not listed have no attempts; otherwise
             their numbers have not changed.
+        requests: services that are not listed had no requests; empty unless
+            the message is full.
     """
 
     targets: tuple[TargetWork, ...]
     full: bool
+    requests: tuple[RequestCounts, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -340,10 +356,13 @@
     Attributes:
         full: whether targets that are not listed have no attempts; otherwise
             their numbers have not changed.
+        requests: services that are not listed had no requests; empty unless
+            the message is full.
     """
 
     targets: tuple[TargetWork, ...]
     full: bool
+    requests: tuple[RequestCounts, ...] = ()
 
 
 # Configuration
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -117,8 +117,13 @@
 struct LongSlotReply { 1: i64 request, 2: string target }
 struct LongSlotRelease { 1: i64 request }
 struct TargetWork { 1: string target, 2: i32 attempts }
-struct EntryWork { 1: list<TargetWork> targets, 2: bool full }
-struct OthersWork { 1: list<TargetWork> targets, 2: bool full }
+struct RequestCounts { 1: string service_, 2: i32 ended, 3: i32 lost }
+struct EntryWork {
+  1: list<TargetWork> targets, 2: bool full, 3: list<RequestCounts> requests
+}
+struct OthersWork {
+  1: list<TargetWork> targets, 2: bool full, 3: list<RequestCounts> requests
+}
 struct LongHeld { 1: string target, 2: i32 slots }
 struct LongOccupancy { 1: string service_, 2: list<LongHeld> held }
 
--- a/packages/wire/src/wasabitray_wire/gen/Peer.py
+++ b/packages/wire/src/wasabitray_wire/gen/Peer.py
@@ -310,11 +310,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype238, _size235) = iprot.readListBegin()
-                    for _i239 in range(_size235):
-                        _elem240 = PeerMessage()
-                        _elem240.read(iprot)
-                        self.messages.append(_elem240)
+                    (_etype252, _size249) = iprot.readListBegin()
+                    for _i253 in range(_size249):
+                        _elem254 = PeerMessage()
+                        _elem254.read(iprot)
+                        self.messages.append(_elem254)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -331,8 +331,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter241 in self.messages:
-                iter241.write(oprot)
+            for iter255 in self.messages:
+                iter255.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -4722,18 +4722,99 @@
         return not (self == other)
 
 
+class RequestCounts(object):
+    """
+    Attributes:
+     - service_
+     - ended
+     - lost
+
+    """
+
+
+    def __init__(self, service_=None, ended=None, lost=None,):
+        self.service_ = service_
+        self.ended = ended
+        self.lost = lost
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_ = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.ended = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.lost = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RequestCounts')
+        if self.service_ is not None:
+            oprot.writeFieldBegin('service_', TType.STRING, 1)
+            oprot.writeString(self.service_.encode('utf-8') if sys.version_info[0] == 2 else self.service_)
+            oprot.writeFieldEnd()
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.I32, 2)
+            oprot.writeI32(self.ended)
+            oprot.writeFieldEnd()
+        if self.lost is not None:
+            oprot.writeFieldBegin('lost', TType.I32, 3)
+            oprot.writeI32(self.lost)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EntryWork(object):
     """
     Attributes:
      - targets
      - full
+     - requests
 
     """
 
 
-    def __init__(self, targets=None, full=None,):
+    def __init__(self, targets=None, full=None, requests=None,):
         self.targets = targets
         self.full = full
+        self.requests = requests
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4760,6 +4841,17 @@
                     self.full = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.requests = []
+                    (_etype223, _size220) = iprot.readListBegin()
+                    for _i224 in range(_size220):
+                        _elem225 = RequestCounts()
+                        _elem225.read(iprot)
+                        self.requests.append(_elem225)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4773,14 +4865,21 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter220 in self.targets:
-                iter220.write(oprot)
+            for iter226 in self.targets:
+                iter226.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.full is not None:
             oprot.writeFieldBegin('full', TType.BOOL, 2)
             oprot.writeBool(self.full)
             oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.requests))
+            for iter227 in self.requests:
+                iter227.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4804,13 +4903,15 @@
     Attributes:
      - targets
      - full
+     - requests
 
     """
 
 
-    def __init__(self, targets=None, full=None,):
+    def __init__(self, targets=None, full=None, requests=None,):
         self.targets = targets
         self.full = full
+        self.requests = requests
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4824,11 +4925,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype224, _size221) = iprot.readListBegin()
-                    for _i225 in range(_size221):
-                        _elem226 = TargetWork()
-                        _elem226.read(iprot)
-                        self.targets.append(_elem226)
+                    (_etype231, _size228) = iprot.readListBegin()
+                    for _i232 in range(_size228):
+                        _elem233 = TargetWork()
+                        _elem233.read(iprot)
+                        self.targets.append(_elem233)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4837,6 +4938,17 @@
                     self.full = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.requests = []
+                    (_etype237, _size234) = iprot.readListBegin()
+                    for _i238 in range(_size234):
+                        _elem239 = RequestCounts()
+                        _elem239.read(iprot)
+                        self.requests.append(_elem239)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4850,14 +4962,21 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter227 in self.targets:
-                iter227.write(oprot)
+            for iter240 in self.targets:
+                iter240.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.full is not None:
             oprot.writeFieldBegin('full', TType.BOOL, 2)
             oprot.writeBool(self.full)
             oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.requests))
+            for iter241 in self.requests:
+                iter241.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4974,11 +5093,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype231, _size228) = iprot.readListBegin()
-                    for _i232 in range(_size228):
-                        _elem233 = LongHeld()
-                        _elem233.read(iprot)
-                        self.held.append(_elem233)
+                    (_etype245, _size242) = iprot.readListBegin()
+                    for _i246 in range(_size242):
+                        _elem247 = LongHeld()
+                        _elem247.read(iprot)
+                        self.held.append(_elem247)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4999,8 +5118,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter234 in self.held:
-                iter234.write(oprot)
+            for iter248 in self.held:
+                iter248.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5923,17 +6042,26 @@
     (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
     (2, TType.I32, 'attempts', None, None, ),  # 2
 )
+all_structs.append(RequestCounts)
+RequestCounts.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'ended', None, None, ),  # 2
+    (3, TType.I32, 'lost', None, None, ),  # 3
+)
 all_structs.append(EntryWork)
 EntryWork.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'targets', (TType.STRUCT, [TargetWork, None], False), None, ),  # 1
     (2, TType.BOOL, 'full', None, None, ),  # 2
+    (3, TType.LIST, 'requests', (TType.STRUCT, [RequestCounts, None], False), None, ),  # 3
 )
 all_structs.append(OthersWork)
 OthersWork.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'targets', (TType.STRUCT, [TargetWork, None], False), None, ),  # 1
     (2, TType.BOOL, 'full', None, None, ),  # 2
+    (3, TType.LIST, 'requests', (TType.STRUCT, [RequestCounts, None], False), None, ),  # 3
 )
 all_structs.append(LongHeld)
 LongHeld.thrift_spec = (
--- a/tests/core/controllers/test_shared_work.py
+++ b/tests/core/controllers/test_shared_work.py
@@ -8,7 +8,12 @@
     SharedWorkController,
 )
 from wasabitray_core.local_messages import InFlightSubscribers
-from wasabitray_core.messages import EntryWork, OthersWork, TargetWork
+from wasabitray_core.messages import (
+    EntryWork,
+    OthersWork,
+    RequestCounts,
+    TargetWork,
+)
 
 
 @pytest.fixture
@@ -86,3 +91,24 @@
     receive_counts(bed, "e1", t1=1)
     assert bed.controller.tick_interval_s < idle
     assert not bed.outbox.sent
+
+
+def test_subscribers_receive_the_requests_that_other_entries_lost(bed):
+    def count(ended, lost):
+        return (RequestCounts("rota", ended, lost),)
+
+    bed.receive("e1", EntryWork((), True, count(20, 1)))
+    bed.receive("e2", EntryWork((), True, count(30, 6)))
+    bed.receive("c2", EntryWork((), True, count(10, 2)))
+    bed.tick(0.5)
+    sent = {host: message.requests for host, message in bed.outbox.sent}
+    assert sent == {
+        "e1": count(40, 8),
+        "e2": count(30, 3),
+        "c2": count(50, 7),
+    }
+    bed.receive("e1", EntryWork((), True))
+    bed.outbox.sent.clear()
+    bed.tick(0.5)
+    sent = {host: message.requests for host, message in bed.outbox.sent}
+    assert sent["c2"] == count(30, 6)
--- a/tests/support/episodes.py
+++ b/tests/support/episodes.py
@@ -39,7 +39,12 @@
     UsableTarget,
     UsableTargets,
 )
-from wasabitray_core.messages import OthersWork, TargetWork
+from wasabitray_core.messages import (
+    EntryWork,
+    OthersWork,
+    RequestCounts,
+    TargetWork,
+)
 from wasabitray_core.requests import (
     AttemptResult,
     Exchange,
@@ -138,6 +143,8 @@
     def tell(self, controller, message):
         if isinstance(message, Broadcast):
             self.entry.world.broadcast(self.entry, message.item)
+        elif isinstance(message, EntryWork) and message.full:
+            self.entry.requests = message.requests
 
     def reply(self, token, value):
         self.entry.world.call_later(0.0, token, value)
@@ -153,6 +160,7 @@
         self.world = world
         self.region = REGIONS[number % world.load.entry_regions]
         self.own_in_flight = Counter()
+        self.requests = ()
         outbox = Outbox(self)
         context = Context(f"e{number}", world.clock, world.random, outbox)
         self.dispatch = dispatch(context, self.region)
@@ -181,7 +189,8 @@
             TargetWork(t, known[t] - self.own_in_flight[t])
             for t in (known if changed is None else changed)
         )
-        self.tell(OthersWork(in_flight, changed is None))
+        requests = self.world.count_requests(self) if changed is None else ()
+        self.tell(OthersWork(in_flight, changed is None, requests))
 
     def submit(self, exchange, done):
         self.run_effects(self.chain.run(exchange), None, exchange, done)
@@ -331,6 +340,19 @@
         for entry in self.entries:
             entry.apply_others_in_flight()
 
+    def count_requests(self, receiver):
+        """Return the recent requests of a region's other entries."""
+        if not self.load.streams_in_flight:
+            return ()
+        counts = [
+            count
+            for entry in self.entries
+            if entry is not receiver and entry.region == receiver.region
+            for count in entry.requests
+        ]
+        ended, lost = sum(c.ended for c in counts), sum(c.lost for c in counts)
+        return (RequestCounts(SERVICE, ended, lost),)
+
     def send_changed_in_flight(self):
         self.call_later(HUB_INTERVAL_S, self.send_changed_in_flight)
         for entry in self.entries:
