Reply to a trial whose record is evicted, and expire suspicions as before

Found when reading the change: an entry with 4,096 quarantined requests could drop the record of one that waits for the leader, and that request would have waited for ever; the new test fails without the reply. Suspicions are kept for two minutes again instead of ten, since hubs send them all to an entry that subscribes: 30 broken connections a second would be 18,000 items.

--- a/packages/core/src/wasabitray_core/controllers/crashes.py
+++ b/packages/core/src/wasabitray_core/controllers/crashes.py
@@ -17,7 +17,7 @@
 TRIAL_WAITS_S = (10.0, 60.0)
 # How long hosts remember a request that crashed targets, but too few for a
 # quarantine.
-SUSPICION_TTL_S = 600.0
+SUSPICION_TTL_S = 120.0
 # How long a quarantine lasts after the newest crash or trial.
 QUARANTINE_TTL_S = 3_600.0
 # How long hosts remember that a target served the request, so that reports of
--- a/packages/core/src/wasabitray_core/controllers/quarantine.py
+++ b/packages/core/src/wasabitray_core/controllers/quarantine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Any, ClassVar
@@ -208,8 +208,8 @@
         nothing shows that any target can serve the request.
         """
         began = self._now() - report.elapsed
-        answered_at = self._responses.get(report.fingerprint, _NEVER)
-        if self._now() - answered_at < RESPONSE_TTL_S:
+        served_at = self._responses.get(report.fingerprint, _NEVER)
+        if self._now() - served_at < RESPONSE_TTL_S:
             return began >= suspect.newest_crash_at
         return began >= suspect.crashed_at.get(report.target, _NEVER)
 
@@ -219,14 +219,12 @@
             return
         now = self._now()
         was_quarantined = suspect.is_quarantined
+        known_crashes = Counter(suspect.record.targets)
         if record.epoch != suspect.record.epoch:
             suspect.crashed_at.clear()
-        for target in record.targets:
-            known = suspect.record.targets.count(target)
-            if record.targets.count(target) > known or (
-                record.epoch != suspect.record.epoch
-            ):
-                suspect.crashed_at[target] = now
+            known_crashes.clear()
+        for target in Counter(record.targets) - known_crashes:
+            suspect.crashed_at[target] = now
         suspect.record = record
         suspect.expires_at = Seconds(now + get_time_to_live(record))
         self._broadcast(suspect)
@@ -259,7 +257,9 @@
         candidates = (
             f for f, s in self._suspects.items() if not s.is_quarantined
         )
-        del self._suspects[next(candidates, oldest)]
+        evicted = self._suspects.pop(next(candidates, oldest))
+        if evicted.waiting is not None:
+            self._end_wait(evicted, Suspicion.QUARANTINED)
 
     def _get_suspicion(self, suspect: _Suspect | None) -> Suspicion:
         """Return what is known; TRIAL if a trial may be requested now."""
--- a/tests/core/controllers/test_quarantine.py
+++ b/tests/core/controllers/test_quarantine.py
@@ -10,6 +10,7 @@
     count_trial,
 )
 from wasabitray_core.controllers.quarantine import (
+    MAX_SUSPECTS,
     REBROADCAST_INTERVAL_S,
     RESPONSE_TTL_S,
     TRIAL_REPLY_TIMEOUT_S,
@@ -209,3 +210,11 @@
         check_quarantine(bed)
         check_quarantine(bed)
         assert len(get_broadcasts(bed)) == known + 1
+
+    def test_attempt_whose_record_is_evicted_gets_a_reply(self, bed):
+        bed.clock.advance(TRIAL_WAITS_S[0])
+        token = ask_for_trial(bed)
+        crashes = ("t1", "t2", "t3")
+        for number in range(MAX_SUSPECTS):
+            bed.receive("e2", Quarantine(f"g{number}", crashes))
+        assert bed.outbox.replies[token] is Suspicion.QUARANTINED
