Let an instance break a connection before it must be unused

The scenario counted the requests at the instance after twenty others, and expected none later. It then broke its first connections within the check. Traced in the entry's log (attempts at i-i1 end 0.008 s, then stale and failed at 0.211 and 0.220 s, none after). The check now begins once the instance has broken a connection and a round of requests has passed it by; then none of twenty may reach it, as before.

--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -279,7 +279,9 @@
 
 @when("{name} resets every connection")
 def reset_connections(context, name):
-    context.fleet.instances[name].mode = "reset"
+    instance = context.fleet.instances[name]
+    instance.mode = "reset"
+    context.requests_before_reset = len(instance.requests)
 
 
 @then("{count:d} requests to {path} at every entry are all answered")
@@ -312,6 +314,16 @@
 @then("all entries stop using {name} immediately")
 def instance_is_avoided(context, name):
     failing_instance = context.fleet.instances[name]
+
+    def has_broken_connections():
+        # A reused connection that breaks is no evidence against its target.
+        received = len(failing_instance.requests)
+        for entry in context.fleet.entries:
+            context.fleet.send(entry, "GET", "/read/x")
+        is_unused = len(failing_instance.requests) == received
+        return is_unused and received > context.requests_before_reset
+
+    wait_for(has_broken_connections, 3, f"broken connections to {name}")
     count_before = len(failing_instance.requests)
     for entry in context.fleet.entries:
         for _ in range(10):
