--- a/tests/core/test_crashing_requests.py
+++ b/tests/core/test_crashing_requests.py
@@ -52,7 +52,7 @@
         token = ReplyToken(self.tokens)
         self.controller.receive(message, Origin(reply_token=token))
 
-    def hear(self, peer, message):
+    def receive_from_peer(self, peer, message):
         self.controller.receive(message, Origin(peer=peer))
 
     # Outbox
@@ -100,7 +100,7 @@
     def send(self, sender, receiver, message):
         delay = self.random.uniform(0.01, 0.3)
         host = self.hosts[receiver]
-        self.clock.call_later(delay, host.hear, sender, message)
+        self.clock.call_later(delay, host.receive_from_peer, sender, message)
 
     def tick(self):
         for name in self.entries:
