Honour a target's Server-Leaving and Retry-After

Cause: an instance that says in its responses that it is leaving, or asks for time with a 503, was used on: neither header was read. A 503 with Retry-After keeps that target from being chosen by this entry until then (at most 300 s); if all targets of a service ask for time, callers are refused at once until the first one wants requests again. A retry whose targets were all tried is refused at once too, instead of waiting for its deadline.

--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -19,6 +19,7 @@
     is_newer_report,
 )
 from wasabitray_core.controllers.feedback import (
+    record_back_off,
     record_load,
     record_path_result,
 )
@@ -60,6 +61,7 @@
     SharedLoad,
     TargetState,
     choose_target,
+    find_back_off,
     find_early_readmissions,
     measure_availability,
 )
@@ -84,6 +86,7 @@
 MIN_HOLD_TIME_S = 0.001
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 5.0
+BACK_OFF_JITTER_S = 0.25
 
 
 @dataclass(slots=True)
@@ -247,6 +250,7 @@
                 state.busy_long = max(0, state.busy_long - 1)
             record_load(state, message, now)
             record_path_result(state, message, now)
+            record_back_off(state, message, now)
             self._report_attempt(service, state, message)
         if message.status is AttemptStatus.ANSWERED:
             average = service.hold_time.get(message.work, message.elapsed)
@@ -276,6 +280,11 @@
                         for t, s in service.targets.items()
                         if s.avoid_until > now
                     ],
+                    "backing_off": [
+                        t
+                        for t, s in service.targets.items()
+                        if s.is_backing_off(now)
+                    ],
                 }
                 for name, service in self._services.items()
             },
@@ -450,6 +459,8 @@
             )
             self._reply(waiter.origin, refusal)
             return True
+        if self._refuse_backed_off(service, waiter):
+            return True
         wait = self._estimate_wait(service, waiter.request.work)
         if waiter.arrived_at + wait <= waiter.request.deadline:
             return False
@@ -459,6 +470,24 @@
         self._reply(waiter.origin, refusal)
         return True
 
+    def _refuse_backed_off(self, service: _Service, waiter: Waiter) -> bool:
+        """Refuse a request if none of its targets wants requests.
+
+        Returns:
+            Whether the request was refused.
+        """
+        back_off = find_back_off(
+            service.targets.values(), waiter.request.excluded, self._now()
+        )
+        if back_off is None:
+            return False
+        # Callers that come back before the first target is ready again would
+        # be refused again, so the jitter only adds to the wait.
+        jitter = BACK_OFF_JITTER_S * self._context.random.random()
+        refusal = SlotRefusal(RefusalReason.OVERLOAD, back_off + jitter)
+        self._reply(waiter.origin, refusal)
+        return True
+
     def _refuse_overdue(self, service: _Service, waiter: Waiter) -> bool:
         """Refuse a waiting request whose response would come too late.
 
@@ -467,6 +496,8 @@
         """
         if not service.targets and self._now() >= self._startup_wait_until:
             return self._refuse_unservable(service, waiter)
+        if service.targets and self._refuse_backed_off(service, waiter):
+            return True
         hold_time = service.hold_time.get(waiter.request.work, 0.0)
         if self._now() + hold_time < waiter.request.deadline:
             return False
--- a/packages/core/src/wasabitray_core/controllers/feedback.py
+++ b/packages/core/src/wasabitray_core/controllers/feedback.py
@@ -12,6 +12,9 @@
 # consecutive failure.
 MIN_AVOIDANCE_S = 0.5
 MAX_AVOIDANCE_S = 8.0
+# A target may state any time in `Retry-After`, also by mistake. One that is
+# still overloaded after this long states it again in its next refusal.
+MAX_BACK_OFF_S = 300.0
 PATH_FAILURE_STATUSES = frozenset(
     {
         AttemptStatus.REFUSED,
@@ -38,6 +41,20 @@
         state.reported_at = now
 
 
+def record_back_off(
+    state: TargetState, release: ReleaseSlot, now: Seconds
+) -> None:
+    """Record for how long a target wants no more requests.
+
+    Refusals that overlap don't shorten the time.
+    """
+    if release.retry_after is not None:
+        duration = min(MAX_BACK_OFF_S, release.retry_after)
+        state.back_off_until = max(
+            state.back_off_until, Seconds(now + duration)
+        )
+
+
 def record_path_result(
     state: TargetState, release: ReleaseSlot, now: Seconds
 ) -> None:
--- a/packages/core/src/wasabitray_core/controllers/targets.py
+++ b/packages/core/src/wasabitray_core/controllers/targets.py
@@ -20,6 +20,7 @@
     FleetView,
     GetStatus,
     ServiceLimits,
+    TargetLeaving,
     Tick,
     UsableTarget,
     UsableTargets,
@@ -136,12 +137,27 @@
 
     @receive.register
     def _(self, message: Announcement, origin: Origin) -> None:
+        self._reply(origin, self._apply(message))
+
+    @receive.register
+    def _(self, message: TargetLeaving, origin: Origin) -> None:
+        known = self._targets.get(message.target)
+        if known is None:
+            return
+        departure = replace(
+            known.announcement,
+            generation=message.generation,
+            phase=TargetPhase.LEAVING,
+        )
+        self._apply(departure)
+
+    def _apply(self, message: Announcement) -> bool:
+        """Store and spread an announcement; return whether it is newer."""
         previous = self._targets.get(message.target)
         if previous is not None and not is_newer(
             message, previous.announcement
         ):
-            self._reply(origin, False)
-            return
+            return False
         now = self._now()
         generation_began_at = now
         if previous is not None and _has_same_generation(
@@ -160,7 +176,7 @@
                 phase=message.phase.name.lower(),
             )
         self._publish(message.service)
-        self._reply(origin, True)
+        return True
 
     @receive.register
     def _(self, message: Ejection, origin: Origin) -> None:
--- a/packages/core/src/wasabitray_core/filters/retry.py
+++ b/packages/core/src/wasabitray_core/filters/retry.py
@@ -63,6 +63,7 @@
             retry_response = yield from call_next(exchange)
             if len(exchange.tried_targets) == attempts_before:
                 yield _describe_refused_retry(exchange, retry_response)
+                _extend_retry_after(response, retry_response)
                 return response
             if response.chunks is not None:
                 response.chunks.close()
@@ -88,6 +89,13 @@
         return exchange.matched_route.idempotent
 
 
+def _extend_retry_after(response: Response, refused_retry: Response) -> None:
+    """Ask the caller to wait as long as the refused retry would have to."""
+    waits = (response.retry_after, refused_retry.retry_after)
+    if all(wait is not None for wait in waits):
+        response.retry_after = max(wait for wait in waits if wait is not None)
+
+
 def _describe_refused_retry(
     exchange: Exchange, response: Response
 ) -> LogDecision:
--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -33,6 +33,7 @@
     SlotGrant,
     SlotRefusal,
     Suspicion,
+    TargetLeaving,
 )
 from wasabitray_core.requests import (
     AttemptResult,
@@ -143,6 +144,9 @@
         else:
             exchange.unsent_attempts += 1
         yield _describe_attempt(exchange, grant, result)
+        if result.is_leaving:
+            departure = TargetLeaving(target.target, target.generation)
+            yield TellController(ControllerName.TARGETS, departure)
         exchange.may_have_run = exchange.may_have_run or result.may_have_run
         yield from _report_trial(exchange, suspicion, result.may_have_run)
         failure = find_failure(exchange, result)
@@ -241,6 +245,7 @@
             result.elapsed,
             result.load,
             not is_successful and result.status is AttemptStatus.ANSWERED,
+            result.retry_after,
         )
         return TellController(_DISPATCH, release)
 
@@ -308,6 +313,8 @@
             "status": result.status.value,
             "detail": result.detail,
             "answer": result.response.status if result.response else None,
+            "leaving": result.is_leaving,
+            "retry_after_s": result.retry_after,
             "elapsed_ms": round(result.elapsed * 1_000, 1),
         },
     )
--- a/packages/core/src/wasabitray_core/local_messages.py
+++ b/packages/core/src/wasabitray_core/local_messages.py
@@ -246,6 +246,18 @@
 # Membership and addresses
 
 
+@dataclass(frozen=True, slots=True)
+class TargetLeaving:
+    """Reports that a target stated in a response that it is leaving.
+
+    Attributes:
+        generation: the start of the target's process that responded.
+    """
+
+    target: TargetId
+    generation: int
+
+
 @dataclass(frozen=True, slots=True)
 class Broadcast:
     """Sends an update to the other hosts."""
@@ -493,6 +505,8 @@
 
     Attributes:
         is_fault: whether the target sent a response that is an error.
+        retry_after: seconds for which the target wants no more requests from
+            this entry, None if it stated no such time.
     """
 
     service: ServiceName
@@ -502,6 +516,7 @@
     elapsed: Seconds
     load: LoadReport | None
     is_fault: bool = False
+    retry_after: Seconds | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -99,6 +99,8 @@
         reported_load: load that the target last reported.
         reported_at: when that report came.
         avoid_until: until this time this entry avoids its path to the target.
+        back_off_until: until this time the target wants no requests from this
+            entry.
         path_failures: failures of that path in a row.
         failed_at: when this entry learned of the newest failure that started
             a cool-down.
@@ -122,6 +124,7 @@
     reported_load: LoadReport | None = None
     reported_at: Seconds = Seconds(0.0)
     avoid_until: Seconds = Seconds(0.0)
+    back_off_until: Seconds = Seconds(0.0)
     path_failures: int = 0
     failed_at: Seconds = Seconds(0.0)
     cooling_until: Seconds = Seconds(0.0)
@@ -177,6 +180,10 @@
         allowed = requests_per_slot if may_queue else 1.0
         return self.load(now) + 1 <= self.slots(now) * allowed + 1e-9
 
+    def is_backing_off(self, now: Seconds) -> bool:
+        """Tell whether the target wants no requests from this entry."""
+        return now < self.back_off_until
+
     def is_cooling(self, now: Seconds) -> bool:
         """Tell whether the target is cooling down."""
         return now < self.cooling_until
@@ -263,6 +270,28 @@
     return Availability(len(usable), len(cooling), len(long))
 
 
+def find_back_off(
+    states: Iterable[TargetState],
+    excluded: Collection[TargetId],
+    now: Seconds,
+) -> Seconds | None:
+    """Return how long all targets of a request want no requests.
+
+    Args:
+        states: all targets of the service.
+        excluded: targets that the request can't use.
+        now: monotonic seconds.
+
+    Returns:
+        The seconds until the first target wants requests again; zero if
+        every target is excluded; None if a target wants requests now.
+    """
+    usable = [s for s in states if s.target.target not in excluded]
+    if any(not s.is_backing_off(now) for s in usable):
+        return None
+    return Seconds(min((s.back_off_until - now for s in usable), default=0.0))
+
+
 def find_early_readmissions(
     states: Iterable[TargetState], lost_share: float, now: Seconds
 ) -> list[TargetState]:
@@ -304,12 +333,19 @@
     entries would choose the same one. A target that this entry can't reach
     is used when no other target is free, and a cooling one when the others
     can't carry the load. A target that may work again comes first, with one
-    trial request at a time.
+    trial request at a time. A target that asked this entry to back off is
+    never chosen.
     """
     if request.pinned_target is not None:
         pinned = targets.get(request.pinned_target)
-        return PlacementChoice(pinned, Basis.PINNED) if pinned else None
-    candidates = [s for t, s in targets.items() if t not in request.excluded]
+        if pinned is None or pinned.is_backing_off(now):
+            return None
+        return PlacementChoice(pinned, Basis.PINNED)
+    candidates = [
+        s
+        for t, s in targets.items()
+        if t not in request.excluded and not s.is_backing_off(now)
+    ]
     usable = [s for s in candidates if not s.probation]
     in_use = [s for s in usable if not s.is_cooling(now)]
     trial = _choose_trial(candidates, in_use, request, now, rng)
--- a/packages/core/src/wasabitray_core/requests.py
+++ b/packages/core/src/wasabitray_core/requests.py
@@ -163,6 +163,9 @@
 
     Attributes:
         is_silent: whether the connection stayed open without a response.
+        is_leaving: whether the target stated that it is leaving.
+        retry_after: seconds for which the target wants no more requests from
+            this entry, None if it stated no such time.
     """
 
     status: AttemptStatus
@@ -171,6 +174,8 @@
     elapsed: Seconds = Seconds(0.0)
     detail: str = ""
     is_silent: bool = False
+    is_leaving: bool = False
+    retry_after: Seconds | None = None
 
     @property
     def was_sent(self) -> bool:
--- a/packages/node/src/wasabitray_node/dialects.py
+++ b/packages/node/src/wasabitray_node/dialects.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -30,7 +31,10 @@
 from wasabitray_node import headers as h
 
 NOT_RUN = "not-run"
-SHED_STATUSES = frozenset({429, 503})
+UNAVAILABLE = 503
+SHED_STATUSES = frozenset({429, UNAVAILABLE})
+# Bounded, so that the number is finite.
+_SECONDS = re.compile(r"[0-9]{1,18}(\.[0-9]{1,18})?")
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,11 +79,15 @@
         status: how the attempt ended.
         load: the load that the target reported.
         detail: what is wrong with the response; empty if nothing is.
+        is_leaving: whether the target stated that it is leaving.
+        retry_after: seconds for which the target wants no more requests.
     """
 
     status: AttemptStatus = AttemptStatus.ANSWERED
     load: LoadReport | None = None
     detail: str = ""
+    is_leaving: bool = False
+    retry_after: Seconds | None = None
 
 
 class TargetDialect(Protocol):
@@ -195,11 +203,25 @@
         load = parse_load(find_header(headers, h.LOAD_HEADER))
         if status in SHED_STATUSES and outcome == NOT_RUN:
             return ResponseMetadata(
-                AttemptStatus.SHED, load, f"shed with {status}"
+                AttemptStatus.SHED,
+                load,
+                f"shed with {status}",
+                retry_after=parse_retry_after(status, headers),
             )
         return ResponseMetadata(load=load)
 
 
+def parse_retry_after(status: int, headers: Headers) -> Seconds | None:
+    """Return the seconds that a 503 response states in `Retry-After`.
+
+    A value that is not a number of seconds, such as a date, is ignored.
+    """
+    value = find_header(headers, "Retry-After").strip()
+    if status != UNAVAILABLE or not _SECONDS.fullmatch(value):
+        return None
+    return Seconds(float(value))
+
+
 def parse_load(value: str) -> LoadReport | None:
     """Parse `busy=1, slots=2` from a target's load header."""
     fields = {}
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -5,6 +5,7 @@
 import errno
 import socket
 from collections.abc import Callable, Generator
+from dataclasses import replace
 
 import gevent
 import gevent.socket
@@ -106,14 +107,7 @@
             )
         elapsed = Seconds(self._clock() - started)
         self._release_connection(exchange, result, watch)
-        return AttemptResult(
-            result.status,
-            result.response,
-            result.load,
-            elapsed,
-            result.detail,
-            result.is_silent,
-        )
+        return replace(result, elapsed=elapsed)
 
     def _connect(self, attempt: Attempt) -> Connection:
         target = attempt.target
@@ -363,7 +357,12 @@
             self._body,
             None if parsed.is_complete else self._read_rest(parsed),
         )
-        return AttemptResult(AttemptStatus.ANSWERED, response, metadata.load)
+        return AttemptResult(
+            AttemptStatus.ANSWERED,
+            response,
+            metadata.load,
+            is_leaving=metadata.is_leaving,
+        )
 
     def check_limits(self, added_bytes: int, is_late: bool) -> None:
         """Count further bytes of the body and check its limits.
@@ -393,7 +392,11 @@
         """
         self.abandon()
         return AttemptResult(
-            metadata.status, load=metadata.load, detail=metadata.detail
+            metadata.status,
+            load=metadata.load,
+            detail=metadata.detail,
+            is_leaving=metadata.is_leaving,
+            retry_after=metadata.retry_after,
         )
 
     def _read_rest(
--- a/tests/core/controllers/test_dispatch.py
+++ b/tests/core/controllers/test_dispatch.py
@@ -1,8 +1,14 @@
 """How an entry grants slots, queues requests and limits retries."""
 
+from dataclasses import replace
+
 from support.fakes import ControllerBed
 
-from wasabitray_core.controllers.dispatch import DispatchController
+from wasabitray_core.controllers.dispatch import (
+    BACK_OFF_JITTER_S,
+    DispatchController,
+)
+from wasabitray_core.controllers.feedback import MAX_BACK_OFF_S
 from wasabitray_core.controllers.retry_budget import (
     RETRY_BURST,
     RetryLimits,
@@ -48,8 +54,29 @@
     return bed.outbox.replies.get(token)
 
 
-def release(bed, name, status=AttemptStatus.ANSWERED, load=None, elapsed=0.1):
-    bed.tell(ReleaseSlot("rota", name, WorkClass.SHORT, status, elapsed, load))
+def release(
+    bed,
+    name,
+    status=AttemptStatus.ANSWERED,
+    load=None,
+    elapsed=0.1,
+    retry_after=None,
+):
+    bed.tell(
+        ReleaseSlot(
+            "rota",
+            name,
+            WorkClass.SHORT,
+            status,
+            elapsed,
+            load,
+            retry_after=retry_after,
+        )
+    )
+
+
+def shed(bed, name, retry_after):
+    release(bed, name, AttemptStatus.SHED, retry_after=retry_after)
 
 
 def test_no_target_gets_more_than_its_slots():
@@ -172,3 +199,74 @@
     assert not budget.try_withdraw()
     bed.ask(AcquireSlot("rota", "o", work, True, 2_000.0))
     assert budget.try_withdraw()
+
+
+def count_grants(bed, name, seconds):
+    """Return how many requests of a steady load a target gets."""
+    granted = 0
+    for _ in range(round(seconds / 0.1)):
+        bed.tick(0.1)
+        grant = find_reply(bed, acquire(bed))
+        if isinstance(grant, SlotGrant):
+            granted += grant.target.target == name
+            release(bed, grant.target.target)
+    return granted
+
+
+def test_target_that_asks_to_back_off_gets_nothing_until_then():
+    bed = make_bed(target("t1"), target("t2"))
+    acquire(bed)
+    acquire(bed)
+    shed(bed, "t1", 6.5)
+    assert count_grants(bed, "t1", 6.4) == 0
+    assert count_grants(bed, "t1", 3.0) > 0
+
+
+def test_shorter_time_does_not_end_a_longer_back_off():
+    bed = make_bed(target("t1"), target("t2"))
+    acquire(bed)
+    acquire(bed)
+    shed(bed, "t1", 6.5)
+    shed(bed, "t1", 0.5)
+    assert count_grants(bed, "t1", 6.4) == 0
+
+
+def test_back_off_is_bounded_and_ends_with_the_targets_start():
+    bed = make_bed(target("t1"), target("t2"))
+    acquire(bed)
+    shed(bed, "t1", 1e17)
+    bed.tick(MAX_BACK_OFF_S + 0.1)
+    assert count_grants(bed, "t1", 3.0) > 0
+    shed(bed, "t1", 60.0)
+    restarted = replace(target("t1"), generation=9)
+    usable = (UsableTarget(restarted, False),)
+    bed.tell(UsableTargets("rota", usable, ("t1",), ()))
+    assert isinstance(find_reply(bed, acquire(bed)), SlotGrant)
+
+
+def test_caller_is_refused_until_the_first_target_wants_requests():
+    bed = make_bed(target("t1"), target("t2"))
+    acquire(bed)
+    shed(bed, "t1", 1.5)
+    shed(bed, "t2", 6.5)
+    refusal = find_reply(bed, acquire(bed, within=8.0))
+    assert refusal.reason is RefusalReason.OVERLOAD
+    assert 1.5 <= refusal.retry_after <= 1.5 + BACK_OFF_JITTER_S
+    bed.tick(1.5)
+    assert isinstance(find_reply(bed, acquire(bed)), SlotGrant)
+
+
+def test_waiting_requests_are_refused_once_all_targets_back_off():
+    bed = make_bed(target("t1", slots=1))
+    acquire(bed)
+    waiting = acquire(bed, within=8.0)
+    shed(bed, "t1", 3.0)
+    assert find_reply(bed, waiting).reason is RefusalReason.OVERLOAD
+
+
+def test_retry_without_another_target_is_refused_immediately():
+    bed = make_bed(target("t1"))
+    acquire(bed)
+    release(bed, "t1", AttemptStatus.SHED)
+    retry = acquire(bed, within=8.0, excluded=("t1",), retry=True)
+    assert find_reply(bed, retry).reason is RefusalReason.OVERLOAD
--- a/tests/core/controllers/test_targets.py
+++ b/tests/core/controllers/test_targets.py
@@ -6,6 +6,7 @@
 from wasabitray_core.local_messages import (
     Broadcast,
     ServiceLimits,
+    TargetLeaving,
     UsableTargets,
 )
 from wasabitray_core.messages import Announcement, Ejection
@@ -105,3 +106,31 @@
     before = len(bed.outbox.get_told(Broadcast))
     bed.tell(make_announcement("t0"))
     assert len(bed.outbox.get_told(Broadcast)) == before
+
+
+def test_target_that_responds_as_leaving_leaves_the_fleet():
+    bed = make_bed(2, floor=2)
+    bed.tell(TargetLeaving("t0", 1))
+    assert get_usable(bed) == {"t1"}
+    told = bed.outbox.get_told(Broadcast)[-1].item
+    assert (told.target, told.generation) == ("t0", 1)
+    assert told.phase is TargetPhase.LEAVING
+
+
+def test_late_announcement_does_not_undo_a_leaving_response():
+    bed = make_bed(2, floor=1)
+    bed.tell(TargetLeaving("t0", 1))
+    bed.tell(make_announcement("t0", 9))
+    assert get_usable(bed) == {"t1"}
+    bed.tell(make_announcement("t0", 1, generation=2))
+    assert get_usable(bed) == {"t0", "t1"}
+
+
+def test_response_of_an_earlier_start_does_not_remove_a_target():
+    bed = make_bed(1, floor=1)
+    bed.tell(make_announcement("t0", 1, generation=5))
+    count = len(bed.outbox.get_told(Broadcast))
+    bed.tell(TargetLeaving("t0", 4))
+    bed.tell(TargetLeaving("unknown", 4))
+    assert get_usable(bed) == {"t0"}
+    assert len(bed.outbox.get_told(Broadcast)) == count
--- a/tests/core/filters/test_chain.py
+++ b/tests/core/filters/test_chain.py
@@ -30,6 +30,7 @@
     SlotGrant,
     SlotRefusal,
     Suspicion,
+    TargetLeaving,
     WithdrawClaim,
 )
 from wasabitray_core.requests import (
@@ -63,6 +64,7 @@
         self.suspended_s = 0.0
         self.admission = Suspicion.NONE
         self.admissions = iter(())
+        self.retry_after = 1.0
 
     def run(self, key=""):
         request = Request("hobart", "POST", "/x", key=key)
@@ -99,7 +101,7 @@
         if isinstance(message, AcquireSlot):
             self.clock.advance(self.suspended_s)
             if message.retry and self.slots is None:
-                return SlotRefusal(RefusalReason.OVERLOAD, 1.0)
+                return SlotRefusal(RefusalReason.OVERLOAD, self.retry_after)
             name = f"t{next(self.slots)}" if self.slots else "t1"
             return SlotGrant(Target(name, "rota", "r", "d", 2))
         if isinstance(message, AdmitAttempt):
@@ -318,3 +320,20 @@
     response = Script(*[S.UNREACHABLE] * 20).run()
     assert response.outcome is Outcome.NOT_RUN
     assert response.status == 503
+
+
+def test_leaving_target_and_its_back_off_are_reported():
+    shed = AttemptResult(S.SHED, is_leaving=True, retry_after=6.5)
+    served = AttemptResult(S.ANSWERED, Response(200), is_leaving=True)
+    script = Script(shed, served)
+    assert script.run().status == 200
+    departures = script.get_sent(TargetLeaving)
+    assert [d.target for d in departures] == ["t1", "t2"]
+    releases = script.get_sent(ReleaseSlot)
+    assert [r.retry_after for r in releases] == [6.5, None]
+
+
+def test_caller_waits_as_long_as_a_refused_retry_would():
+    script = Script(S.SHED)
+    script.slots, script.retry_after = None, 6.5
+    assert script.run().retry_after == 6.5
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -29,6 +29,20 @@
     When i1 announces that it is leaving and is acknowledged
     Then no request reaches i1 later than 2.5 s after that
 
+  Scenario: An instance that says in its responses that it is leaving
+    When i1 states in its responses that it is leaving
+    Then no request reaches i1 later than 2.5 s after that
+    When a late registration of i1 as ready arrives at every control host
+    Then no request reaches i1 later than 0.5 s after that
+
+  Scenario: An instance that asks for time gets none
+    When i1 refuses requests with a Retry-After of 4.5 s
+    Then at most 2 requests of an entry reach i1 from 0.5 s to 4.5 s after that
+
+  Scenario: A service whose instances all ask for time
+    When the instances refuse requests with a Retry-After of 3.5 s
+    Then a request to /write/x is refused at once until the 3.5 s are over
+
   Scenario: An instance whose address was taken over gets its own requests only
     When another instance answers at the address of i1
     Then 10 requests to /write/x are all answered by i2
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -265,6 +265,109 @@
     assert len(context.leaving_instance.requests) == count_before
 
 
+@when("{name} states in its responses that it is leaving")
+def state_leaving(context, name):
+    """Both entries pass on a response of the leaving instance."""
+    fleet = context.fleet
+    context.leaving_instance = fleet.instances[name]
+    context.leaving_instance.is_leaving = True
+
+    def passes_on(entry):
+        response = fleet.send(entry, "GET", "/read/x")
+        return response.headers.get("server-leaving") == "1"
+
+    wait_for(
+        lambda: any(passes_on(e) for e in fleet.entries), 10, "a response"
+    )
+    context.changed_at = time.monotonic()
+
+
+@when("a late registration of {name} as ready arrives at every control host")
+def register_late(context, name):
+    instance = context.fleet.instances[name]
+    for control in context.fleet.controls:
+        response = call(
+            context.fleet.registry_address(control),
+            "PUT",
+            f"/-/instances/{instance.name}",
+            instance.build_registration(),
+        )
+        assert response.status == 200, (control, response)
+    context.changed_at = time.monotonic()
+
+
+@when("{name} refuses requests with a Retry-After of {seconds:f} s")
+def refuse_with_time(context, name, seconds):
+    instance = context.fleet.instances[name]
+    instance.mode, instance.retry_after = "full", str(seconds)
+    count = len(instance.received_at)
+
+    def is_refused():
+        context.fleet.send("e1", "GET", "/read/x")
+        return len(instance.received_at) > count
+
+    wait_for(is_refused, 10, "a refusal")
+
+
+@then(
+    "at most {count:d} requests of an entry reach {name} from {start:f} s to "
+    "{end:f} s after that"
+)
+def few_requests_reach_instance(context, count, name, start, end):
+    instance = context.fleet.instances[name]
+    began_at = instance.received_at[-1]
+    while time.monotonic() < began_at + end:
+        assert context.fleet.send("e1", "GET", "/read/x").status == 200
+        gevent.sleep(0.02)
+    early = [
+        t for t in instance.received_at if start <= t - began_at < end - 0.1
+    ]
+    assert len(early) <= count, [t - began_at for t in early]
+
+
+@when("the instances refuse requests with a Retry-After of {seconds:f} s")
+def all_refuse_with_time(context, seconds):
+    instances = context.fleet.instances.values()
+    counts = [len(i.received_at) for i in instances]
+    for instance in instances:
+        instance.mode, instance.retry_after = "full", str(seconds)
+
+    def have_all_refused():
+        context.fleet.send("e1", "GET", "/read/x")
+        return all(
+            len(i.received_at) > count
+            for i, count in zip(instances, counts, strict=True)
+        )
+
+    wait_for(have_all_refused, 3, "a refusal of each instance")
+    context.changed_at = min(i.received_at[-1] for i in instances)
+
+
+@then(
+    "a request to {path} is refused at once until the {seconds:f} s are over"
+)
+def refused_until(context, path, seconds):
+    count = sum(len(i.received_at) for i in context.fleet.instances.values())
+    for _ in range(10):
+        started = time.monotonic()
+        response = context.fleet.send("e1", "POST", path)
+        remaining = context.changed_at + seconds - time.monotonic()
+        assert response.status == 503, response
+        assert time.monotonic() - started < 0.5
+        assert float(response.headers["retry-after"]) >= remaining - 0.1
+    assert count == sum(
+        len(i.received_at) for i in context.fleet.instances.values()
+    )
+    for instance in context.fleet.instances.values():
+        instance.mode = "serve"
+    gevent.sleep(max(0.0, context.changed_at + seconds - time.monotonic()))
+    wait_for(
+        lambda: context.fleet.send("e1", "POST", path).status == 200,
+        2,
+        "service",
+    )
+
+
 @when("another instance answers at the address of {name}")
 def replace_instance(context, name):
     context.fleet.instances[name].mode = "other"
--- a/tests/platform/test_dialects.py
+++ b/tests/platform/test_dialects.py
@@ -160,3 +160,54 @@
         "",
     )
     assert metadata.authority.startswith("rota.example")
+
+
+def with_headers(**headers):
+    return (
+        *VALID_HEADERS,
+        *((n.replace("_", "-"), v) for n, v in headers.items()),
+    )
+
+
+@pytest.mark.parametrize("status", [200, 404, 500])
+def test_response_of_a_leaving_instance_is_accepted(status):
+    metadata = parse(status, with_headers(Server_Leaving="1"))
+    assert metadata.status is AttemptStatus.ANSWERED
+    assert metadata.is_leaving
+    assert not parse(status).is_leaving
+
+
+def test_refusal_of_a_leaving_instance_says_so_too():
+    headers = with_headers(Not_Executed="1", Server_Leaving="1")
+    metadata = parse(503, headers)
+    assert metadata.status is AttemptStatus.SHED
+    assert metadata.is_leaving
+
+
+@pytest.mark.parametrize("value", ["", "0", "yes", "11"])
+def test_other_values_of_the_leaving_header_are_ignored(value):
+    assert not parse(200, with_headers(Server_Leaving=value)).is_leaving
+
+
+def test_another_request_or_instance_can_not_announce_a_leave():
+    leaving = ("Server-Leaving", "1")
+    other = (("Request-Id", "id-2"), ("Server-Stamp", "s"), leaving)
+    assert not parse(200, other).is_leaving
+    assert not parse(421, with_headers(Server_Leaving="1")).is_leaving
+
+
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [
+        ("6", 6.0), ("6.5", 6.5), (" 2 ", 2.0), ("0", 0.0), ("", None),
+        ("-1", None), ("1e3", None), ("inf", None), ("nan", None),
+        ("soon", None), ("9" * 400, None), ("1.", None), ("\u0666", None),
+        ("Wed, 21 Oct 2026 07:28:00 GMT", None),
+    ],
+)  # fmt: skip
+def test_retry_after_of_an_instance_is_read(value, seconds):
+    headers = with_headers(Not_Executed="1", Retry_After=value)
+    assert parse(503, headers).retry_after == seconds
+    # The instance answered 503, even if it may have run the request.
+    assert parse(503, with_headers(Retry_After=value)).retry_after == seconds
+    assert parse(429, headers).retry_after is None
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import socket
+import time
 from dataclasses import dataclass, field
 
 import gevent
@@ -99,12 +100,17 @@
             than the expected one does.
         delay_s: time that each request takes.
         crash_path: requests with this path break their connection.
+        is_leaving: whether its responses state that it is leaving.
+        retry_after: the `Retry-After` header of its refusals, if any.
+        received_at: when each request reached it, also those it refused.
     """
 
     def __init__(self, name, service, address, zone, registries, born=1_000):
         self.name, self.service, self.zone = name, service, zone
         self.address, self.registries, self.born = address, registries, born
         self.mode, self.delay_s, self.crash_path = "serve", 0.0, ""
+        self.is_leaving, self.retry_after = False, ""
+        self.received_at: list[float] = []
         self.state, self.sequence = "ready", 0
         self.requests: list[ReceivedRequest] = []
         host, _, port = address.rpartition(":")
@@ -179,8 +185,10 @@
         if self.mode == "other":
             sock.sendall(build_response(421, {"Instance-Id": "i-other"}))
             return True
+        self.received_at.append(time.monotonic())
         if self.mode == "full":
-            sock.sendall(build_response(503, {"Not-Executed": "1"}))
+            reader.read_body(headers)
+            sock.sendall(build_response(503, self.build_refusal(headers)))
             return True
         request = ReceivedRequest(method, target, headers)
         self.requests.append(request)
@@ -189,6 +197,8 @@
             "Server-Stamp": f"stamp-{self.name}",
             "Server-Load": "1,0,2",
         }
+        if self.is_leaving:
+            response_headers["Server-Leaving"] = "1"
         if self.mode == "early":
             sock.sendall(build_response(413, response_headers, b"too long"))
             return False
@@ -217,6 +227,15 @@
         sock.sendall(complete_response)
         return True
 
+    def build_refusal(self, headers: dict[str, str]) -> dict[str, str]:
+        refusal = {
+            "Not-Executed": "1",
+            "Request-Id": headers.get("request-id", ""),
+        }
+        if self.retry_after:
+            refusal["Retry-After"] = self.retry_after
+        return refusal
+
     def wait_for_delay(self, sock, request: ReceivedRequest) -> None:
         """Wait for the configured delay, or until the sender disconnects."""
         with gevent.Timeout(self.delay_s or 0.001, False):
