Send no request to a target that may outlive a planned stop

Cause: an entry that stops took requests for half of its grace time and cut off what was open at 0.88 of it; nobody asked whether a request can end by then. Scenarios with real processes, grace 6 s: requests of 2.8 s sent 2.9 s after the signal, and a slow one among fast ones sent at 1.6 s, were passed on and cut with no answer. Change: stopping.py decides from the grace time, the request's deadline and the longest recent attempt of its service. What is sent gets a deadline within the stop, and the entry waits for the target's own response at that deadline. Streamed uploads are sent only if their own deadline lies within the stop. The times of attempts moved from dispatch.py to attempt_times.py. Not covered: a request that was sent before the signal and takes longer than the stop is still cut off at 0.88 of the grace time.

--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -7,6 +7,7 @@
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
+from wasabitray_core.controllers.attempt_times import AttemptTimes
 from wasabitray_core.controllers.controller import (
     Context,
     Controller,
@@ -72,6 +73,7 @@
     find_spillover,
 )
 from wasabitray_core.states import AttemptStatus, RefusalReason, WorkClass
+from wasabitray_core.stopping import StopSchedule, find_latest_end
 
 # Interval of ticks while requests wait in a queue, and while none does.
 DRAIN_INTERVAL_S = 0.02
@@ -79,14 +81,14 @@
 # Time for which a target that joins after the first ones gets one request at
 # a time.
 RAMP_UP_S = 5.0
-# Weight of the newest attempt in the moving average of slot hold times.
-HOLD_TIME_WEIGHT = 0.05
 # Lower bound of the hold time when a request rate is derived from it: shorter
 # averages carry no information about the rate.
 MIN_HOLD_TIME_S = 0.001
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 5.0
 BACK_OFF_JITTER_S = 0.25
+# Attempts whose time shows how long the service takes.
+TIMED_STATUSES = frozenset({AttemptStatus.ANSWERED, AttemptStatus.TIMED_OUT})
 
 
 @dataclass(slots=True)
@@ -96,7 +98,9 @@
     queues: dict[WorkClass, FairQueue] = field(
         default_factory=lambda: {work: FairQueue() for work in WorkClass}
     )
-    hold_time: dict[WorkClass, float] = field(default_factory=dict)
+    times: dict[WorkClass, AttemptTimes] = field(
+        default_factory=lambda: {work: AttemptTimes() for work in WorkClass}
+    )
     usage: SlotUsage = field(default_factory=SlotUsage)
     losses: LossEstimate = field(default_factory=LossEstimate)
     spillover: Spillover = NO_SPILLOVER
@@ -148,6 +152,7 @@
         self._services: dict[ServiceName, _Service] = {}
         self._targets: dict[TargetId, TargetState] = {}
         self._shared_load = SharedLoad()
+        self._stop: StopSchedule | None = None
         self._in_flight = (
             InFlightReporter(context.clock()) if shares_in_flight else None
         )
@@ -207,6 +212,12 @@
         self._update_spillover(service)
         self._drain_queues(service)
 
+    @receive.register
+    def _(self, message: StopSchedule, origin: Origin) -> None:
+        self._stop = message
+        for service in self._services.values():
+            self._drain_queues(service)
+
     @receive.register
     def _(self, message: LongOccupancy, origin: Origin) -> None:
         long_held = {h.target: h.slots for h in message.held}
@@ -252,10 +263,10 @@
             record_path_result(state, message, now)
             record_back_off(state, message, now)
             self._report_attempt(service, state, message)
-        if message.status is AttemptStatus.ANSWERED:
-            average = service.hold_time.get(message.work, message.elapsed)
-            change = HOLD_TIME_WEIGHT * (message.elapsed - average)
-            service.hold_time[message.work] = average + change
+        if message.status in TIMED_STATUSES:
+            is_complete = message.status is AttemptStatus.ANSWERED
+            times = service.times[message.work]
+            times.record(message.elapsed, is_complete, now)
         self._drain_queues(service)
 
     @receive.register
@@ -412,7 +423,8 @@
         self, service: _Service, release: ReleaseSlot
     ) -> float:
         """Estimate the requests per second that each target gets."""
-        hold_time = service.hold_time.get(release.work, release.elapsed)
+        average = service.times[release.work].average
+        hold_time = release.elapsed if average is None else average
         used, _ = self._estimate_demand(service)
         in_use = sum(
             not s.is_cooling(self._now()) for s in service.targets.values()
@@ -459,6 +471,8 @@
             )
             self._reply(waiter.origin, refusal)
             return True
+        if self._refuse_too_late_to_start(service, waiter):
+            return True
         if self._refuse_backed_off(service, waiter):
             return True
         wait = self._estimate_wait(service, waiter.request.work)
@@ -470,6 +484,37 @@
         self._reply(waiter.origin, refusal)
         return True
 
+    def _refuse_too_late_to_start(
+        self, service: _Service, waiter: Waiter
+    ) -> bool:
+        """Refuse a request that may not end before a planned stop does.
+
+        The caller can send it to another entry without a wait.
+
+        Returns:
+            Whether the request was refused.
+        """
+        if self._find_latest_end(service, waiter.request) is not None:
+            return False
+        self._reply(waiter.origin, SlotRefusal(RefusalReason.STOPPING, 0.0))
+        return True
+
+    def _find_latest_end(
+        self, service: _Service, request: AcquireSlot
+    ) -> Seconds | None:
+        """Return when a request must end, None if it should not start."""
+        if self._stop is None:
+            return request.deadline
+        now = self._now()
+        longest = service.times[request.work].get_longest(now)
+        # How long a large body takes is up to its caller.
+        return find_latest_end(
+            self._stop,
+            request.deadline,
+            None if request.large else longest,
+            now,
+        )
+
     def _refuse_backed_off(self, service: _Service, waiter: Waiter) -> bool:
         """Refuse a request if none of its targets wants requests.
 
@@ -496,9 +541,11 @@
         """
         if not service.targets and self._now() >= self._startup_wait_until:
             return self._refuse_unservable(service, waiter)
+        if self._refuse_too_late_to_start(service, waiter):
+            return True
         if service.targets and self._refuse_backed_off(service, waiter):
             return True
-        hold_time = service.hold_time.get(waiter.request.work, 0.0)
+        hold_time = service.times[waiter.request.work].average or 0.0
         if self._now() + hold_time < waiter.request.deadline:
             return False
         wait = self._estimate_wait(service, waiter.request.work)
@@ -510,7 +557,7 @@
 
     def _estimate_wait(self, service: _Service, work: WorkClass) -> float:
         """Estimate the seconds until a new request of a class is done."""
-        hold_time = service.hold_time.get(work, 0.0)
+        hold_time = service.times[work].average or 0.0
         in_use = sum(s.busy for s in service.targets.values())
         ahead = len(service.queues[work])
         return hold_time * (ahead / max(1, in_use) + 1.0)
@@ -528,6 +575,9 @@
     def _try_grant(self, service: _Service, waiter: Waiter) -> bool:
         request = waiter.request
         now = self._now()
+        latest_end = self._find_latest_end(service, request)
+        if latest_end is None:
+            return False
         lost_share = service.losses.estimate_share(self._entry_count, now)
         placement_request = PlacementRequest(
             self._region,
@@ -566,6 +616,7 @@
             measure_availability(service.targets.values(), now),
             state.failure_age(now),
             lost_share,
+            latest_end,
         )
         self._reply(waiter.origin, grant)
         return True
--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -60,6 +60,7 @@
 STATUS_BY_REASON = {
     RefusalReason.NO_TARGET: 503,
     RefusalReason.OVERLOAD: 503,
+    RefusalReason.STOPPING: 503,
     RefusalReason.DEADLINE: 504,
     RefusalReason.CALLER_GONE: 503,
 }
@@ -112,6 +113,7 @@
         if not isinstance(grant, SlotGrant):
             return _refuse(exchange, grant)
         target = grant.target
+        exchange.deadline = min(exchange.deadline, grant.latest_end)
         # The request may have been quarantined while it waited for the slot.
         admission = AdmitAttempt(exchange.fingerprint)
         suspicion = yield AskController(ControllerName.QUARANTINE, admission)
--- a/packages/core/src/wasabitray_core/local_messages.py
+++ b/packages/core/src/wasabitray_core/local_messages.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -476,6 +477,8 @@
         failure_age: seconds since the newest report of a failure of the
             target, None if there is none.
         lost_share: estimated share of the service's requests that is lost.
+        latest_end: monotonic time by which the request must end; earlier than
+            its deadline if the entry is stopping.
     """
 
     target: Target
@@ -485,6 +488,7 @@
     availability: Availability = Availability(0, 0, 0)
     failure_age: Seconds | None = None
     lost_share: float = 0.0
+    latest_end: Seconds = Seconds(math.inf)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/states.py
+++ b/packages/core/src/wasabitray_core/states.py
@@ -158,6 +158,8 @@
     QUARANTINED = "quarantined"
     NO_TARGET = "no-target"
     OVERLOAD = "overload"
+    STOPPING = "stopping"
+    """The entry is stopping, and the request might not end before it does."""
     DEADLINE = "deadline"
     CALLER_GONE = "caller-gone"
     TARGET_FAILED = "target-failed"
--- a/packages/node/src/wasabitray_node/app.py
+++ b/packages/node/src/wasabitray_node/app.py
@@ -18,6 +18,7 @@
     TransferLeadership,
 )
 from wasabitray_core.states import HostFlag, Role
+from wasabitray_core.stopping import plan_stop
 from wasabitray_node.assembly import Assembly, exit_immediately, monotonic
 from wasabitray_node.callers import (
     AddressesResource,
@@ -47,10 +48,6 @@
 # After the last list of addresses has expired, requests of callers may still
 # be on the way.
 STOP_MARGIN_S = 1.0
-# Shares of the time for a planned stop: connections are accepted until the
-# first one, and requests may take until the second.
-ACCEPT_TIME_SHARE = 0.5
-FINISH_TIME_SHARE = 0.88
 # Higher than the defaults, for fewer collections: their pauses delay the
 # slowest requests.
 GC_THRESHOLDS = (10_000, 20, 50)
@@ -215,16 +212,19 @@
         """Stop within a given time.
 
         Callers keep addresses for longer than the stop may take. They are
-        served for a share of the time; then the listener is closed, and
-        their connection attempts are refused.
+        served for a share of the time, as far as their requests can end
+        before the process does; then the listener is closed, and their
+        connection attempts are refused.
         """
         assert self._callers_server is not None
+        schedule = plan_stop(monotonic(), grace_s)
         self._announce_leaving()
         self._requests.is_stopping = True
-        gevent.sleep(ACCEPT_TIME_SHARE * grace_s)
+        self._router.tell(ControllerName.DISPATCH, schedule)
+        gevent.sleep(schedule.accept_until - monotonic())
         self._callers_server.close()
         self._callers_server.close_idle()
-        remaining_s = (FINISH_TIME_SHARE - ACCEPT_TIME_SHARE) * grace_s
+        remaining_s = max(0.0, schedule.finish_until - monotonic())
         if not self._callers_server.wait_closed(remaining_s):
             log_event("requests cut off", count=self._requests.in_flight)
 
--- a/tests/core/controllers/test_dispatch.py
+++ b/tests/core/controllers/test_dispatch.py
@@ -28,6 +28,7 @@
     RefusalReason,
     WorkClass,
 )
+from wasabitray_core.stopping import plan_stop
 
 
 def target(name, region="south", slots=2):
@@ -270,3 +271,39 @@
     release(bed, "t1", AttemptStatus.SHED)
     retry = acquire(bed, within=8.0, excluded=("t1",), retry=True)
     assert find_reply(bed, retry).reason is RefusalReason.OVERLOAD
+
+
+def measure_times(bed, elapsed, count=20):
+    for _ in range(count):
+        grant = find_reply(bed, acquire(bed))
+        release(bed, grant.target.target, elapsed=elapsed)
+
+
+def test_stopping_entry_refuses_what_may_outlive_it():
+    bed = make_bed(target("t1"))
+    bed.tell(plan_stop(bed.clock.now, 6.0))
+    refusal = find_reply(bed, acquire(bed, within=8.0))
+    assert refusal.reason is RefusalReason.STOPPING
+    assert isinstance(find_reply(bed, acquire(bed, within=3.0)), SlotGrant)
+
+
+def test_stopping_entry_shortens_the_deadline_of_what_it_sends():
+    bed = make_bed(target("t1"))
+    measure_times(bed, 0.2)
+    schedule = plan_stop(bed.clock.now, 6.0)
+    bed.tell(schedule)
+    grant = find_reply(bed, acquire(bed, within=8.0))
+    assert grant.latest_end == schedule.respond_until
+    large = find_reply(bed, acquire(bed, within=8.0, large=True))
+    assert large.reason is RefusalReason.STOPPING
+
+
+def test_request_that_waits_is_refused_once_it_can_not_end_in_time():
+    bed = make_bed(target("t1", slots=1))
+    measure_times(bed, 1.0)
+    acquire(bed)
+    waiting = acquire(bed, within=8.0)
+    bed.tell(plan_stop(bed.clock.now, 6.0))
+    assert find_reply(bed, waiting) is None
+    bed.tick(3.5)
+    assert find_reply(bed, waiting).reason is RefusalReason.STOPPING
--- a/tests/core/filters/test_chain.py
+++ b/tests/core/filters/test_chain.py
@@ -1,6 +1,7 @@
 """The whole filter chain, run with scripted results instead of sockets."""
 
 import itertools
+import math
 
 import pytest
 from support.fakes import FakeClock
@@ -65,6 +66,7 @@
         self.admission = Suspicion.NONE
         self.admissions = iter(())
         self.retry_after = 1.0
+        self.latest_end = math.inf
 
     def run(self, key=""):
         request = Request("hobart", "POST", "/x", key=key)
@@ -103,7 +105,9 @@
             if message.retry and self.slots is None:
                 return SlotRefusal(RefusalReason.OVERLOAD, self.retry_after)
             name = f"t{next(self.slots)}" if self.slots else "t1"
-            return SlotGrant(Target(name, "rota", "r", "d", 2))
+            return SlotGrant(
+                Target(name, "rota", "r", "d", 2), latest_end=self.latest_end
+            )
         if isinstance(message, AdmitAttempt):
             return next(self.admissions, self.admission)
         return Suspicion.NONE
@@ -337,3 +341,10 @@
     script = Script(S.SHED)
     script.slots, script.retry_after = None, 6.5
     assert script.run().retry_after == 6.5
+
+
+def test_target_gets_the_deadline_of_a_stop():
+    script = Script(S.ANSWERED, attempts=1)
+    script.latest_end = script.clock.now + 1.25
+    script.run()
+    assert [a.timeout for a in script.attempts] == [1.25]
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -83,6 +83,19 @@
     Then that request is answered in full
     And e1 leaves the directory and exits within 6 s
 
+  Scenario Outline: Callers go on until a stopping entry exits
+    When callers send <kind> to e1 until it exits, stopped after 3 s
+    Then each request that reached an instance was answered in full
+    And each other one was refused as not run or not read
+    And requests were served until <served> s after the signal
+
+    Examples:
+      | kind                                       | served |
+      | requests that take 0.1 s                   | 2.0    |
+      | requests that take 2.8 s                   | 0.5    |
+      | requests that take 0.1 s, then some 3.9 s  | 1.0    |
+      | uploads that take 2.5 s                    | 0.5    |
+
   Scenario: The leader is killed
     When the leading control host is killed
     Then configuration 11 is acknowledged within 10 s
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -208,7 +208,9 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
             )
             return False
-        self.wait_for_delay(sock, request)
+        if not self.wait_for_delay(sock, request):
+            sock.sendall(build_response(504, response_headers, b"too late"))
+            return True
         request.is_running = False
         body = f"{self.name} {len(request.body)}".encode()
         if self.mode == "unframed":
@@ -236,13 +238,21 @@
             refusal["Retry-After"] = self.retry_after
         return refusal
 
-    def wait_for_delay(self, sock, request: ReceivedRequest) -> None:
-        """Wait for the configured delay, or until the sender disconnects."""
-        with gevent.Timeout(self.delay_s or 0.001, False):
+    def wait_for_delay(self, sock, request: ReceivedRequest) -> bool:
+        """Wait for the request's delay, or until the sender disconnects.
+
+        Returns:
+            Whether the delay was over before the request's deadline.
+        """
+        headers = request.headers
+        delay_s = float(headers.get("x-delay-s", self.delay_s)) or 0.001
+        deadline_s = int(headers.get("deadline-ms", 60_000)) / 1_000
+        with gevent.Timeout(min(delay_s, deadline_s), False):
             gevent.socket.wait_read(sock.fileno())
             if not sock.recv(1, socket.MSG_PEEK):
                 request.sender_left, request.is_running = True, False
                 raise EOFError
+        return delay_s <= deadline_s
 
 
 def build_response(
