Detect callers that leave with further requests on their connection

Cause: bytes of a further request hide the end of the stream from a read, so an attempt went on after its caller had left. Change: the watch asks the socket for the end itself (POLLRDHUP); a response to a caller that left closes the connection, so the requests behind it are not read. Six requests on one connection are answered in order, also around a stop, now as before.

--- a/packages/core/src/wasabitray_core/filters/chain.py
+++ b/packages/core/src/wasabitray_core/filters/chain.py
@@ -45,6 +45,8 @@
         stop_extension: seconds that the request has left beyond the timeout.
             An entry that is stopping allows the attempt these seconds as
             well, so that it interrupts no attempt.
+        response_wait: seconds after these that an entry which is stopping
+            waits for the target's own response.
     """
 
     target: Target
@@ -52,6 +54,7 @@
     timeout: Seconds
     use_new_connection: bool
     stop_extension: Seconds = Seconds(0.0)
+    response_wait: Seconds = Seconds(0.0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -50,6 +50,9 @@
 # Sending a larger body to another region costs more than all other work for
 # its request there.
 LARGE_BODY_BYTES = 8_192
+# A target stops work at the deadline that it is given and says so. If a stop
+# set that deadline, the entry waits for this response.
+STOP_RESPONSE_WAIT_S = Seconds(0.2)
 
 # The event loop's timers may fire early by this much, since the loop starts
 # them from its cached time.
@@ -113,7 +116,9 @@
         if not isinstance(grant, SlotGrant):
             return _refuse(exchange, grant)
         target = grant.target
-        exchange.deadline = min(exchange.deadline, grant.latest_end)
+        if grant.latest_end < exchange.deadline:
+            exchange.deadline = grant.latest_end
+            exchange.response_wait = STOP_RESPONSE_WAIT_S
         # The request may have been quarantined while it waited for the slot.
         admission = AdmitAttempt(exchange.fingerprint)
         suspicion = yield AskController(ControllerName.QUARANTINE, admission)
@@ -140,6 +145,7 @@
             timeout,
             use_new_connection,
             Seconds(stop_extension),
+            exchange.response_wait,
         )
         if result.was_sent:
             exchange.attempts += 1
--- a/packages/core/src/wasabitray_core/requests.py
+++ b/packages/core/src/wasabitray_core/requests.py
@@ -219,6 +219,8 @@
         broken_connections: number of connections that it broke this time.
         start_by: monotonic time after which no target may start the request,
             because its claim could expire while it runs.
+        response_wait: seconds after the deadline for which a response of the
+            target is still awaited.
         is_caller_waiting: returns whether the caller still waits.
     """
 
@@ -239,6 +241,7 @@
     is_suspect: bool = False
     broken_connections: int = 0
     start_by: Seconds = Seconds(math.inf)
+    response_wait: Seconds = Seconds(0.0)
     is_caller_waiting: Callable[[], bool] = _return_true
 
     @property
--- a/packages/node/src/wasabitray_node/callers.py
+++ b/packages/node/src/wasabitray_node/callers.py
@@ -279,7 +279,9 @@
     ) -> None:
         """Write a response; complete the exchange unless it is streamed."""
         resp.status = response.status
-        if self._requests.is_stopping:
+        is_gone = response.refusal is RefusalReason.CALLER_GONE
+        if self._requests.is_stopping or is_gone:
+            # Requests that a caller sent behind this one are not read.
             resp.set_header("Connection", "close")
         if response.refusal is not None:
             self._dialect.write_refusal(resp, response, exchange)
--- a/packages/node/src/wasabitray_node/sockets.py
+++ b/packages/node/src/wasabitray_node/sockets.py
@@ -10,6 +10,9 @@
 # The patched function yields to the event loop, which a callback of the loop
 # must not do.
 _new_poll = get_original("select", "poll")
+_END_EVENTS = (
+    select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
+)
 
 
 def has_input(sock: Any) -> bool:
@@ -17,6 +20,20 @@
 
     It never blocks and never switches greenlets.
     """
+    return bool(_poll(sock, select.POLLIN))
+
+
+def has_ended(sock: Any) -> bool:
+    """Return whether the peer has ended the stream or reset it.
+
+    Bytes that wait to be read don't hide the end, as they do from a read.
+    """
+    return bool(_poll(sock, select.POLLRDHUP) & _END_EVENTS)
+
+
+def _poll(sock: Any, events: int) -> int:
+    """Return the events that are ready now."""
     poll = _new_poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
+    poll.register(sock.fileno(), events)
+    ready = poll.poll(0)
+    return ready[0][1] if ready else 0
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -38,9 +38,6 @@
 SINGLE_SEND_MAX_BYTES = 16_384
 # A connection whose sent bytes stay unacknowledged for this long is closed.
 USER_TIMEOUT_MS = 2_000
-# A target stops work at the deadline that it was given and says so. During a
-# planned stop an attempt waits for that response, which is the target's own.
-STOP_RESPONSE_WAIT_S = 0.2
 
 _TRANSPORT_ERRORS = (OSError, HTTPParseError)
 _NO_REPLY_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
@@ -89,7 +86,7 @@
         try:
             timer = AttemptTimer(
                 attempt.timeout,
-                attempt.stop_extension + STOP_RESPONSE_WAIT_S,
+                attempt.stop_extension + attempt.response_wait,
                 self._is_stopping,
             )
             with timer, watch:
--- a/packages/node/src/wasabitray_node/watch.py
+++ b/packages/node/src/wasabitray_node/watch.py
@@ -8,6 +8,8 @@
 import gevent
 from gevent.socket import wait_read
 
+from wasabitray_node.sockets import has_ended
+
 # A caller that has sent its next request early makes its socket readable, so
 # the socket is checked again after this time. A caller that disconnects then
 # is detected well within half a second.
@@ -88,7 +90,9 @@
         try:
             wait_read(self._socket.fileno())
             flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-            return not self._socket.recv(1, flags)
+            if not self._socket.recv(1, flags):
+                return True
+            return has_ended(self._socket)
         except BlockingIOError:
             return False
         except (OSError, ValueError):
--- a/tests/core/filters/test_chain.py
+++ b/tests/core/filters/test_chain.py
@@ -15,6 +15,7 @@
     TellController,
     run_effects,
 )
+from wasabitray_core.filters.slot import STOP_RESPONSE_WAIT_S
 from wasabitray_core.local_messages import (
     AcquireClaim,
     AcquireSlot,
@@ -347,4 +348,6 @@
     script = Script(S.ANSWERED, attempts=1)
     script.latest_end = script.clock.now + 1.25
     script.run()
-    assert [a.timeout for a in script.attempts] == [1.25]
+    (attempt,) = script.attempts
+    assert (attempt.timeout, attempt.stop_extension) == (1.25, 0.0)
+    assert attempt.response_wait == STOP_RESPONSE_WAIT_S
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -74,6 +74,18 @@
     When a request takes 3 s and its caller leaves after 0.3 s
     Then the connection to the instance is closed within 0.5 s
 
+  Scenario: A caller that leaves with three requests on its connection
+    When requests take 3 s and a caller with 3 of them leaves after 0.5 s
+    Then the instances work on none of them 0.5 s later
+    And at most 1 of them reached an instance
+
+  Scenario: Requests behind others on a connection
+    When a caller sends 6 requests of 0.2 s or 0.02 s at once
+    Then they are answered in order, each with its own response
+    When a caller sends 6 requests of 0.5 s at once and e1 is stopped
+    Then those that reached an instance are answered in order
+    And the others were not read
+
   Scenario: A full service is refused as not run
     When the instances refuse requests as overloaded
     Then a request to /write/x is answered with status 503 and a Retry-After
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -316,7 +316,10 @@
 
 
 def read_response(sock) -> Response:
-    reader = Reader(sock)
+    return read_next_response(Reader(sock))
+
+
+def read_next_response(reader: Reader) -> Response:
     status_line, headers = reader.read_head()
     response = Response(int(status_line.split(" ")[1]), headers)
     try:
