Keep acknowledged departures of targets on the hubs' disks

Cause: only memory knew that a target had left. Change: a hub writes each new departure to a file of its own, by a task of its own, and reports the position in a feed up to which it has read only once the departures before it are durable. So an acknowledged departure is on the disks of a majority of the hubs.

--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -7,15 +7,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from collections.abc import Iterable
+from dataclasses import astuple, dataclass, replace
 from functools import singledispatchmethod
-from typing import Any, ClassVar
+from typing import Any, ClassVar, TypeGuard
 
 from wasabitray_core.controllers.controller import (
     Context,
     Controller,
     Origin,
 )
+from wasabitray_core.controllers.departures import UnstoredDepartures
 from wasabitray_core.controllers.feed_readers import (
     FEED_START,
     FeedReader,
@@ -23,6 +25,7 @@
 )
 from wasabitray_core.controllers.feed_table import (
     FeedItem,
+    FeedRecord,
     FeedTable,
     iterate_items,
     select_by_kind,
@@ -43,6 +46,7 @@
     Broadcast,
     ConfigurationApplied,
     ControllerName,
+    DeparturesStored,
     Deregister,
     EntriesView,
     FleetView,
@@ -54,6 +58,7 @@
     Register,
     SeedsChanged,
     SetFlag,
+    StoreDepartures,
     Tick,
 )
 from wasabitray_core.messages import (
@@ -109,16 +114,21 @@
         address: HostAddress,
         incarnation: Incarnation,
         first_counter: int,
+        stored_departures: tuple[Announcement, ...] | None = None,
     ) -> None:
-        """Start with an empty feed.
+        """Start with a feed of the stored departures alone.
 
         Args:
             context: shared by all controllers.
             address: this hub's own address.
             incarnation: the hub's incarnation; a new one after each start.
             first_counter: above any counter of an earlier incarnation here.
+            stored_departures: departures of targets on this hub's disk; None
+                if it stores none.
         """
         super().__init__(context)
+        self._stores_departures = stored_departures is not None
+        self._unstored = UnstoredDepartures()
         self._address = address
         self._table = FeedTable(context.host, incarnation)
         self._counter = first_counter
@@ -130,6 +140,8 @@
         self._pending_departures = PendingConfirmations()
         self._ticks = 0
         self._present_entry_count = 0
+        for departure in stored_departures or ():
+            self._table.put(departure, self.host, self._now())
 
     @property
     def table(self) -> FeedTable:
@@ -238,7 +250,9 @@
 
     def _register(self, announcement: Announcement, origin: Origin) -> None:
         known_record = self._table.find(Announcement, announcement.target)
+        mark = self._build_own_mark()
         new_record = self._table.put(announcement, self.host, self._now())
+        self._store_departures([new_record])
         if new_record is not None:
             self._outbox.log_event(
                 "target announced",
@@ -255,6 +269,7 @@
             return
         record = new_record or known_record
         assert record is not None
+        self._unstored.hold(mark, [announcement.target])
         if record.origin.hub != self.host:
             position = self._table.republish(Announcement, announcement.target)
             self._broadcast()
@@ -280,7 +295,8 @@
     def _get_read_position(self, host: HostId) -> FeedPosition:
         """Return a hub's read position in this hub's feed."""
         if host == self.host:
-            return self._table.position
+            mark = self._build_own_mark()
+            return self._unstored.limit(*astuple(mark))
         return self._hubs.get_read_position(host)
 
     # Feed items
@@ -288,19 +304,50 @@
     def _apply_items(self, items: Any, sender: HostId) -> None:
         now = self._now()
         records = [self._table.put(item, sender, now) for item in items]
+        self._store_departures(records)
         if any(records):
             self._broadcast()
 
+    def _build_own_mark(self) -> FeedMark:
+        table = self._table
+        return FeedMark(self.host, table.incarnation, table.position)
+
+    def _store_departures(self, records: Iterable[FeedRecord | None]) -> None:
+        """Write the new departures among records to disk."""
+        departures = tuple(
+            record.item
+            for record in records
+            if record is not None and _is_departure(record.item)
+        )
+        if not departures or not self._stores_departures:
+            return
+        for departure in departures:
+            self._unstored.add(departure)
+        request = StoreDepartures(departures)
+        self._outbox.tell(ControllerName.DEPARTURES, request)
+
+    @receive.register
+    def _(self, message: DeparturesStored, origin: Origin) -> None:
+        hubs = self._unstored.remove(message.departures)
+        presence = self._build_presence()
+        for host in hubs - {self.host}:
+            self._outbox.send(host, presence)
+        self._confirm_departures()
+
     @receive.register
     def _(self, message: Feed, origin: Origin) -> None:
         sender = origin.peer
         assert sender is not None
         now = self._now()
+        read_before = self._hubs.get_mark(message.origin, message.incarnation)
         reached = self._hubs.record_feed(sender, message, now)
         records = [
             self._table.put(item, sender, now, reached)
             for item in iterate_items(message)
         ]
+        self._store_departures(records)
+        departures = filter(_is_departure, message.announcements)
+        self._unstored.hold(read_before, [d.target for d in departures])
         if any(records):
             self._broadcast()
         self._send_to_directory(self._hubs.add_hubs(message.hubs, now))
@@ -438,7 +485,10 @@
             self._address.region,
             _NO_DOMAIN,
             self._address.address,
-            self._hubs.marks,
+            tuple(
+                replace(m, position=self._unstored.limit(*astuple(m)))
+                for m in self._hubs.marks
+            ),
         )
 
     # Entries
@@ -562,6 +612,12 @@
         self._outbox.tell(ControllerName.ADDRESSES, view)
 
 
+def _is_departure(item: FeedItem) -> TypeGuard[Announcement]:
+    if not isinstance(item, Announcement):
+        return False
+    return item.phase is TargetPhase.LEAVING
+
+
 def _build_leaving_announcement(target: TargetId) -> Announcement:
     """Return the departure of a target that has no known announcement."""
     return Announcement(
--- a/packages/core/src/wasabitray_core/controllers/hub_peers.py
+++ b/packages/core/src/wasabitray_core/controllers/hub_peers.py
@@ -137,6 +137,13 @@
             return FEED_START
         return mark.position
 
+    def get_mark(self, host: HostId, incarnation: Incarnation) -> FeedMark:
+        """Return this hub's read position in the feed of another one."""
+        mark = self._marks.get(host)
+        if mark is None or mark.incarnation != incarnation:
+            return FeedMark(host, incarnation, FEED_START)
+        return mark
+
     def record_feed(
         self, sender: HostId, feed: Feed, now: Seconds
     ) -> FeedMark:
@@ -148,11 +155,7 @@
         hub = self._hubs.get(sender)
         if hub is not None:
             hub.last_contact = now
-        mark = self._marks.get(feed.origin)
-        is_same = mark is not None and mark.incarnation == feed.incarnation
-        read_position = (
-            mark.position if mark is not None and is_same else FEED_START
-        )
+        read_position = self.get_mark(feed.origin, feed.incarnation).position
         reached = FeedMark(feed.origin, feed.incarnation, feed.position)
         if feed.after <= read_position < feed.position:
             self._marks[feed.origin] = reached
--- a/packages/core/src/wasabitray_core/local_messages.py
+++ b/packages/core/src/wasabitray_core/local_messages.py
@@ -65,6 +65,7 @@
     LONG_SLOTS = "long-slots"
     ADDRESSES = "addresses"
     SHARED_WORK = "shared-work"
+    DEPARTURES = "departures"
     DIRECTORY = "directory"
 
 
@@ -259,6 +260,20 @@
     generation: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreDepartures:
+    """Asks for targets' departures to be made durable."""
+
+    departures: tuple[Announcement, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class DeparturesStored:
+    """Reports that targets' departures are durable."""
+
+    departures: tuple[Announcement, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Broadcast:
     """Sends an update to the other hosts."""
--- a/packages/node/src/wasabitray_node/app.py
+++ b/packages/node/src/wasabitray_node/app.py
@@ -182,8 +182,7 @@
             server.stop(timeout=0 if self._settings.grace_s else STOP_MARGIN_S)
         gevent.killall(tasks)
         self._peer_listener.stop()
-        if self._assembly.storage is not None:
-            self._assembly.storage.close()
+        self._assembly.close_files()
         log_event("stopped")
         flush_logs()
 
--- a/packages/node/src/wasabitray_node/assembly.py
+++ b/packages/node/src/wasabitray_node/assembly.py
@@ -17,6 +17,7 @@
     ConsensusController,
 )
 from wasabitray_core.controllers.controller import Context, Controller
+from wasabitray_core.controllers.departures import DeparturesController
 from wasabitray_core.controllers.dispatch import DispatchController
 from wasabitray_core.controllers.grants import GrantsController
 from wasabitray_core.controllers.health import HealthController
@@ -43,6 +44,7 @@
 from wasabitray_core.local_messages import ControllerName, SeedsChanged
 from wasabitray_core.messages import Hello, HostAddress, Member, Members
 from wasabitray_core.states import HostFlag, Role, Topology
+from wasabitray_node.departure_file import DepartureFile
 from wasabitray_node.fleet_directory import DirectoryController
 from wasabitray_node.links import PeerLinks
 from wasabitray_node.logs import flush_logs, log_error, log_event
@@ -87,7 +89,8 @@
             split_address(settings.listen.peers)[0],
         )
         self.router.connect_peers(self.links.send)
-        self.storage: Storage | None = None
+        self._storage: Storage | None = None
+        self._departure_file: DepartureFile | None = None
         if settings.topology is Topology.HUBS:
             self._build_hubs()
         else:
@@ -98,6 +101,12 @@
         """The shared secret, empty if none is set."""
         return self._secret
 
+    def close_files(self) -> None:
+        """Close the files of the data folder; nothing is written later."""
+        for file in (self._storage, self._departure_file):
+            if file is not None:
+                file.close()
+
     def update_seeds(self, settings: Settings) -> None:
         """Apply the hosts to contact first that the settings list."""
         seeds = settings.get_peer_seeds()
@@ -121,7 +130,7 @@
                 (ControllerName.CONFIGURATION, ControllerName.CONSENSUS),
             )
             self._add(ConfigurationController, (ControllerName.DIRECTORY,))
-            self._add_consensus()
+            self._add_consensus(self._load_consensus())
         else:
             self._add_membership(
                 HostFlag.NONE,
@@ -168,17 +177,13 @@
         settings = self._settings
         region = RegionName(settings.region)
         if settings.role is Role.CONTROL:
-            hello = self._build_hello()
-            self._add(
-                HubController,
-                HostAddress(hello.host, hello.address, region),
-                Incarnation(secrets.token_hex(4)),
-                self._first_counter,
-            )
+            # The disk is read first: a damaged folder is moved aside.
+            state = self._load_consensus()
+            self._add_hub(region)
             self._add(SharedWorkController)
             self._add(ConfigurationController, (), UNLIMITED_FANOUT)
             self._add_addresses()
-            self._add_consensus()
+            self._add_consensus(state)
         else:
             domain = FailureDomainName(settings.failure_domain)
             profile = EntryProfile(
@@ -221,28 +226,43 @@
         )
         self._add(QuarantineController)
 
-    def _add_consensus(self) -> None:
-        self._add(TrialsController)
-        settings = self._settings
-        assert settings.data_folder is not None
-        self.storage = Storage(settings.data_folder)
-        state = self._load_state(self.storage)
+    def _add_hub(self, region: RegionName) -> None:
+        assert self._settings.data_folder is not None
+        self._departure_file = DepartureFile(self._settings.data_folder)
+        hello = self._build_hello()
+        self._add(
+            HubController,
+            HostAddress(hello.host, hello.address, region),
+            Incarnation(secrets.token_hex(4)),
+            self._first_counter,
+            self._departure_file.load(),
+        )
+        self._add(DeparturesController, storage=self._departure_file)
+
+    def _load_consensus(self) -> StoredState:
+        assert self._settings.data_folder is not None
+        self._storage = Storage(self._settings.data_folder)
+        state = self._load_state(self._storage)
         log_event("disk loaded", member=state.member.member)
+        return state
+
+    def _add_consensus(self, state: StoredState) -> None:
+        self._add(TrialsController)
         self._add(
             ConsensusController,
             state.member.member,
-            tuple(settings.get_peer_seeds()),
+            tuple(self._settings.get_peer_seeds()),
             state.ballot,
             state.snapshot,
             tuple(state.records),
-            storage=self.storage,
+            storage=self._storage,
         )
 
     def _add(
         self,
         controller_class: Any,
         *args: Any,
-        storage: Storage | None = None,
+        storage: Storage | DepartureFile | None = None,
     ) -> Controller:
         """Create a controller and its task.
 
@@ -293,7 +313,9 @@
         return storage.create(Member(name, self._host), Members(()))
 
 
-def _try_sync(storage: Storage, items: list[Any]) -> Exception | None:
+def _try_sync(
+    storage: Storage | DepartureFile, items: list[Any]
+) -> Exception | None:
     """Sync in a worker thread and return the error, if there is one.
 
     The thread pool would print an error that is raised there.
--- a/packages/node/src/wasabitray_node/storage.py
+++ b/packages/node/src/wasabitray_node/storage.py
@@ -5,6 +5,7 @@
 - `identity`: the member of the consensus group that this disk belongs to.
 - `snapshot-N`: the newest snapshot, at log index N.
 - `log-K`: segments with ballots and log records in the order written.
+- `departures`: see `departure_file.py`.
 
 A record is a header (payload length, payload checksum, header checksum) and
 a payload. An incomplete record at the very end of the newest segment was
@@ -157,7 +158,7 @@
             self._record_item(item)
         if data:
             assert self._file is not None
-            _write_all(self._file, bytes(data))
+            write_all(self._file, bytes(data))
             os.fdatasync(self._file)
         for snapshot in snapshots:
             self._save_snapshot(snapshot)
@@ -199,9 +200,9 @@
         self._file = os.open(path, flags, 0o600)
         # Each segment starts with the ballot, since the older segments that
         # hold it may be deleted.
-        _write_all(self._file, build_frame(encode_item(self._ballot)))
+        write_all(self._file, build_frame(encode_item(self._ballot)))
         os.fdatasync(self._file)
-        self._sync_folder()
+        sync_folder(self._folder)
 
     def _load_segment(
         self, number: int, is_newest: bool, state: StoredState
@@ -244,7 +245,7 @@
             last = self._last_index.get(number, LogIndex(0))
             if number < self._segment and last <= snapshot.index:
                 (self._folder / f"log-{number}").unlink()
-        self._sync_folder()
+        sync_folder(self._folder)
 
     # Files
 
@@ -261,7 +262,7 @@
             file.flush()
             os.fsync(file.fileno())
         partial.rename(self._folder / name)
-        self._sync_folder()
+        sync_folder(self._folder)
 
     def _read_file(self, name: str, kind: type[_Item]) -> _Item:
         path = self._folder / name
@@ -273,17 +274,19 @@
             raise _build_error(str(path), 0, "wrong item type")
         return item
 
-    def _sync_folder(self) -> None:
-        descriptor = os.open(self._folder, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-
     def __repr__(self) -> str:
         return f"<Storage [{self._folder}]>"
 
 
+def sync_folder(folder: Path) -> None:
+    """Make the names of created, renamed and removed files durable."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
 def _decode(payload: bytes, path: str) -> StoredItem:
     try:
         return decode_item(payload)
@@ -293,7 +296,8 @@
         ) from error
 
 
-def _write_all(descriptor: int, data: bytes) -> None:
+def write_all(descriptor: int, data: bytes) -> None:
+    """Write all bytes to a file."""
     view = memoryview(data)
     while view:
         view = view[os.write(descriptor, view) :]
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -144,7 +144,10 @@
   31: TrialRequest trial_request, 32: TrialReply trial_reply
 }
 
-union StoredItem { 1: Ballot ballot, 2: LogRecord log_record, 3: Snapshot snapshot, 4: Member member }
+union StoredItem {
+  1: Ballot ballot, 2: LogRecord log_record, 3: Snapshot snapshot, 4: Member member,
+  5: Announcement announcement
+}
 
 // A link carries messages in one direction. Each batch is acknowledged, so that
 // the sender notices a connection that no longer responds.
--- a/packages/wire/src/wasabitray_wire/codec.py
+++ b/packages/wire/src/wasabitray_wire/codec.py
@@ -10,6 +10,7 @@
 
 from wasabitray_core.errors import PeerError
 from wasabitray_core.messages import (
+    Announcement,
     Ballot,
     EntryWork,
     Feed,
@@ -32,7 +33,7 @@
 
 PROTOCOL = TCompactProtocolAcceleratedFactory()
 
-StoredItem = Ballot | LogRecord | Snapshot | Member
+StoredItem = Ballot | LogRecord | Snapshot | Member | Announcement
 
 _encode_message = make_encoder(PeerMessage, "PeerMessage")
 _decode_message = make_decoder(PeerMessage)
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -5565,15 +5565,17 @@
      - log_record
      - snapshot
      - member
+     - announcement
 
     """
 
 
-    def __init__(self, ballot=None, log_record=None, snapshot=None, member=None,):
+    def __init__(self, ballot=None, log_record=None, snapshot=None, member=None, announcement=None,):
         self.ballot = ballot
         self.log_record = log_record
         self.snapshot = snapshot
         self.member = member
+        self.announcement = announcement
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5608,6 +5610,12 @@
                     self.member.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.announcement = Announcement()
+                    self.announcement.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5634,6 +5642,10 @@
             oprot.writeFieldBegin('member', TType.STRUCT, 4)
             self.member.write(oprot)
             oprot.writeFieldEnd()
+        if self.announcement is not None:
+            oprot.writeFieldBegin('announcement', TType.STRUCT, 5)
+            self.announcement.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6118,6 +6130,7 @@
     (2, TType.STRUCT, 'log_record', [LogRecord, None], None, ),  # 2
     (3, TType.STRUCT, 'snapshot', [Snapshot, None], None, ),  # 3
     (4, TType.STRUCT, 'member', [Member, None], None, ),  # 4
+    (5, TType.STRUCT, 'announcement', [Announcement, None], None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -35,6 +35,12 @@
     When a late registration of i1 as ready arrives at every control host
     Then no request reaches i1 later than 0.5 s after that
 
+  Scenario: An instance that has left stays away after a restart of all hosts
+    When i1 announces that it is leaving and is acknowledged
+    And all hosts are killed and start again
+    And a late registration of i1 as ready arrives at every control host
+    Then no request reaches i1 later than 1.0 s after that
+
   Scenario: An instance that asks for time gets none
     When i1 refuses requests with a Retry-After of 4.5 s
     Then at most 2 requests of an entry reach i1 from 0.5 s to 4.5 s after that
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -282,9 +282,30 @@
     context.changed_at = time.monotonic()
 
 
+@when("all hosts are killed and start again")
+def restart_all(context):
+    fleet = context.fleet
+    fleet.instances["i1"].registration_job.kill()
+    names = (*fleet.controls, *fleet.entries)
+    for name in names:
+        fleet.processes[name].kill()
+    for name in names:
+        fleet.start_host(name)
+    for entry in fleet.entries:
+        wait_for(lambda e=entry: is_served(context, e), 15, entry)
+
+
+def is_served(context, entry):
+    try:
+        return gets_response(context, entry, "/read/")
+    except (OSError, EOFError):
+        return False
+
+
 @when("a late registration of {name} as ready arrives at every control host")
 def register_late(context, name):
     instance = context.fleet.instances[name]
+    instance.state = "ready"
     for control in context.fleet.controls:
         response = call(
             context.fleet.registry_address(control),
