Subscribe to a hub in the entry's own failure domain

Cause: an entry chose any hub of its region, so its heartbeats, counts of work in flight and feed crossed failure domains; hubs' addresses did not say where in the region they are. Change: a hub's address has its failure domain; an entry takes the nearest hub without a recent failure and moves to a nearer one as soon as it knows it.

--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -483,7 +483,7 @@
             self._revision,
             HostFlag.CONTROL,
             self._address.region,
-            _NO_DOMAIN,
+            self._address.failure_domain,
             self._address.address,
             tuple(
                 replace(m, position=self._unstored.limit(*astuple(m)))
--- a/packages/core/src/wasabitray_core/controllers/hub_peers.py
+++ b/packages/core/src/wasabitray_core/controllers/hub_peers.py
@@ -121,7 +121,10 @@
         hub = self._hubs.get(host)
         if hub is None:
             address = HostAddress(
-                host, presence.caller_address, presence.region
+                host,
+                presence.caller_address,
+                presence.region,
+                presence.failure_domain,
             )
             hub = self._hubs[host] = _new_hub(address)
         hub.last_contact = now
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from dataclasses import dataclass
+from enum import IntEnum
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
@@ -67,13 +68,21 @@
 LEADER_TIMEOUT_S = 1.0
 # Delay before a failed hub is used again; there is no delay if all failed.
 HUB_RETRY_DELAY_S = 5.0
-# How often the entry looks for a hub in its own region.
+# How often the entry looks for a nearer hub.
 HUB_REVIEW_INTERVAL_S = 4.0
 
 _NO_INCARNATION = Incarnation("")
 _FEED_START = FeedPosition(0)
 
 
+class Nearness(IntEnum):
+    """How near a hub is to this entry."""
+
+    ELSEWHERE = 0
+    REGION = 1
+    FAILURE_DOMAIN = 2
+
+
 @dataclass(frozen=True, slots=True)
 class EntryProfile:
     """What an entry reports about itself."""
@@ -206,8 +215,8 @@
             self._outbox.tell(_CONTROLLER_BY_KIND[type(item)], item)
         self._entry_count = message.entries
         self._publish_fleet_size()
-        if self._switch_to_region_hub():
-            return  # the hub in this region sends the rest, at a lower cost
+        if self._switch_to_nearer_hub():
+            return  # the nearer hub sends the rest, at a lower cost
         self._newest_revision = max(self._newest_revision, message.revision)
         isolation = Isolation(not message.in_contact, self._newest_revision)
         self._outbox.tell(ControllerName.CONFIGURATION, isolation)
@@ -312,7 +321,7 @@
             self._outbox.tell(ControllerName.DIRECTORY, update)
 
     def _review_hub(self) -> None:
-        """Switch hubs if this one fails or the own region has a hub."""
+        """Switch hubs if this one fails or there is a nearer one."""
         now = self._now()
         reason = self._find_hub_problem(now)
         if reason is not None:
@@ -321,14 +330,12 @@
             self._switch_hub(self._choose_hub(now), reason)
         elif now >= self._next_review_at:
             self._next_review_at = Seconds(now + HUB_REVIEW_INTERVAL_S)
-            self._switch_to_region_hub()
+            self._switch_to_nearer_hub()
 
-    def _switch_to_region_hub(self) -> bool:
-        """Switch to a hub in the own region; return whether it switched."""
-        if self._is_in_region(self._hub):
-            return False
+    def _switch_to_nearer_hub(self) -> bool:
+        """Switch to a nearer hub, if there is one; return whether it did."""
         chosen = self._choose_hub(self._now())
-        if not self._is_in_region(chosen):
+        if self._get_nearness(chosen) <= self._get_nearness(self._hub):
             return False
         self._switch_hub(chosen, "nearer")
         return True
@@ -342,25 +349,32 @@
             return "no contact with the leader"
         return None
 
-    def _is_in_region(self, host: HostId | None) -> bool:
+    def _is_in_region(self, host: HostId) -> bool:
+        return self._get_nearness(host) >= Nearness.REGION
+
+    def _get_nearness(self, host: HostId | None) -> Nearness:
         address = self._known_hubs.get(host) if host else None
-        return address is not None and address.region == self._profile.region
+        if address is None or address.region != self._profile.region:
+            return Nearness.ELSEWHERE
+        if address.failure_domain == self._profile.failure_domain:
+            return Nearness.FAILURE_DOMAIN
+        return Nearness.REGION
 
     def _choose_hub(self, now: Seconds) -> HostId | None:
-        """Choose a hub without a recent failure, preferring the own region.
+        """Choose one of the nearest hubs without a recent failure.
 
-        Rendezvous hashing distributes a region's entries over its hubs. If
-        all hubs failed recently, one of them is chosen at random.
+        Rendezvous hashing distributes entries over hubs that are equally
+        near. If all hubs failed recently, one of them is chosen at random.
         """
         hosts = sorted({*self._known_hubs, *self._seeds})
-        usable = [h for h in hosts if self._retry_at.get(h, now) <= now]
-        in_region = [h for h in usable if self._is_in_region(h)]
-        candidates = tuple(in_region or usable or hosts)
-        if not candidates:
+        if not hosts:
             return None
+        usable = [h for h in hosts if self._retry_at.get(h, now) <= now]
         if not usable:
-            return self._context.random.choice(candidates)
-        return choose_owner(self.host, candidates)
+            return self._context.random.choice(hosts)
+        nearest = max(self._get_nearness(h) for h in usable)
+        candidates = [h for h in usable if self._get_nearness(h) is nearest]
+        return choose_owner(self.host, tuple(candidates))
 
     def _switch_hub(self, host: HostId | None, reason: str) -> None:
         if host == self._hub:
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -223,11 +223,12 @@
 
 @dataclass(frozen=True, slots=True)
 class HostAddress:
-    """A host, the address of its peer listener and its region."""
+    """A host, the address of its peer listener and where it is."""
 
     host: HostId
     address: str
     region: RegionName
+    failure_domain: FailureDomainName = FailureDomainName("")
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/node/src/wasabitray_node/assembly.py
+++ b/packages/node/src/wasabitray_node/assembly.py
@@ -233,7 +233,12 @@
         hello = self._build_hello()
         self._add(
             HubController,
-            HostAddress(hello.host, hello.address, region),
+            HostAddress(
+                hello.host,
+                hello.address,
+                region,
+                FailureDomainName(self._settings.failure_domain),
+            ),
             Incarnation(secrets.token_hex(4)),
             self._first_counter,
             self._departure_file.load(),
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -30,7 +30,9 @@
   1: string host, 2: i64 counter, 3: bool present, 4: i32 flags, 5: string region,
   6: string failure_domain, 7: string caller_address, 8: string hub
 }
-struct HostAddress { 1: string host, 2: string address, 3: string region }
+struct HostAddress {
+  1: string host, 2: string address, 3: string region, 4: string failure_domain
+}
 struct FeedMark { 1: string hub, 2: string incarnation, 3: i64 position }
 struct Presence {
   1: i64 counter, 2: i64 revision, 3: i32 flags, 4: string region,
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -941,14 +941,16 @@
      - host
      - address
      - region
+     - failure_domain
 
     """
 
 
-    def __init__(self, host=None, address=None, region=None,):
+    def __init__(self, host=None, address=None, region=None, failure_domain=None,):
         self.host = host
         self.address = address
         self.region = region
+        self.failure_domain = failure_domain
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -974,6 +976,11 @@
                     self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -996,6 +1003,10 @@
             oprot.writeFieldBegin('region', TType.STRING, 3)
             oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
             oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 4)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5749,6 +5760,7 @@
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'region', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 4
 )
 all_structs.append(FeedMark)
 FeedMark.thrift_spec = (
--- a/tests/core/controllers/test_subscriber.py
+++ b/tests/core/controllers/test_subscriber.py
@@ -193,3 +193,24 @@
     assert size == FleetSize(4, (("north", 1), ("south", 2)))
     bed.tick(0.5)
     assert bed.outbox.get_told(FleetSize)[-1] is size
+
+
+NEAR = HostAddress("c3", "10.0.0.3:1", "south", "hobart")
+OTHER_DOMAIN = HostAddress("c4", "10.0.0.4:1", "south", "kingston")
+
+
+def test_entry_switches_to_a_hub_in_its_failure_domain():
+    bed = entry_bed("c4")
+    bed.receive("c4", feed("c4", hubs=(OTHER_DOMAIN, NORTH)))
+    assert bed.controller.hub == "c4"
+    bed.receive("c4", feed("c4", hubs=(OTHER_DOMAIN, NORTH, NEAR)))
+    assert bed.controller.hub == "c3"
+
+
+def test_entry_whose_near_hub_fails_uses_one_in_its_region():
+    bed = entry_bed("c3")
+    bed.receive("c3", feed("c3", hubs=(NEAR, OTHER_DOMAIN, NORTH)))
+    bed.tick(HUB_TIMEOUT_S + 0.1)
+    assert bed.controller.hub == "c4"
+    bed.receive("c4", feed("c4", hubs=(NEAR, OTHER_DOMAIN, NORTH)))
+    assert bed.controller.hub == "c4"  # c3 failed recently
