Take a response for the request that it names only

Change: a native target may repeat Wasabitray-Request-Id; another id makes it no response, and only the connections of targets that name their requests are used again. The example target does so.

--- a/examples/target.py
+++ b/examples/target.py
@@ -157,7 +157,7 @@
         if draw < behaviour.shed_share:
             headers = [
                 ("Wasabitray-Outcome", "not-run"),
-                *self.get_load_headers(),
+                *self.get_headers(environ),
             ]
             start_response("503 Busy", headers)
             return [b""]
@@ -179,7 +179,7 @@
             environ["wasabitray.socket"].shutdown(socket.SHUT_RDWR)
             raise ConnectionError("connection closed on purpose")
         if random.random() < behaviour.fail_share:
-            start_response("500 Failed", self.get_load_headers())
+            start_response("500 Failed", self.get_headers(environ))
             return [b"failed"]
         return self.respond(environ, start_response, len(body))
 
@@ -200,7 +200,7 @@
         length = str(len(body))
         headers = [
             ("Content-Type", "application/json"),
-            *self.get_load_headers(),
+            *self.get_headers(environ),
         ]
         if self.behaviour.cut_body:
             start_response("200 OK", [*headers, ("Content-Length", length)])
@@ -214,10 +214,16 @@
         yield body[: len(body) // 2]
         raise ConnectionError("body truncated on purpose")
 
-    def get_load_headers(self):
-        """Return the load header."""
-        value = f"busy={self.busy}, slots={self.arguments.slots}"
-        return [("Wasabitray-Load", value)]
+    def get_headers(self, environ):
+        """Return the headers with the load and the id of the request."""
+        load = f"busy={self.busy}, slots={self.arguments.slots}"
+        return [
+            ("Wasabitray-Load", load),
+            (
+                "Wasabitray-Request-Id",
+                environ.get("HTTP_WASABITRAY_REQUEST_ID", ""),
+            ),
+        ]
 
     def handle_control(self, environ, start_response):
         """Change the behaviour if this is a POST; respond with the state."""
--- a/packages/node/src/wasabitray_node/dialects.py
+++ b/packages/node/src/wasabitray_node/dialects.py
@@ -81,6 +81,9 @@
         detail: what is wrong with the response; empty if nothing is.
         is_leaving: whether the target stated that it is leaving.
         retry_after: seconds for which the target wants no more requests.
+        names_request: whether the response names the request that it belongs
+            to. A second copy of a response may arrive late, so only the
+            connection of a target that names them can be used again.
     """
 
     status: AttemptStatus = AttemptStatus.ANSWERED
@@ -88,6 +91,7 @@
     detail: str = ""
     is_leaving: bool = False
     retry_after: Seconds | None = None
+    names_request: bool = False
 
 
 class TargetDialect(Protocol):
@@ -185,6 +189,7 @@
             *forwarded,
             (h.ORGANISATION_HEADER, request.organisation),
             (h.DEADLINE_HEADER, str(int(attempt.timeout * 1_000))),
+            (h.EXCHANGE_HEADER, request.id),
         )
 
     def parse_response(
@@ -196,9 +201,15 @@
     ) -> ResponseMetadata:
         """Return the metadata in the head of a response.
 
-        These responses have no id. A request that must not run twice gets a
-        new connection, so a refusal of an earlier request can't reach it.
+        A target need not name the request; its connections are then used
+        for one request each.
         """
+        named = find_header(headers, h.EXCHANGE_HEADER)
+        if named != attempt.request.id and (named or is_reused):
+            return ResponseMetadata(
+                AttemptStatus.INVALID,
+                detail=f"response is for request {named!r}",
+            )
         outcome = find_header(headers, h.OUTCOME_HEADER)
         load = parse_load(find_header(headers, h.LOAD_HEADER))
         if status in SHED_STATUSES and outcome == NOT_RUN:
@@ -208,7 +219,7 @@
                 f"shed with {status}",
                 retry_after=parse_retry_after(status, headers),
             )
-        return ResponseMetadata(load=load)
+        return ResponseMetadata(load=load, names_request=bool(named))
 
 
 def parse_retry_after(status: int, headers: Headers) -> Seconds | None:
--- a/packages/node/src/wasabitray_node/headers.py
+++ b/packages/node/src/wasabitray_node/headers.py
@@ -15,6 +15,9 @@
 TARGET_HEADER = "Wasabitray-Target"
 REVISION_HEADER = "Wasabitray-Revision"
 ATTEMPTS_HEADER = "Wasabitray-Attempts"
+# The id that a target repeats in its response, to name the request that the
+# response belongs to.
+EXCHANGE_HEADER = "Wasabitray-Request-Id"
 KEY_HEADER = "Idempotency-Key"
 REQUEST_ID_HEADER = "Request-Id"
 
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -219,6 +219,7 @@
         self._limits = limits
         self._dialect = dialect
         self._response: SingleResponse | None = None
+        self._names_request = False
         self._body = b""
         self._size = 0
         self._is_sent = False
@@ -237,6 +238,7 @@
         response = self._response
         return (
             self._is_sent
+            and self._names_request
             and response is not None
             and not response.should_close()
         )
@@ -353,6 +355,7 @@
         )
         if metadata.status is not AttemptStatus.ANSWERED:
             return self._build_refusal(metadata)
+        self._names_request = metadata.names_request
         response = Response(
             status,
             strip_hop_by_hop(headers),
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -189,7 +189,10 @@
     "after an interim response": EARLY_HINTS + OK + b"\r\n",
     "ends the connection": OK + b"Connection: close\r\n\r\n",
 }
-COMPLETE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+COMPLETE = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+    b"Wasabitray-Request-Id: id-1\r\n\r\nok"
+)
 # Closes a socket with a reset instead of an end.
 LINGER_RESET = b"\1\0\0\0\0\0\0\0"
 
@@ -230,7 +233,7 @@
     limits = Limits()
     pool = ConnectionPool(limits, time.monotonic)
     upstream = Upstream(pool, limits, time.monotonic, NativeTargetDialect())
-    request = Request("hobart", "GET", "/")
+    request = Request("hobart", "GET", "/", id="id-1")
     effect = Attempt(cutting.target, request, MAX_TIME_S, not is_reused, 0.0)
     for cut in range(len(CUT_HEADS[kind])):
         cutting.responses = [CUT_HEADS[kind][:cut]]
