Cool targets down that accept requests and do not respond

Change: an attempt that waits nine times the usual time of its service reports its target as silent, if the target had a free slot when the attempt began and accepts a new connection at that time, which tells it from a path that is cut. One that is given up after four times the usual time adds to the evidence. The usual time is known from five attempts on, and starts as their mean.

--- a/packages/core/src/wasabitray_core/controllers/attempt_times.py
+++ b/packages/core/src/wasabitray_core/controllers/attempt_times.py
@@ -6,10 +6,12 @@
 
 from wasabitray_core.ids import Seconds
 
-# Weight of the newest attempt in the moving average.
+# Lowest weight of the newest attempt in the moving average.
 AVERAGE_WEIGHT = 0.05
 # An attempt counts for the longest time for one to two of these windows.
 WINDOW_S = 30.0
+# Fewer completed attempts don't show how long one usually takes.
+MIN_COMPLETE_ATTEMPTS = 5
 # Fewer attempts don't show how long one may take.
 MIN_ATTEMPTS = 10
 
@@ -20,6 +22,7 @@
     def __init__(self) -> None:
         """Start without attempts."""
         self._average: float | None = None
+        self._complete_count = 0
         self._window_began_at = Seconds(-math.inf)
         self._longest = self._longest_before = 0.0
         self._count = self._count_before = 0
@@ -29,6 +32,12 @@
         """The moving average of completed attempts, None without any."""
         return self._average
 
+    @property
+    def usual(self) -> float | None:
+        """The average, None if too few attempts were completed."""
+        is_known = self._complete_count >= MIN_COMPLETE_ATTEMPTS
+        return self._average if is_known else None
+
     def record(self, elapsed: float, is_complete: bool, now: Seconds) -> None:
         """Record an attempt.
 
@@ -39,8 +48,10 @@
             now: monotonic seconds.
         """
         if is_complete:
-            average = elapsed if self._average is None else self._average
-            self._average = average + AVERAGE_WEIGHT * (elapsed - average)
+            self._complete_count += 1
+            average = self._average or 0.0
+            weight = max(AVERAGE_WEIGHT, 1.0 / self._complete_count)
+            self._average = average + weight * (elapsed - average)
         self._advance(now)
         self._longest = max(self._longest, elapsed)
         self._count += 1
--- a/packages/core/src/wasabitray_core/controllers/cool_downs.py
+++ b/packages/core/src/wasabitray_core/controllers/cool_downs.py
@@ -1,9 +1,9 @@
 """Cool-downs: targets that fail get no requests for a few seconds.
 
 Handles failure episodes in which a target breaks the connection of most
-requests, or answers them with failed responses, while its health check
-passes. An observation of one entry applies to the whole fleet, because each
-entry alone sends a target too few requests to evaluate it.
+requests, answers them with failed responses or does not answer, while its
+health check passes. An observation of one entry applies to the whole fleet,
+because each entry alone sends a target too few requests to evaluate it.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 
 from wasabitray_core.controllers.detector import CumulativeSum
 from wasabitray_core.ids import Seconds
-from wasabitray_core.local_messages import ReleaseSlot
+from wasabitray_core.local_messages import ReleaseSlot, SilentTarget
 from wasabitray_core.messages import TargetReport
 from wasabitray_core.placement import TargetState
 from wasabitray_core.states import AttemptStatus, ReportKind
@@ -98,6 +98,28 @@
     return None
 
 
+def evaluate_silence(
+    state: TargetState, silence: SilentTarget, rate: float, now: Seconds
+) -> TargetReport | None:
+    """Return the report to broadcast about a target that is silent.
+
+    Args:
+        state: what this entry knows of the target.
+        silence: the attempt without a response.
+        rate: estimated requests per second to the target from all entries.
+        now: monotonic seconds.
+
+    Returns:
+        None if the silence shows nothing new: the attempt began before the
+        target's last failure.
+    """
+    if state.failed_at and now - silence.elapsed <= state.failed_at:
+        return None
+    if silence.is_conclusive or state.recovering:
+        return _build_report(state, ReportKind.SILENT)
+    return _add_evidence(state, rate, now, ReportKind.SILENT)
+
+
 def _evaluate_failed_response(
     state: TargetState, outcome: AttemptOutcome
 ) -> TargetReport | None:
@@ -113,12 +135,19 @@
         return (
             _build_report(state, ReportKind.FAULTS) if failed_again else None
         )
+    return _add_evidence(state, outcome.rate, outcome.now, ReportKind.FAULTS)
+
+
+def _add_evidence(
+    state: TargetState, rate: float, now: Seconds, alarm: ReportKind
+) -> TargetReport:
+    """Add a failure to the evidence; return the alarm or the suspicion."""
     evidence = CumulativeSum(state.suspicion)
-    elapsed = max(0.0, outcome.now - state.suspected_at)
-    evidence.add(outcome.rate * elapsed, 0, 0.0)
+    elapsed = max(0.0, now - state.suspected_at)
+    evidence.add(rate * elapsed, 0, 0.0)
     evidence.add(0, 1, 0.0)
     if evidence.score >= SUSPICION_THRESHOLD:
-        return _build_report(state, ReportKind.FAULTS)
+        return _build_report(state, alarm)
     return _build_report(state, ReportKind.SUSPECTED, evidence.score)
 
 
--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -17,6 +17,7 @@
     AttemptOutcome,
     apply_report,
     evaluate_attempt,
+    evaluate_silence,
     is_newer_report,
 )
 from wasabitray_core.controllers.feedback import (
@@ -47,6 +48,7 @@
     GetStatus,
     ReleaseSlot,
     RequestEnded,
+    SilentTarget,
     SlotGrant,
     SlotRefusal,
     Tick,
@@ -68,6 +70,7 @@
     measure_availability,
 )
 from wasabitray_core.requests import Target
+from wasabitray_core.silence import get_silence_limits
 from wasabitray_core.spillover import (
     NO_SPILLOVER,
     Spillover,
@@ -411,14 +414,29 @@
         now = self._now()
         rate = self._estimate_target_rate(service, release)
         report = evaluate_attempt(state, AttemptOutcome(release, rate, now))
-        if report is None:
+        if report is not None:
+            self._broadcast_report(service, state, report)
+
+    @receive.register
+    def _(self, message: SilentTarget, origin: Origin) -> None:
+        service = self._get_service(message.service)
+        state = service.targets.get(message.target)
+        if state is None or not self._cool_downs:
             return
-        _handle_report(service, state, report, now)
+        rate = self._estimate_target_rate(service, message)
+        report = evaluate_silence(state, message, rate, self._now())
+        if report is not None:
+            self._broadcast_report(service, state, report)
+
+    def _broadcast_report(
+        self, service: _Service, state: TargetState, report: TargetReport
+    ) -> None:
+        _handle_report(service, state, report, self._now())
         self._outbox.tell(ControllerName.MEMBERSHIP, Broadcast(report))
         self._outbox.log_event(
             "target cool-down" if report.cools_down else "target report",
             target=report.target,
-            service=release.service,
+            service=state.target.service,
             cause=report.kind.name.lower(),
             number=report.number,
             duration_s=report.duration_s,
@@ -426,11 +444,11 @@
         )
 
     def _estimate_target_rate(
-        self, service: _Service, release: ReleaseSlot
+        self, service: _Service, attempt: ReleaseSlot | SilentTarget
     ) -> float:
         """Estimate the requests per second that each target gets."""
-        average = service.times[release.work].average
-        hold_time = release.elapsed if average is None else average
+        average = service.times[attempt.work].average
+        hold_time = attempt.elapsed if average is None else average
         used, _ = self._estimate_demand(service)
         in_use = sum(
             not s.is_cooling(self._now()) for s in service.targets.values()
@@ -624,6 +642,9 @@
             state.failure_age(now),
             lost_share,
             latest_end,
+            get_silence_limits(
+                service.times[request.work].usual, load, state.target.slots
+            ),
         )
         self._reply(waiter.origin, grant)
         return True
--- a/packages/core/src/wasabitray_core/filters/chain.py
+++ b/packages/core/src/wasabitray_core/filters/chain.py
@@ -16,6 +16,8 @@
 from wasabitray_core.ids import Seconds
 from wasabitray_core.local_messages import ControllerName
 from wasabitray_core.requests import Exchange, Request, Response, Target
+from wasabitray_core.silence import SilenceLimits
+from wasabitray_core.states import WorkClass
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +49,10 @@
             well, so that it interrupts no attempt.
         response_wait: seconds after these that an entry which is stopping
             waits for the target's own response.
+        silence: when silence is evidence against the target, None if it is
+            none. The evidence counts if the target accepts a new connection
+            at that time, and is sent to the dispatch controller.
+        work: the request's work class.
     """
 
     target: Target
@@ -55,6 +61,8 @@
     use_new_connection: bool
     stop_extension: Seconds = Seconds(0.0)
     response_wait: Seconds = Seconds(0.0)
+    silence: SilenceLimits | None = None
+    work: WorkClass = WorkClass.SHORT
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/wasabitray_core/filters/slot.py
+++ b/packages/core/src/wasabitray_core/filters/slot.py
@@ -146,6 +146,9 @@
             use_new_connection,
             Seconds(stop_extension),
             exchange.response_wait,
+            # How long a streamed body takes is up to the caller.
+            grant.silence if exchange.request.stream is None else None,
+            exchange.matched_route.work,
         )
         if result.was_sent:
             exchange.attempts += 1
--- a/packages/core/src/wasabitray_core/local_messages.py
+++ b/packages/core/src/wasabitray_core/local_messages.py
@@ -41,6 +41,7 @@
 from wasabitray_core.placement import Availability, Basis
 from wasabitray_core.requests import LoadReport, Target
 from wasabitray_core.route_table import RouteTableSource, TrafficLimits
+from wasabitray_core.silence import SilenceLimits
 from wasabitray_core.states import (
     AttemptStatus,
     HostFlag,
@@ -494,6 +495,7 @@
         lost_share: estimated share of the service's requests that is lost.
         latest_end: monotonic time by which the request must end; earlier than
             its deadline if the entry is stopping.
+        silence: when silence is evidence against the target.
     """
 
     target: Target
@@ -504,6 +506,7 @@
     failure_age: Seconds | None = None
     lost_share: float = 0.0
     latest_end: Seconds = Seconds(math.inf)
+    silence: SilenceLimits | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -538,6 +541,22 @@
     retry_after: Seconds | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class SilentTarget:
+    """Reports a target that accepts connections but does not respond.
+
+    Attributes:
+        elapsed: seconds since the attempt began.
+        is_conclusive: whether this attempt alone shows that it has failed.
+    """
+
+    service: ServiceName
+    target: TargetId
+    work: WorkClass
+    elapsed: Seconds
+    is_conclusive: bool
+
+
 @dataclass(frozen=True, slots=True)
 class RequestEnded:
     """Reports how a request ended, after all its attempts."""
--- a/packages/core/src/wasabitray_core/states.py
+++ b/packages/core/src/wasabitray_core/states.py
@@ -52,12 +52,22 @@
     FAULTS = 3
     """The target gave too many failed responses; it cools down."""
     SUSPECTED = 4
-    """The target gave a failed response; the evidence is still too weak."""
+    """The target gave a failed response, or none in the usual time.
+
+    The evidence is still too weak.
+    """
+    SILENT = 5
+    """The target did not respond for far too long; it cools down."""
 
     @property
     def cools_down(self) -> bool:
         """Whether the report starts a cool-down of the target."""
-        return self in (ReportKind.BROKEN, ReportKind.FAULTS)
+        return self in _COOLING_KINDS
+
+
+_COOLING_KINDS = frozenset(
+    {ReportKind.BROKEN, ReportKind.FAULTS, ReportKind.SILENT}
+)
 
 
 class Outcome(Enum):
--- a/packages/node/src/wasabitray_node/callers.py
+++ b/packages/node/src/wasabitray_node/callers.py
@@ -4,7 +4,7 @@
 
 import secrets
 from collections.abc import Callable, Iterator
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from typing import Any
 
 import falcon
@@ -21,7 +21,11 @@
     run_effects,
 )
 from wasabitray_core.ids import CallerRequestId, RegionName, Seconds
-from wasabitray_core.local_messages import ControllerName, GetAddresses
+from wasabitray_core.local_messages import (
+    ControllerName,
+    GetAddresses,
+    SilentTarget,
+)
 from wasabitray_core.requests import Exchange, Request, Response
 from wasabitray_core.states import RefusalReason, WorkClass
 from wasabitray_node import headers as h
@@ -138,7 +142,9 @@
 
     @handle.register
     def _(self, effect: Attempt) -> Any:
-        return self._upstream.attempt(effect, self._watch)
+        return self._upstream.attempt(
+            effect, self._watch, partial(self._report_silence, effect)
+        )
 
     @handle.register
     def _(self, effect: AfterResponse) -> None:
@@ -148,6 +154,18 @@
     def _(self, effect: LogDecision) -> None:
         log_decision(effect.event, **effect.fields)
 
+    def _report_silence(
+        self, attempt: Attempt, elapsed: float, is_conclusive: bool
+    ) -> None:
+        message = SilentTarget(
+            attempt.target.service,
+            attempt.target.target,
+            attempt.work,
+            Seconds(elapsed),
+            is_conclusive,
+        )
+        self._router.tell(ControllerName.DISPATCH, message)
+
     def finish(self) -> None:
         """Send the messages that were deferred until the response ended."""
         self._watch.stop()
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Callable, Generator
 from dataclasses import replace
+from typing import Any
 
 import gevent
 import gevent.socket
@@ -15,7 +16,7 @@
 from wasabitray_core.errors import TruncatedAnswerError
 from wasabitray_core.filters.chain import Attempt
 from wasabitray_core.ids import Seconds
-from wasabitray_core.requests import AttemptResult, Response
+from wasabitray_core.requests import AttemptResult, Response, Target
 from wasabitray_core.states import AttemptStatus
 from wasabitray_node.connections import (
     BorrowConnection,
@@ -28,6 +29,7 @@
 from wasabitray_node.dialects import ResponseMetadata, TargetDialect
 from wasabitray_node.headers import strip_hop_by_hop
 from wasabitray_node.settings import Limits, split_address
+from wasabitray_node.silence_watch import SilenceReporter, SilenceWatch
 from wasabitray_node.target_responses import SingleResponse
 from wasabitray_node.timers import AttemptTimer
 from wasabitray_node.watch import CallerGoneError, CallerWatch
@@ -74,14 +76,25 @@
         self._clock = clock
         self._dialect = dialect
 
-    def attempt(self, attempt: Attempt, watch: CallerWatch) -> AttemptResult:
+    def attempt(
+        self,
+        attempt: Attempt,
+        watch: CallerWatch,
+        report_silence: SilenceReporter | None = None,
+    ) -> AttemptResult:
         """Send a request to a target and read the response.
 
         Args:
             attempt: the request and the target.
             watch: ends the attempt when the caller disconnects.
+            report_silence: called if silence of the target is evidence.
         """
         started = self._clock()
+        silence = SilenceWatch(
+            attempt.silence,
+            lambda: self._is_reachable(attempt.target),
+            report_silence,
+        )
         exchange = _HttpExchange(attempt, self._limits, self._dialect)
         try:
             timer = AttemptTimer(
@@ -89,7 +102,7 @@
                 attempt.stop_extension + attempt.response_wait,
                 self._is_stopping,
             )
-            with timer, watch:
+            with timer, watch, silence:
                 exchange.connection = self._connect(attempt)
                 exchange.run()
             result = exchange.build_result()
@@ -108,6 +121,9 @@
                 exchange, str(error), timed_out=no_reply
             )
         elapsed = Seconds(self._clock() - started)
+        if result.is_silent:
+            allowed = attempt.timeout + attempt.stop_extension
+            silence.check_given_up(elapsed, allowed)
         self._release_connection(exchange, result, watch)
         return replace(result, elapsed=elapsed)
 
@@ -120,9 +136,7 @@
                 return connection
         timeout = min(self._limits.connect_timeout_s, attempt.timeout)
         try:
-            sock = gevent.socket.create_connection(
-                split_address(target.address or target.target), timeout=timeout
-            )
+            sock = _open_socket(target, timeout)
         except OSError as error:
             raise _ConnectError(f"can't connect: {error}") from error
         sock.settimeout(None)  # AttemptTimer bounds the whole attempt
@@ -133,6 +147,14 @@
         now = self._clock()
         return Connection(pool_key, sock, now, now)
 
+    def _is_reachable(self, target: Target) -> bool:
+        """Open and close a connection; return whether that worked."""
+        try:
+            _open_socket(target, self._limits.connect_timeout_s).close()
+        except OSError:
+            return False
+        return True
+
     def _build_failure(
         self, exchange: _HttpExchange, detail: str, timed_out: bool
     ) -> AttemptResult:
@@ -205,6 +227,12 @@
                 exchange.abandon()
 
 
+def _open_socket(target: Target, timeout: float) -> Any:
+    return gevent.socket.create_connection(
+        split_address(target.address or target.target), timeout=timeout
+    )
+
+
 class _ConnectError(Exception):
     """No connection could be made, so nothing was sent."""
 
--- a/tests/core/controllers/test_cool_downs.py
+++ b/tests/core/controllers/test_cool_downs.py
@@ -13,6 +13,7 @@
     AcquireSlot,
     Broadcast,
     ReleaseSlot,
+    SilentTarget,
     UsableTarget,
     UsableTargets,
 )
@@ -235,3 +236,57 @@
     assert grant.target.target not in ("t1", "t2")
     assert grant.availability == Availability(8, 2, 1)
     assert grant.failure_age is None
+
+
+def tell_silence(bed, elapsed=1.5, is_conclusive=True):
+    bed.tell(
+        SilentTarget("rota", "t1", WorkClass.SHORT, elapsed, is_conclusive)
+    )
+
+
+def get_report_kinds(bed):
+    return [b.item.kind for b in bed.outbox.get_told(Broadcast)]
+
+
+def make_silence_bed():
+    bed = ControllerBed(DispatchController, "south", RetryLimits(), True)
+    targets = [Target(f"t{n}", "rota", "south", "a", 2) for n in (1, 2)]
+    usable = tuple(UsableTarget(t, False) for t in targets)
+    bed.tell(UsableTargets("rota", usable, ("t1", "t2"), ()))
+    return bed
+
+
+def test_target_that_is_silent_for_far_too_long_cools_down():
+    bed = make_silence_bed()
+    tell_silence(bed)
+    assert get_report_kinds(bed) == [ReportKind.SILENT]
+    for _ in range(20):
+        request = AcquireSlot(
+            "rota", "o", WorkClass.SHORT, False, bed.clock.now + 2.0
+        )
+        grant = bed.ask(request)
+        assert grant.target.target == "t2"
+        bed.tell(
+            ReleaseSlot(
+                "rota", "t2", WorkClass.SHORT, AttemptStatus.ANSWERED, 0.1,
+                None,
+            )
+        )  # fmt: skip
+
+
+def test_two_attempts_that_were_given_up_cool_a_target_down():
+    bed = make_silence_bed()
+    tell_silence(bed, 0.9, is_conclusive=False)
+    bed.clock.advance(0.2)
+    tell_silence(bed, 0.9, is_conclusive=False)
+    kinds = [ReportKind.SUSPECTED, ReportKind.SILENT]
+    assert get_report_kinds(bed) == kinds
+
+
+def test_silence_from_before_the_last_failure_shows_nothing_new():
+    bed = make_silence_bed()
+    tell_silence(bed, 1.5)
+    bed.clock.advance(1.0)
+    tell_silence(bed, 1.5)
+    tell_silence(bed, 1.2)
+    assert get_report_kinds(bed) == [ReportKind.SILENT]
--- a/tests/node/test_target_reports.py
+++ b/tests/node/test_target_reports.py
@@ -14,6 +14,7 @@
 from wasabitray_core.errors import TruncatedAnswerError
 from wasabitray_core.filters.chain import Attempt
 from wasabitray_core.requests import Request, Target
+from wasabitray_core.silence import SilenceLimits
 from wasabitray_core.states import AttemptStatus
 from wasabitray_node.connections import ConnectionPool
 from wasabitray_node.dialects import NativeTargetDialect
@@ -182,3 +183,59 @@
     assert result.may_have_run
     assert result.was_sent
     assert scripted.connections == 1
+
+
+@pytest.fixture
+def silent():
+    """A target that accepts connections and never responds."""
+    server = StreamServer(("127.0.0.1", 0), lambda s, a: gevent.sleep(60))
+    server.start()
+    address = f"127.0.0.1:{server.server_port}"
+    yield Target("t1", "rota", "south", "south-a", 2, address), server
+    server.stop(timeout=0)
+
+
+def collect_silence(target, timeout, limits, before=lambda: None):
+    """Return the reports of an attempt that gets no response."""
+    reports = []
+    upstream = build_upstream(NativeTargetDialect)
+    request = Request("hobart", "GET", "/", id="r1")
+    attempt = Attempt(target, request, timeout, True, silence=limits)
+    gevent.spawn_later(0.02, before)
+    upstream.attempt(
+        attempt, CallerWatch(None), lambda *report: reports.append(report)
+    )
+    gevent.sleep(0.1)
+    return reports
+
+
+def test_silent_target_is_reported_while_the_attempt_waits(silent):
+    target, _ = silent
+    reports = collect_silence(target, 0.3, SilenceLimits(0.05, 0.1))
+    assert reports == [(0.1, True)]
+
+
+def test_attempt_that_is_given_up_before_that_is_reported_too(silent):
+    target, _ = silent
+    ((elapsed, is_conclusive),) = collect_silence(
+        target, 0.2, SilenceLimits(0.1, 9.0)
+    )
+    assert elapsed >= 0.2
+    assert not is_conclusive
+    assert not collect_silence(target, 0.2, SilenceLimits(0.5, 9.0))
+    assert not collect_silence(target, 0.2, None)
+
+
+def test_silence_of_a_path_is_not_reported(silent):
+    target, server = silent
+    limits = SilenceLimits(0.05, 0.1)
+    # The listener is closed, so the check of the path fails.
+    assert not collect_silence(target, 0.3, limits, server.close)
+
+
+def test_response_in_time_is_no_silence(scripted):
+    scripted.script = [
+        [build_response("Wasabitray-Request-Id", "r1", b"body")]
+    ]
+    limits = SilenceLimits(0.0, 0.05)
+    assert not collect_silence(scripted.target, 5.0, limits)
