Remove silent voters from control groups of an even number

Cause: with three control hosts, the successor of one that was removed for good joined as a fourth voter, and the removed one stayed in the group for ever. The next removal left two of four voters: no quorum, no configuration, no acknowledged departure (a scenario with real processes failed so). A learner that is unresponsive itself no longer becomes a voter.

--- a/tests/core/controllers/consensus/test_progress.py
+++ b/tests/core/controllers/consensus/test_progress.py
@@ -53,3 +53,33 @@
     members = make_group("c1", "c2", "c3", "c4", "c5", learners=("c6",))
     unresponsive = frozenset({"c2.0", "c6.0"})
     assert find_next_members(members, {"c6.0"}, unresponsive) is None
+
+
+def test_unresponsive_learner_does_not_become_a_voter():
+    members = make_group("c1", "c2", "c3", learners=("c4",))
+    unresponsive = frozenset({"c4.0"})
+    assert find_next_members(members, {"c4.0"}, unresponsive) is None
+
+
+def test_unresponsive_voter_leaves_a_group_of_an_even_number():
+    members = make_group("c1", "c2", "c3", "c4")
+    silent = frozenset({"c1.0"})
+    assert find_next_members(members, set(), silent) == make_group(
+        "c2", "c3", "c4"
+    )
+    assert find_next_members(members, set()) is None
+
+
+def test_unresponsive_voter_stays_in_a_group_of_an_odd_number():
+    members = make_group("c1", "c2", "c3")
+    assert find_next_members(members, set(), frozenset({"c1.0"})) is None
+
+
+def test_group_grows_before_an_unresponsive_voter_leaves_it():
+    members = make_group("c1", "c2", "c3", learners=("c4",))
+    silent = frozenset({"c1.0"})
+    first = find_next_members(members, {"c4.0"}, silent)
+    assert first == make_group("c1", "c2", "c3", "c4")
+    assert find_next_members(first, {"c4.0"}, silent) == make_group(
+        "c2", "c3", "c4"
+    )
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -119,6 +119,14 @@
     Then configuration 11 is acknowledged within 10 s
     And requests to /read/x were answered throughout
 
+  Scenario: All control hosts are removed for good, one after the other
+    When c1, c2 and c3 are replaced by c4, c5 and c6 one after the other
+    Then the configuration read from any control host is the one that was sent
+    And configuration 11 is acknowledged within 10 s
+    And requests to /read/x were answered throughout
+    When i1 announces that it is leaving and is acknowledged
+    Then no request reaches i1 later than 2.5 s after that
+
   Scenario Outline: The logs explain a failed request
     When the instances <fault>
     And request <id> to /write/x is sent to e1
