Keep requests in their failure domain while many are lost

Change: the preference for the own domain stays. While many requests are lost, targets that got no request for a second go first, the own domain's before others', and of four of them the one that waited longest.

--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -61,6 +61,9 @@
 # load, so that no sound target stays idle by chance. The users' floor counts
 # the targets that get requests within two seconds.
 MAX_IDLE_S = 1.0
+# Of so many idle targets, the one that got no request for the longest time is
+# chosen.
+IDLE_SAMPLE_SIZE = 4
 
 
 class Basis(Enum):
@@ -485,8 +488,8 @@
 
     A target in the entry's own failure domain counts as if it had one request
     less: bytes between domains are costly, and it still has a free slot where
-    the others are idle. While many requests are lost, the domains are equal,
-    since a domain without entries would leave its targets idle.
+    the others are idle. While many requests are lost, targets that are idle
+    go first, those of other domains too, which may have too few entries.
     """
     if not states:
         return None
@@ -494,13 +497,26 @@
         sample = rng.sample(states, min(2, len(states)))
         chosen = min(sample, key=lambda s: s.load(now) / s.target.slots)
         return PlacementChoice(chosen, Basis.LOAD)
-    local = "" if request.is_losing else request.failure_domain
+    domain = request.failure_domain
     loads = [
-        (s.load(now) - (s.target.failure_domain == local)) / s.target.slots
+        (s.load(now) - (s.target.failure_domain == domain)) / s.target.slots
         for s in states
     ]
     least = min(loads)
     tied = [s for s, load in zip(states, loads, strict=True) if load == least]
-    in_domain = [s for s in tied if s.target.failure_domain == local]
-    idle = [s for s in in_domain or tied if s.is_idle(now)]
-    return PlacementChoice(rng.choice(idle or in_domain or tied), Basis.LOAD)
+    best = _filter_domain(tied, domain)
+    idle = [s for s in best if s.is_idle(now)]
+    if not idle and request.is_losing:
+        idle = [s for s in states if s.is_idle(now) and s.load(now) <= 0]
+    if not idle:
+        return PlacementChoice(rng.choice(best), Basis.LOAD)
+    # Other entries choose at the same time, so the choice keeps some chance.
+    sample = rng.sample(idle, min(IDLE_SAMPLE_SIZE, len(idle)))
+    return PlacementChoice(min(sample, key=lambda s: s.used_at), Basis.LOAD)
+
+
+def _filter_domain(
+    states: list[TargetState], domain: FailureDomainName
+) -> list[TargetState]:
+    """Return the targets of a failure domain, or all if it has none."""
+    return [s for s in states if s.target.failure_domain == domain] or states
--- a/tests/core/test_target_floor.py
+++ b/tests/core/test_target_floor.py
@@ -8,6 +8,7 @@
 import pytest
 from support.episode_loads import (
     CALM,
+    DOMAIN_LOADS,
     LOADS,
     LOST_REGION_LOADS,
     SPARSE_LOADS,
@@ -51,6 +52,12 @@
         assert find_windows_below_floor(world) == [], seed
 
 
+@pytest.mark.parametrize("load", DOMAIN_LOADS.values(), ids=DOMAIN_LOADS)
+def test_sound_targets_of_all_failure_domains_get_requests(load):
+    worlds = [EpisodeWorld(load, seed).run() for seed in SEEDS]
+    assert [find_windows_below_floor(w) for w in worlds] == [[]] * len(SEEDS)
+
+
 def test_targets_that_work_again_are_used_after_their_cool_down():
     after = COOL_DOWN_S + FLOOR_WINDOW_S
     for seed in SEEDS:
--- a/tests/support/episode_loads.py
+++ b/tests/support/episode_loads.py
@@ -23,6 +23,7 @@
         broken_for: how long they do so, in seconds.
         idempotent: share of the requests that may be repeated.
         entry_regions: number of the three regions that have entries.
+        domains: number of failure domains in each region.
         streams_in_flight: whether entries learn of each other's in-flight
             attempts all the time, as from a hub, or only when they choose.
     """
@@ -42,6 +43,7 @@
     broken_for: float = 8.0
     idempotent: float = 0.0
     entry_regions: int = 3
+    domains: int = 1
     streams_in_flight: bool = False
 
 
@@ -89,3 +91,12 @@
         FEW_REQUESTS, broken=10, entry_regions=2
     ),
 }
+# Loads of regions with several failure domains.
+DOMAIN_LOADS = {
+    "calm": replace(CALM, domains=2, streams_in_flight=True),
+    "two broken": replace(
+        LOADS["two broken"], domains=2, streams_in_flight=True
+    ),
+    "few": replace(FEW_REQUESTS, domains=3),
+    "many episodes": replace(FEW_REQUESTS, domains=3, episode_share=0.45),
+}
