Send an entry that starts far away to a nearer hub first

Cause: an entry knows three contacts when it starts, most of them in other regions. It got the whole feed from one of them and again from the hub that it then moved to; at 276 entries and 301 targets a feed is about 50 KB. Change: an entry's heartbeat says whether it has chosen its hub from a list. A hub that knows a nearer one answers a heartbeat without that flag with the list alone. An entry that can't reach the nearer hub comes back with the flag.

--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -76,6 +76,7 @@
     TargetReport,
     Unsubscribe,
 )
+from wasabitray_core.nearness import Nearness, get_nearness
 from wasabitray_core.states import HostFlag, TargetPhase
 
 HUB_TICK_INTERVAL_S = 0.5
@@ -531,6 +532,9 @@
         if mark is not None and mark.incarnation == self._table.incarnation:
             read_position = mark.position
         subscriber = self._subscribers.get(host)
+        if subscriber is None and self._has_nearer_hub(presence, now):
+            self._send_hub_list_to_entry(host)
+            return
         if subscriber is None:
             subscriber = _Subscriber(
                 FeedReader(read_position, read_position, now),
@@ -547,7 +551,7 @@
             host,
             presence.counter,
             True,
-            presence.flags,
+            presence.flags & ~HostFlag.KNOWS_HUBS,
             presence.region,
             presence.failure_domain,
             presence.caller_address,
@@ -558,6 +562,24 @@
         if not subscriber.has_hub_list:
             self._send_to_entry(host, subscriber, heartbeat=True)
 
+    def _has_nearer_hub(self, presence: Presence, now: Seconds) -> bool:
+        """Return whether an entry that starts should use another hub.
+
+        The whole feed would be sent to it here and again by the other hub.
+        """
+        if presence.flags & HostFlag.KNOWS_HUBS:
+            return False
+        place = presence.region, presence.failure_domain
+        nearest = max(
+            (get_nearness(a, *place) for a in self._hubs.get_addresses(now)),
+            default=Nearness.ELSEWHERE,
+        )
+        return nearest > get_nearness(self._address, *place)
+
+    def _send_hub_list_to_entry(self, host: HostId) -> None:
+        mark = FeedMark(self.host, self._table.incarnation, FEED_START)
+        self._outbox.send(host, self._build_feed(mark, FEED_START, [], True))
+
     @receive.register
     def _(self, message: Unsubscribe, origin: Origin) -> None:
         assert origin.peer is not None
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -4,7 +4,6 @@
 
 from collections import Counter
 from dataclasses import dataclass
-from enum import IntEnum
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
@@ -58,6 +57,7 @@
     TargetReport,
     Unsubscribe,
 )
+from wasabitray_core.nearness import Nearness, get_nearness
 from wasabitray_core.rendezvous import choose_owner
 from wasabitray_core.states import HostFlag
 
@@ -75,14 +75,6 @@
 _FEED_START = FeedPosition(0)
 
 
-class Nearness(IntEnum):
-    """How near a hub is to this entry."""
-
-    ELSEWHERE = 0
-    REGION = 1
-    FAILURE_DOMAIN = 2
-
-
 @dataclass(frozen=True, slots=True)
 class EntryProfile:
     """What an entry reports about itself."""
@@ -296,10 +288,13 @@
         if self._hub is None:
             return
         self._counter += 1
+        flags = self._flags
+        if self._known_hubs:
+            flags |= HostFlag.KNOWS_HUBS
         presence = Presence(
             self._counter,
             self._revision,
-            self._flags,
+            flags,
             self._profile.region,
             self._profile.failure_domain,
             self._profile.caller_address,
@@ -354,11 +349,10 @@
 
     def _get_nearness(self, host: HostId | None) -> Nearness:
         address = self._known_hubs.get(host) if host else None
-        if address is None or address.region != self._profile.region:
+        if address is None:
             return Nearness.ELSEWHERE
-        if address.failure_domain == self._profile.failure_domain:
-            return Nearness.FAILURE_DOMAIN
-        return Nearness.REGION
+        profile = self._profile
+        return get_nearness(address, profile.region, profile.failure_domain)
 
     def _choose_hub(self, now: Seconds) -> HostId | None:
         """Choose one of the nearest hubs without a recent failure.
--- a/packages/core/src/wasabitray_core/states.py
+++ b/packages/core/src/wasabitray_core/states.py
@@ -112,6 +112,8 @@
     LEADER = 2
     SERVING = 4
     LEAVING = 8
+    KNOWS_HUBS = 16
+    """An entry has chosen its hub from a list of all hubs."""
 
 
 class ConsensusRole(Enum):
--- a/tests/core/controllers/test_hub.py
+++ b/tests/core/controllers/test_hub.py
@@ -307,3 +307,33 @@
     bed.tick(0.5)
     subscribers = bed.outbox.get_told(InFlightSubscribers)[-1]
     assert subscribers.entries == ("e1",)
+
+
+def far_presence(flags=HostFlag.SERVING):
+    """Return the heartbeat of an entry in c2's region and domain."""
+    return Presence(1, 0, flags, "north", "scottsdale", "10.0.0.9:80", ())
+
+
+def test_entry_that_starts_far_away_gets_the_list_of_hubs_alone():
+    bed = hub_bed("c1", "c2", "c3")
+    near_hub = replace(
+        hub_presence(), region="north", failure_domain="scottsdale"
+    )
+    bed.receive("c2", near_hub)
+    bed.ask(Register(ANNOUNCEMENT))
+    bed.receive("e9", far_presence())
+    (feed,) = get_feeds_sent_to(bed, "e9")
+    assert "c2" in {address.host for address in feed.hubs}
+    assert (feed.announcements, feed.position) == ((), 0)
+    # It could not reach that hub and has chosen this one.
+    bed.receive("e9", far_presence(HostFlag.SERVING | HostFlag.KNOWS_HUBS))
+    assert get_feeds_sent_to(bed, "e9")[-1].announcements == (ANNOUNCEMENT,)
+    state = bed.controller.table.find(EntryState, "e9").item
+    assert state.flags == HostFlag.SERVING
+
+
+def test_entry_that_starts_far_away_is_served_while_no_hub_is_nearer():
+    bed = hub_bed("c1", "c2", "c3")
+    bed.ask(Register(ANNOUNCEMENT))
+    bed.receive("e9", far_presence())
+    assert get_feeds_sent_to(bed, "e9")[0].announcements == (ANNOUNCEMENT,)
