Bound the messages of a hub whatever its subscribers

Cause: each change of work in flight went to each subscriber 50 times a second and each failure at once: at 31 entries a hub that is 1,550 messages a second, and some tens of reports more. Change: a hub sends at most 400 messages a second of either kind; with up to eight subscribers nothing changes. The first report after a pause still goes out at once. Result: test_shared_work.py and test_feed_growth.py bound it at 6, 40, 100 and 300 subscribers.

--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import astuple, dataclass, replace
 from functools import singledispatchmethod
@@ -87,8 +88,12 @@
 # News that can wait is gathered for this long. When a fleet starts, each entry
 # and each target is news for all entries.
 GATHER_INTERVAL_S = 0.2
+# Each piece of news concerns all subscribers. A hub that has many of them
+# gathers urgent news too, which bounds its processor time.
+MAX_MESSAGES_PER_S = 400.0
 
 _NO_DOMAIN = FailureDomainName("")
+_NEVER = Seconds(math.inf)
 
 
 @dataclass(slots=True)
@@ -145,17 +150,16 @@
         self._ticks = 0
         self._present_entry_count = 0
         self._next_heartbeat_at = context.clock()
-        self._has_gathered_news = False
+        self._broadcast_at = Seconds(-math.inf)
+        self._next_broadcast_at = _NEVER
         for departure in stored_departures or ():
             self._table.put(departure, self.host, self._now())
 
     @property
     def tick_interval_s(self) -> float:  # type: ignore[override]
         """Seconds between ticks; shorter while news waits to be sent."""
-        until_heartbeat = max(0.0, self._next_heartbeat_at - self._now())
-        if self._has_gathered_news:
-            return min(GATHER_INTERVAL_S, until_heartbeat)
-        return until_heartbeat
+        due = min(self._next_heartbeat_at, self._next_broadcast_at)
+        return max(0.0, due - self._now())
 
     @property
     def table(self) -> FeedTable:
@@ -173,7 +177,7 @@
         if now >= self._next_heartbeat_at:
             self._next_heartbeat_at = Seconds(now + HUB_TICK_INTERVAL_S)
             self._send_heartbeats(now)
-        elif self._has_gathered_news:
+        elif now >= self._next_broadcast_at:
             self._broadcast()
 
     def _send_heartbeats(self, now: Seconds) -> None:
@@ -193,7 +197,7 @@
             self._send_to_entry(host, subscriber, heartbeat=True)
         for host, hub in self._hubs.items():
             self._send_to_hub(host, hub)
-        self._has_gathered_news = False
+        self._record_broadcast(now)
         self._publish()
 
     @receive.register
@@ -376,16 +380,33 @@
         self._outbox.send(sender, self._build_presence())
 
     def _spread(self, records: Iterable[FeedRecord | None]) -> None:
-        """Send new items at once if one is urgent, else soon."""
+        """Send new items as soon as the bound on messages allows.
+
+        Items that are not urgent wait for others.
+        """
         new_items = [r.item for r in records if r is not None]
-        if any(is_urgent(item) for item in new_items):
+        if not new_items:
+            return
+        now = self._now()
+        if not any(is_urgent(item) for item in new_items):
+            self._plan_broadcast(Seconds(now + GATHER_INTERVAL_S))
+            return
+        messages = len(self._subscribers) + len(self._hubs.hosts)
+        pause = messages / MAX_MESSAGES_PER_S
+        self._plan_broadcast(Seconds(self._broadcast_at + pause))
+        if now >= self._next_broadcast_at:
             self._broadcast()
-        elif new_items:
-            self._has_gathered_news = True
+
+    def _plan_broadcast(self, at: Seconds) -> None:
+        self._next_broadcast_at = min(self._next_broadcast_at, at)
+
+    def _record_broadcast(self, now: Seconds) -> None:
+        self._broadcast_at = now
+        self._next_broadcast_at = _NEVER
 
     def _broadcast(self) -> None:
         """Send new items to the entries and the other hubs."""
-        self._has_gathered_news = False
+        self._record_broadcast(self._now())
         for host, subscriber in self._subscribers.items():
             self._send_to_entry(host, subscriber)
         for host, hub in self._hubs.items():
@@ -487,7 +508,7 @@
             self._send_hub_list(host)
         if was_unresponsive:
             self._outbox.log_event("hub heard", peer=host)
-            self._has_gathered_news = True  # its entries are present again
+            self._plan_broadcast(now)  # its entries are present again
         self._send_to_hub(host, hub)
         self._confirm_departures()
         if presence.revision > self._revision:
--- a/packages/core/src/wasabitray_core/controllers/shared_work.py
+++ b/packages/core/src/wasabitray_core/controllers/shared_work.py
@@ -35,6 +35,9 @@
 # Well under the time that a request takes at a target, and long enough to
 # gather several changes in one message.
 SEND_INTERVAL_S = 0.02
+# Every change concerns all subscribers, so a hub with many of them gathers for
+# longer. This bounds its processor time.
+MAX_MESSAGES_PER_S = 400.0
 IDLE_INTERVAL_S = 0.5
 # Entries send all their counts every half second; two messages may be lost.
 SOURCE_TIMEOUT_S = 1.5
@@ -80,7 +83,12 @@
     @property
     def tick_interval_s(self) -> float:  # type: ignore[override]
         """Seconds between ticks; short only while counts change."""
-        return SEND_INTERVAL_S if self._changed else IDLE_INTERVAL_S
+        if not self._changed:
+            return IDLE_INTERVAL_S
+        subscribers = self._subscribers
+        count = len(subscribers.entries) + len(subscribers.hubs)
+        paced = max(SEND_INTERVAL_S, count / MAX_MESSAGES_PER_S)
+        return min(IDLE_INTERVAL_S, paced)
 
     @singledispatchmethod
     def receive(self, message: Any, origin: Origin) -> None:
--- a/tests/core/controllers/test_shared_work.py
+++ b/tests/core/controllers/test_shared_work.py
@@ -4,6 +4,8 @@
 from support.fakes import ControllerBed
 
 from wasabitray_core.controllers.shared_work import (
+    IDLE_INTERVAL_S,
+    MAX_MESSAGES_PER_S,
     SOURCE_TIMEOUT_S,
     SharedWorkController,
 )
@@ -112,3 +114,19 @@
     bed.tick(0.5)
     sent = {host: message.requests for host, message in bed.outbox.sent}
     assert sent["c2"] == count(30, 6)
+
+
+@pytest.mark.parametrize("count", [6, 40, 300])
+def test_messages_of_a_hub_are_bounded_whatever_its_subscribers(count):
+    bed = ControllerBed(SharedWorkController, host="c1")
+    entries = tuple(f"e{n}" for n in range(count))
+    bed.tell(InFlightSubscribers(entries, ()))
+    seconds = 0.0
+    while seconds < 2.0:
+        receive_counts(bed, "e1", t1=round(seconds * 1_000))
+        interval = bed.controller.tick_interval_s
+        assert interval <= IDLE_INTERVAL_S
+        bed.tick(interval)
+        seconds += interval
+    full_updates = count * 2.0 / IDLE_INTERVAL_S
+    assert len(bed.outbox.sent) <= 2.0 * MAX_MESSAGES_PER_S + full_updates
--- a/tests/core/test_feed_growth.py
+++ b/tests/core/test_feed_growth.py
@@ -6,8 +6,12 @@
 from wasabitray_core.controllers.hub import (
     GATHER_INTERVAL_S,
     HUB_TICK_INTERVAL_S,
+    MAX_MESSAGES_PER_S,
 )
 from wasabitray_core.controllers.subscriber import PRESENCE_INTERVAL_S
+from wasabitray_core.local_messages import Broadcast
+from wasabitray_core.messages import TargetReport
+from wasabitray_core.states import ReportKind
 
 LENGTH_S = 5.0
 # A host that gets an item later than this could get it with the next
@@ -40,3 +44,24 @@
     allowed = 2 * LENGTH_S * (1 / GATHER_INTERVAL_S + 1 / HUB_TICK_INTERVAL_S)
     for host in fleet.entries:
         assert host.view_count <= allowed, host.name
+
+
+def test_reports_of_failures_cost_a_hub_a_bounded_number_of_messages():
+    fleet = FeedFleet(100, targets=100)
+    fleet.start(LENGTH_S)
+    counter = fleet.traffic["hub"].messages
+    before = counter["Feed to entry"]
+    reports = 400
+    for number in range(reports):
+        entry = fleet.random.choice(fleet.entries)
+        report = TargetReport(f"i-{number}", 1, 12.0, ReportKind.BROKEN)
+        at = fleet.random.uniform(0.0, 2.0)
+        entry.reports.add(report.target)
+        fleet.clock.call_later(at, entry.receive, Broadcast(report))
+    fleet.run(2.5)
+    feeds = counter["Feed to entry"] - before
+    heartbeats = len(fleet.entries) * 2.5 / HUB_TICK_INTERVAL_S
+    presences = len(fleet.entries) * 2.5 / PRESENCE_INTERVAL_S
+    allowed = len(fleet.hubs) * 2.5 * MAX_MESSAGES_PER_S
+    assert feeds <= allowed + heartbeats + presences
+    assert {len(e.reports) for e in fleet.entries} == {reports}
--- a/tests/support/feed_fleet.py
+++ b/tests/support/feed_fleet.py
@@ -28,7 +28,7 @@
     StoreDepartures,
     Tick,
 )
-from wasabitray_core.messages import Announcement, HostAddress
+from wasabitray_core.messages import Announcement, HostAddress, TargetReport
 from wasabitray_core.states import HostFlag, TargetPhase
 from wasabitray_wire import encoded_size
 
@@ -66,6 +66,7 @@
         self.domain = number % DOMAINS
         self.region = REGIONS[self.domain % len(REGIONS)]
         self.next_tick = 0.0
+        self.reports: set[str] = set()
         self.view: EntriesView | None = None
         self.view_count = 0
         context = Context(name, fleet.clock, fleet.random, self)
@@ -102,6 +103,8 @@
             self.view, self.view_count = message, self.view_count + 1
         elif isinstance(message, StoreDepartures):
             self.receive(DeparturesStored(message.departures))
+        elif isinstance(message, TargetReport):
+            self.reports.add(message.target)
 
     def reply(self, token, value):
         token(value)
