--- a/tests/features/steps/platform_replacement_steps.py
+++ b/tests/features/steps/platform_replacement_steps.py
@@ -1,9 +1,8 @@
 """Steps in which control hosts of the platform are replaced."""
 
-import gevent
 from behave import when
 from fleet import wait_for
-from support.platform_fleet import OPERATOR_PORT
+from support.platform_fleet import OPERATOR_PORT, start_requests
 from support.platform_standins import call
 
 # A silent voter gives its place to a learner after 8 s.
@@ -13,15 +12,7 @@
 @when("{old} are replaced by {new} one after the other")
 def replace_all(context, old, new):
     fleet = context.fleet
-    context.statuses = []
-
-    def send_requests():
-        while True:
-            response = fleet.send("e1", "GET", "/read/x")
-            context.statuses.append(response.status)
-            gevent.sleep(0.05)
-
-    context.load_jobs = [gevent.spawn(send_requests)]
+    start_requests(context)
     pairs = zip(split_names(old), split_names(new), strict=True)
     for removed, added in pairs:
         replace(fleet, removed, added)
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -7,7 +7,7 @@
 import gevent
 from behave import given, then, when
 from fleet import wait_for
-from support.platform_fleet import PlatformFleet
+from support.platform_fleet import PlatformFleet, start_requests
 from support.platform_standins import (
     call,
     connect,
@@ -644,15 +644,7 @@
     )
     fleet.processes[leader].kill()
     fleet.controls.remove(leader)
-    context.statuses = []
-
-    def send_requests():
-        while True:
-            response = fleet.send("e1", "GET", "/read/x")
-            context.statuses.append(response.status)
-            gevent.sleep(0.05)
-
-    context.load_jobs = [gevent.spawn(send_requests)]
+    start_requests(context)
 
 
 @then("configuration {version:d} is acknowledged within {seconds:d} s")
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -6,6 +6,7 @@
 import sys
 from pathlib import Path
 
+import gevent
 from fleet import Process, wait_for
 
 from support.platform_standins import Instance, call, send
@@ -169,6 +170,19 @@
         return send(address, method, path, body, headers, **options)
 
 
+def start_requests(context) -> None:
+    """Send requests to e1 until the scenario ends; keep their statuses."""
+    context.statuses = []
+
+    def send_requests():
+        while True:
+            response = context.fleet.send("e1", "GET", "/read/x")
+            context.statuses.append(response.status)
+            gevent.sleep(0.05)
+
+    context.load_jobs = [gevent.spawn(send_requests)]
+
+
 def render(template: str, fields: dict) -> str:
     """Render a settings template as the platform's pages describe it."""
     import json
