Take silence as evidence on new connections only

Cause: a connection that was used before may go silent for good while its target responds on new ones; a repeatable request on it would have reported the target (test_target_reports.py failed). Change: such an attempt reports nothing; the connection and the target's other idle ones are closed, as before, so the next attempt opens a new one.

--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -90,12 +90,14 @@
             report_silence: called if silence of the target is evidence.
         """
         started = self._clock()
+        exchange = _HttpExchange(attempt, self._limits, self._dialect)
+        # A reused connection may have gone silent for good, with a target
+        # that responds on new ones.
         silence = SilenceWatch(
             attempt.silence,
-            lambda: self._is_reachable(attempt.target),
+            lambda: exchange.is_first and self._is_reachable(attempt.target),
             report_silence,
         )
-        exchange = _HttpExchange(attempt, self._limits, self._dialect)
         try:
             timer = AttemptTimer(
                 attempt.timeout,
@@ -260,6 +262,11 @@
         """Whether the complete head of a response has arrived."""
         return self._response is not None
 
+    @property
+    def is_first(self) -> bool:
+        """Whether it is the first exchange on its connection."""
+        return self.connection is not None and not self.connection.reused
+
     @property
     def is_reusable(self) -> bool:
         """Whether the connection can carry another exchange."""
--- a/tests/node/test_target_reports.py
+++ b/tests/node/test_target_reports.py
@@ -239,3 +239,26 @@
     ]
     limits = SilenceLimits(0.0, 0.05)
     assert not collect_silence(scripted.target, 5.0, limits)
+
+
+def test_silence_of_a_connection_that_was_used_before_is_not_reported(
+    scripted,
+):
+    scripted.script = [
+        [build_response("Wasabitray-Request-Id", "r1", b"first")],
+        [],  # the second request gets no response
+        [],
+    ]
+    upstream = build_upstream(NativeTargetDialect)
+    exchange(upstream, scripted.target, "r1")
+    reports = []
+    request = Request("hobart", "GET", "/", id="r2")
+    limits = SilenceLimits(0.05, 0.1)
+    attempt = Attempt(scripted.target, request, 0.3, False, silence=limits)
+    result = upstream.attempt(
+        attempt, CallerWatch(None), lambda *report: reports.append(report)
+    )
+    gevent.sleep(0.1)
+    assert result.status is AttemptStatus.STALE_CONNECTION
+    assert scripted.connections == 1
+    assert not reports
