--- a/packages/node/src/wasabitray_node/daemon.py
+++ b/packages/node/src/wasabitray_node/daemon.py
@@ -1,7 +1,15 @@
 """The command `wasabitrayd`, which runs one process of the fleet."""
 
+import os
+
+# Plugins of these libraries are not used. To find some, they would open the
+# metadata of each installed package, half of all system calls of a start.
+os.environ["PYDANTIC_DISABLE_PLUGINS"] = "__all__"
+
 import gevent
+import gevent.events
 
+gevent.events.notify_and_call_entry_points = gevent.events.notify
 gevent.config.libev_backend = "epoll"
 
 from gevent import monkey
