--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -90,11 +90,13 @@
 MIN_HOLD_TIME_S = 0.001
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 5.0
+# Spreads the callers that wait for the first target that wants requests.
 BACK_OFF_JITTER_S = 0.25
 # Attempts whose time shows how long the service takes.
-_NO_DOMAIN = FailureDomainName("")
 TIMED_STATUSES = frozenset({AttemptStatus.ANSWERED, AttemptStatus.TIMED_OUT})
 
+_NO_DOMAIN = FailureDomainName("")
+
 
 @dataclass(slots=True)
 class _Service:
