Stop at the first target that wants requests

Cause: reading the change once more. Each request listed all targets of its service to find out whether they all ask for time, and each heartbeat of a hub copied all its read positions, though departures seldom wait for the disk. Change: find_back_off ends at the first target that wants requests; UnstoredDepartures limits a mark itself and returns it as it is while nothing is held. No change of behaviour.

--- a/packages/core/src/wasabitray_core/controllers/departures.py
+++ b/packages/core/src/wasabitray_core/controllers/departures.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
@@ -124,6 +124,13 @@
         self._holds = [h for h in self._holds if h.waits_for]
         return ended
 
+    def limit_mark(self, mark: FeedMark) -> FeedMark:
+        """Return a mark, or the lowest position at which it is held."""
+        if not self._holds:
+            return mark
+        position = self.limit(mark.hub, mark.incarnation, mark.position)
+        return replace(mark, position=position)
+
     def limit(
         self, hub: HostId, incarnation: Incarnation, position: FeedPosition
     ) -> FeedPosition:
@@ -133,4 +140,4 @@
             for h in self._holds
             if (h.mark.hub, h.mark.incarnation) == (hub, incarnation)
         )
-        return min(position, *held, position)
+        return min([position, *held])
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -9,7 +9,7 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import astuple, dataclass, replace
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import Any, ClassVar, TypeGuard
 
@@ -323,8 +323,7 @@
     def _get_read_position(self, host: HostId) -> FeedPosition:
         """Return a hub's read position in this hub's feed."""
         if host == self.host:
-            mark = self._build_own_mark()
-            return self._unstored.limit(*astuple(mark))
+            return self._unstored.limit_mark(self._build_own_mark()).position
         return self._hubs.get_read_position(host)
 
     # Feed items
@@ -538,10 +537,7 @@
             self._address.region,
             self._address.failure_domain,
             self._address.address,
-            tuple(
-                replace(m, position=self._unstored.limit(*astuple(m)))
-                for m in self._hubs.marks
-            ),
+            tuple(self._unstored.limit_mark(m) for m in self._hubs.marks),
         )
 
     # Entries
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -301,10 +301,14 @@
         The seconds until the first target wants requests again; zero if
         every target is excluded; None if a target wants requests now.
     """
-    usable = [s for s in states if s.target.target not in excluded]
-    if any(not s.is_backing_off(now) for s in usable):
-        return None
-    return Seconds(min((s.back_off_until - now for s in usable), default=0.0))
+    shortest = math.inf
+    for state in states:
+        if state.target.target in excluded:
+            continue
+        if not state.is_backing_off(now):
+            return None
+        shortest = min(shortest, state.back_off_until - now)
+    return Seconds(shortest if math.isfinite(shortest) else 0.0)
 
 
 def find_early_readmissions(
@@ -343,14 +347,13 @@
 
     A request goes to the least loaded target in the entry's own region if the
     targets there can carry the region's load, preferably in its own failure
-    domain. If the other entries' load is
-    not known, the entry compares two random targets (Mitzenmacher, "The power
-    of two choices in randomized load balancing", 2001), since otherwise all
-    entries would choose the same one. A target that this entry can't reach
-    is used when no other target is free, and a cooling one when the others
-    can't carry the load. A target that may work again comes first, with one
-    trial request at a time. A target that asked this entry to back off is
-    never chosen.
+    domain. If the other entries' load is not known, the entry compares two
+    random targets (Mitzenmacher, "The power of two choices in randomized load
+    balancing", 2001), since otherwise all entries would choose the same one.
+    A target that this entry can't reach is used when no other target is free,
+    and a cooling one when the others can't carry the load. A target that may
+    work again comes first, with one trial request at a time. A target that
+    asked this entry to back off is never chosen.
     """
     if request.pinned_target is not None:
         pinned = targets.get(request.pinned_target)
