Tell entries of further hubs soon, and use all slots of targets after a start

Cause, from the code and from three starts of the same fleet, one of which showed it: a hub sent its list of hubs to an entry once and then every 4 s, so an entry that asked a hub of another region first could stay there for 4 s. No in-flight attempts of others reach it there, so each slot got one request, and a target that registered after the first one counted as cold, with one slot: three slots for the six callers. The fourth request waited 1.3 s, and its work did not fit into the rest of its deadline. Ruled out: the stop itself, which began later. Change: a hub that learns of another one, or hears it again, sends its entries the list within 0.2 s; targets that an entry receives during the wait of its start count as warm. Result: the three new tests failed before; unit tests of the core pass.

--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -144,8 +144,9 @@
             region: this entry's region, preferred for targets.
             retries: limits on retries.
             cool_downs: whether targets that fail cool down at all entries.
-            startup_wait_s: seconds after the start for which requests wait
-                for the first targets instead of being refused.
+            startup_wait_s: seconds after the start for which targets may
+                not have been received yet; requests wait for the first ones
+                instead of being refused.
             shares_in_flight: whether to report in-flight attempts, through the
                 hub, to other entries.
             failure_domain: this entry's failure domain, preferred for targets
@@ -198,9 +199,11 @@
     def _(self, message: UsableTargets, origin: Origin) -> None:
         service = self._get_service(message.service)
         now = self._now()
-        # The first targets that an entry receives are assumed to be warm;
-        # targets that join later may be cold and get one request at a time.
-        ramp_until = Seconds(now + RAMP_UP_S if service.targets else now)
+        # Targets that an entry receives while it starts are assumed to be
+        # warm; those that join later may be cold and get one request at a
+        # time.
+        is_starting = not service.targets or now < self._startup_wait_until
+        ramp_until = Seconds(now if is_starting else now + RAMP_UP_S)
         targets = {}
         for usable in message.usable:
             name = usable.target.target
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -103,7 +103,7 @@
     Attributes:
         reader: its read position in this hub's feed.
         last_contact: when its last heartbeat arrived.
-        has_hub_list: whether the list of hubs was sent to it.
+        has_hub_list: whether the current list of hubs was sent to it.
     """
 
     reader: FeedReader
@@ -375,7 +375,10 @@
         departures = filter(_is_departure, message.announcements)
         self._unstored.hold(read_before, [d.target for d in departures])
         self._spread(records)
-        self._send_to_directory(self._hubs.add_hubs(message.hubs, now))
+        new_hubs = self._hubs.add_hubs(message.hubs, now)
+        if new_hubs:
+            self._send_to_directory(new_hubs)
+            self._renew_hub_lists(now)
         self._outbox.send(sender, self._build_presence())
 
     def _spread(self, records: Iterable[FeedRecord | None]) -> None:
@@ -419,7 +422,7 @@
         items = list(
             self._table.get_items_after(subscriber.reader.sent, host, now)
         )
-        if not items and not heartbeat:
+        if not items and not heartbeat and subscriber.has_hub_list:
             return
         with_hubs = (
             not subscriber.has_hub_list
@@ -447,6 +450,15 @@
         )
         hub.reader.record_sent(self._table.position, now)
 
+    def _renew_hub_lists(self, now: Seconds) -> None:
+        """Send the changed list of hubs to the entries soon.
+
+        An entry may be far from this hub and near to the one that was added.
+        """
+        for subscriber in self._subscribers.values():
+            subscriber.has_hub_list = False
+        self._plan_broadcast(Seconds(now + GATHER_INTERVAL_S))
+
     def _send_hub_list(self, host: HostId) -> None:
         """Send the list of hubs to another hub, whose seeds may differ."""
         hub = self._hubs.find(host)
@@ -508,6 +520,7 @@
         if was_unresponsive:
             self._outbox.log_event("hub heard", peer=host)
             self._plan_broadcast(now)  # its entries are present again
+            self._renew_hub_lists(now)
         self._send_to_hub(host, hub)
         self._confirm_departures()
         if presence.revision > self._revision:
@@ -576,8 +589,6 @@
         )
         self._spread([self._table.put(state, host, now)])
         self._send_to_entry(host, subscriber)
-        if not subscriber.has_hub_list:
-            self._send_to_entry(host, subscriber, heartbeat=True)
 
     def _has_nearer_hub(self, presence: Presence, now: Seconds) -> bool:
         """Return whether an entry that starts should use another hub.
--- a/tests/core/controllers/test_dispatch.py
+++ b/tests/core/controllers/test_dispatch.py
@@ -35,12 +35,18 @@
     return Target(name, "rota", region, f"{region}-a", slots)
 
 
-def make_bed(*targets, probation=()):
-    bed = ControllerBed(DispatchController, "south")
+def make_bed(*targets, probation=(), startup_wait_s=0.0):
+    bed = ControllerBed(
+        DispatchController, "south", startup_wait_s=startup_wait_s
+    )
+    set_targets(bed, targets, probation)
+    return bed
+
+
+def set_targets(bed, targets, probation=()):
     usable = tuple(UsableTarget(t, t.target in probation) for t in targets)
     names = tuple(t.target for t in targets)
     bed.tell(UsableTargets("rota", usable, names, ()))
-    return bed
 
 
 def acquire(bed, work=WorkClass.SHORT, organisation="hobart", **fields):
@@ -91,6 +97,24 @@
     assert sum(find_reply(bed, t) is not None for t in tokens) == 5
 
 
+def count_granted(bed, requests):
+    tokens = [acquire(bed) for _ in range(requests)]
+    return sum(find_reply(bed, t) is not None for t in tokens)
+
+
+def test_target_that_joins_later_gets_one_request_at_a_time():
+    bed = make_bed(target("t1"))
+    set_targets(bed, [target("t1"), target("t2")])
+    assert count_granted(bed, 5) == 3
+
+
+def test_targets_that_register_during_a_start_may_use_all_their_slots():
+    bed = make_bed(target("t1"), startup_wait_s=4.0)
+    bed.tick(1.0)
+    set_targets(bed, [target("t1"), target("t2")])
+    assert count_granted(bed, 5) == 4
+
+
 def test_waiting_request_is_refused_before_its_deadline():
     bed = make_bed(target("t1", slots=1))
     acquire(bed)
--- a/tests/core/controllers/test_hub.py
+++ b/tests/core/controllers/test_hub.py
@@ -9,6 +9,7 @@
     GATHER_INTERVAL_S,
     HubController,
 )
+from wasabitray_core.controllers.hub_peers import HUB_TIMEOUT_S
 from wasabitray_core.local_messages import (
     Deregister,
     EntriesView,
@@ -338,3 +339,24 @@
     bed.ask(Register(ANNOUNCEMENT))
     bed.receive("e9", far_presence())
     assert get_feeds_sent_to(bed, "e9")[0].announcements == (ANNOUNCEMENT,)
+
+
+def test_entries_learn_of_another_hub_soon():
+    bed = hub_bed()
+    bed.receive("e1", presence())
+    bed.receive("c2", hub_presence())
+    bed.tick(GATHER_INTERVAL_S)
+    hubs = get_feeds_sent_to(bed, "e1")[-1].hubs
+    assert {a.host for a in hubs} == {"c1", "c2"}
+
+
+def test_entries_learn_soon_that_a_hub_is_back():
+    bed = hub_bed()
+    bed.receive("c2", hub_presence())
+    bed.receive("e1", presence())
+    bed.tick(HUB_TIMEOUT_S + 0.1)
+    bed.receive("e1", presence(2))
+    bed.receive("c2", hub_presence(2))
+    bed.tick(GATHER_INTERVAL_S)
+    hubs = get_feeds_sent_to(bed, "e1")[-1].hubs
+    assert {a.host for a in hubs} == {"c1", "c2"}
