--- a/packages/node/src/wasabitray_node/app.py
+++ b/packages/node/src/wasabitray_node/app.py
@@ -166,9 +166,7 @@
         self._assembly.update_seeds(self._settings)
         for server in self._servers:
             server.start()
-        gc.collect()
-        gc.freeze()  # objects made so far stay alive; skip them
-        gc.set_threshold(*GC_THRESHOLDS)
+        enable_collector()
         log_event("started", role=self._settings.role.value)
         self._stop.wait()
         log_event("stopping")
@@ -232,5 +230,15 @@
         self._router.tell(ControllerName.MEMBERSHIP, leaving)
 
 
+def enable_collector() -> None:
+    """Enable the garbage collector, for objects that are made from now on.
+
+    Those of the start stay alive.
+    """
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+    gc.enable()
+
+
 def _create_claim_id() -> ClaimId:
     return ClaimId(secrets.token_hex(12))
--- a/packages/node/src/wasabitray_node/daemon.py
+++ b/packages/node/src/wasabitray_node/daemon.py
@@ -1,5 +1,10 @@
 """The command `wasabitrayd`, which runs one process of the fleet."""
 
+import gc
+
+# Nearly all objects of a start stay alive. The app enables the collector.
+gc.disable()
+
 import os
 
 # Plugins of these libraries are not used. To find some, they would open the
--- a/tests/node/test_daemon.py
+++ b/tests/node/test_daemon.py
@@ -1,7 +1,11 @@
 """What a process loads when it starts."""
 
+import os
 import subprocess
 import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent.parent
 
 # Prints the packages whose metadata was searched for plugins.
 SCRIPT = """
@@ -17,6 +21,28 @@
 """
 
 
+# Prints whether the collector is enabled after the imports, and whether it is
+# once the app has started.
+COLLECTOR_SCRIPT = """
+import gc
+import wasabitray_platform.__main__
+print(gc.isenabled())
+from wasabitray_node.app import enable_collector
+enable_collector()
+print(gc.isenabled(), gc.get_freeze_count() > 1_000)
+"""
+
+
 def test_start_searches_no_packages_for_plugins():
-    output = subprocess.check_output([sys.executable, "-c", SCRIPT], text=True)
-    assert output.strip() == "[]"
+    assert run(SCRIPT) == ["[]"]
+
+
+def test_garbage_collector_is_off_during_a_start_only():
+    assert run(COLLECTOR_SCRIPT) == ["False", "True True"]
+
+
+def run(script):
+    environment = {**os.environ, "PYTHONPATH": str(ROOT / "platform")}
+    command = [sys.executable, "-c", script]
+    output = subprocess.check_output(command, env=environment, text=True)
+    return output.splitlines()
