--- a/packages/cli/src/wasabitray_cli/commands/explain.py
+++ b/packages/cli/src/wasabitray_cli/commands/explain.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict
 from pathlib import Path
 from typing import Any, ClassVar
 
 from cleo.helpers import argument
+from msgspec import to_builtins
 
 from wasabitray_cli.commands.base import COMMON_OPTIONS, OutputCommand
 from wasabitray_cli.exits import ExitCode
@@ -29,7 +29,9 @@
         files = [Path(name) for name in self.argument("files")]
         trace = trace_request(self.argument("request"), files)
         rows = [_build_row(line, trace.started) for line in trace.lines]
-        self.show_table(asdict(trace), ["ms", "host", "event", "why"], rows)
+        self.show_table(
+            to_builtins(trace), ["ms", "host", "event", "why"], rows
+        )
         if trace.unreadable and not self.option("json"):
             self.line(f"{trace.unreadable} other lines are not log lines")
         return ExitCode.OK
--- a/packages/cli/src/wasabitray_cli/commands/report.py
+++ b/packages/cli/src/wasabitray_cli/commands/report.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict, fields
 from pathlib import Path
 from typing import ClassVar
 
 from cleo.helpers import argument, option
+from msgspec import to_builtins
 
 from wasabitray_cli.commands.base import (
     COMMON_OPTIONS,
@@ -72,9 +72,9 @@
 
     def _show_idle_targets(self, lines: list[LogLine], width_s: float) -> None:
         windows = find_idle_targets(lines, width_s)
-        names = [f.name for f in fields(IdleWindow)]
+        names = list(IdleWindow.__struct_fields__)
         self.show_table(
-            [asdict(window) for window in windows],
+            to_builtins(windows),
             names,
             [[_format(getattr(w, n)) for n in names] for w in windows],
         )
--- a/packages/cli/src/wasabitray_cli/folder.py
+++ b/packages/cli/src/wasabitray_cli/folder.py
@@ -7,10 +7,10 @@
 
 import json
 import tomllib
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from msgspec import Struct
 from result import Err
 
 from wasabitray_cli.errors import InputError
@@ -24,8 +24,7 @@
 Documents = dict[str, dict[str, Any]]
 
 
-@dataclass(frozen=True, slots=True)
-class Difference:
+class Difference(Struct, frozen=True):
     """The keys in which a folder differs from the newest configuration."""
 
     added: tuple[str, ...]
--- a/packages/cli/src/wasabitray_cli/idle_targets.py
+++ b/packages/cli/src/wasabitray_cli/idle_targets.py
@@ -4,7 +4,8 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from wasabitray_cli.logs import ATTEMPT, COOL_DOWN, LogLine
 from wasabitray_cli.report import (
@@ -21,8 +22,7 @@
 FIRST_SERVER_ERROR = 500
 
 
-@dataclass(frozen=True, slots=True)
-class IdleWindow:
+class IdleWindow(Struct, frozen=True):
     """A service's sound targets within a few seconds.
 
     Attributes:
@@ -45,8 +45,7 @@
     known_lost_share: float
 
 
-@dataclass(slots=True)
-class _Service:
+class _Service(Struct):
     """A service's log lines, reduced to times in seconds.
 
     Attributes:
--- a/packages/cli/src/wasabitray_cli/logs.py
+++ b/packages/cli/src/wasabitray_cli/logs.py
@@ -4,10 +4,11 @@
 
 import json
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
+from msgspec import Struct, field
+
 from wasabitray_cli.errors import CommandError, InputError
 
 # A cool-down lasts 12 s; what was known of a target before that has expired.
@@ -23,8 +24,7 @@
 _COMMON_FIELDS = ("time", "level", "message", "host")
 
 
-@dataclass(frozen=True, slots=True)
-class LogLine:
+class LogLine(Struct, frozen=True):
     """One logged event.
 
     Attributes:
@@ -38,8 +38,7 @@
     facts: dict[str, Any] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class RequestTrace:
+class RequestTrace(Struct, frozen=True):
     """The log lines that concern a request, by time.
 
     Attributes:
--- a/packages/cli/src/wasabitray_cli/report.py
+++ b/packages/cli/src/wasabitray_cli/report.py
@@ -4,11 +4,12 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from enum import Enum
 from pathlib import Path
 from statistics import quantiles
 
+from msgspec import Struct, field
+
 from wasabitray_cli.errors import CommandError
 from wasabitray_cli.logs import ATTEMPT, COOL_DOWN, LogLine
 
@@ -27,8 +28,7 @@
     FAILED = "failed"
 
 
-@dataclass(slots=True)
-class Bucket:
+class Bucket(Struct):
     """Counts of the events within a few seconds.
 
     Attributes:
@@ -52,8 +52,7 @@
         return quantiles(self.times_ms, n=100)[percent - 1]
 
 
-@dataclass(frozen=True, slots=True)
-class LogSummary:
+class LogSummary(Struct, frozen=True):
     """Buckets by their start, in seconds after the first line."""
 
     width_s: float
--- a/packages/core/src/wasabitray_core/controllers/addresses.py
+++ b/packages/core/src/wasabitray_core/controllers/addresses.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
+from msgspec import Struct
+
 from wasabitray_core.controllers.controller import (
     Context,
     Controller,
@@ -35,8 +36,7 @@
 ENTRY_DISCOVERY_S = 0.4
 
 
-@dataclass(frozen=True, slots=True)
-class _EntryAddress:
+class _EntryAddress(Struct, frozen=True):
     region: RegionName
     failure_domain: FailureDomainName
     caller_address: str
--- a/packages/core/src/wasabitray_core/controllers/claims.py
+++ b/packages/core/src/wasabitray_core/controllers/claims.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
+from msgspec import Struct, field
+
 from wasabitray_core.controllers.controller import (
     Context,
     Controller,
@@ -30,15 +31,13 @@
 RESEND_INTERVAL_S = 0.25
 
 
-@dataclass(frozen=True, slots=True)
-class _Vote:
+class _Vote(Struct, frozen=True):
     status: GrantStatus
     incarnation: Incarnation
     known_incarnations: dict[HostId, Incarnation]
 
 
-@dataclass(slots=True)
-class _Pending:
+class _Pending(Struct):
     acquisition: AcquireClaim
     origin: Origin
     fleet: Fleet
--- a/packages/core/src/wasabitray_core/controllers/configuration.py
+++ b/packages/core/src/wasabitray_core/controllers/configuration.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from wasabitray_core.controllers.controller import (
@@ -64,8 +64,7 @@
 RENDERED_CACHE_SIZE = 4_096
 
 
-@dataclass(frozen=True, slots=True)
-class _FleetContact:
+class _FleetContact(Struct, frozen=True):
     """What membership reports about this host's contact to the fleet.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
+from msgspec.structs import replace
 from result import Err, Ok
 
 from wasabitray_core.controllers.consensus.election import (
--- a/packages/core/src/wasabitray_core/controllers/consensus/election.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/election.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from wasabitray_core.ids import HostId, MemberId, Seconds, Term
 from wasabitray_core.messages import Ballot
@@ -24,8 +24,7 @@
 UNKNOWN_HOST = HostId("")
 
 
-@dataclass(slots=True)
-class Election:
+class Election(Struct):
     """A member's role, vote and timers in the current term.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/controllers/consensus/progress.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/progress.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from wasabitray_core.ids import LogIndex, MemberId, Seconds
 from wasabitray_core.messages import Members
@@ -12,8 +12,7 @@
 MAX_VOTERS = 5
 
 
-@dataclass(slots=True)
-class Progress:
+class Progress(Struct):
     """How far one member has replicated the leader's log.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/controllers/consensus/proposals.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/proposals.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
 
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from wasabitray_core.controllers.consensus.state_machine import (
@@ -24,8 +24,7 @@
 ACCEPT_TIMEOUT_S = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class Proposal:
+class Proposal(Struct, frozen=True):
     """A proposed change and the origin to reply to.
 
     Attributes:
@@ -38,8 +37,7 @@
     table: dict[str, str] | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class _PendingAcceptance:
+class _PendingAcceptance(Struct, frozen=True):
     revision: Revision
     origin: Origin
     deadline: Seconds
--- a/packages/core/src/wasabitray_core/controllers/consensus/state.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from wasabitray_core.controllers.consensus.election import (
     FIRST_ELECTION_JITTER_S,
@@ -18,8 +18,7 @@
 from wasabitray_core.states import ConsensusRole
 
 
-@dataclass(slots=True)
-class MemberState:
+class MemberState(Struct):
     """One member's election state and log, with the controller's context."""
 
     context: Context
--- a/packages/core/src/wasabitray_core/controllers/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/controller.py
@@ -5,9 +5,10 @@
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, ClassVar, NewType, Protocol
 
+from msgspec import Struct
+
 from wasabitray_core.ids import HostId, Seconds
 from wasabitray_core.local_messages import ControllerName
 
@@ -37,8 +38,7 @@
         """Log an event with its fields."""
 
 
-@dataclass(frozen=True, slots=True)
-class Context:
+class Context(Struct, frozen=True):
     """What every controller gets when it is created.
 
     Attributes:
@@ -54,8 +54,7 @@
     outbox: Outbox
 
 
-@dataclass(frozen=True, slots=True)
-class Origin:
+class Origin(Struct, frozen=True):
     """Where a message came from.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/controllers/cool_downs.py
+++ b/packages/core/src/wasabitray_core/controllers/cool_downs.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from wasabitray_core.controllers.detector import CumulativeSum
 from wasabitray_core.ids import Seconds
@@ -34,8 +34,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptOutcome:
+class AttemptOutcome(Struct, frozen=True):
     """An attempt that ended, as evidence about its target.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/controllers/crashes.py
+++ b/packages/core/src/wasabitray_core/controllers/crashes.py
@@ -4,7 +4,8 @@
 
 import math
 from collections import Counter
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from wasabitray_core.ids import TargetId
 from wasabitray_core.messages import Quarantine
--- a/packages/core/src/wasabitray_core/controllers/departures.py
+++ b/packages/core/src/wasabitray_core/controllers/departures.py
@@ -8,10 +8,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
+from msgspec import Struct
+from msgspec.structs import replace
+
 from wasabitray_core.controllers.controller import (
     Context,
     Controller,
@@ -70,8 +72,7 @@
         self._reply(origin, {"stored": self._stored_count})
 
 
-@dataclass(slots=True)
-class _Hold:
+class _Hold(Struct):
     """A read position that is held back until departures are durable."""
 
     mark: FeedMark
--- a/packages/core/src/wasabitray_core/controllers/detector.py
+++ b/packages/core/src/wasabitray_core/controllers/detector.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 # exp(20) is 4.8e8 attempts: over 10,000 hours of a target that gets 13
 # attempts per second.
@@ -25,8 +26,7 @@
 PEER_MARGIN = 2.0
 
 
-@dataclass(slots=True)
-class CumulativeSum:
+class CumulativeSum(Struct):
     """Evidence that one target fails too often; 0 if there is none."""
 
     score: float = 0.0
@@ -63,8 +63,7 @@
         return self.score >= ALARM_THRESHOLD / 3.0
 
 
-@dataclass(slots=True)
-class RunningMedian:
+class RunningMedian(Struct):
     """Estimates a median by stochastic steps, with one number as its state.
 
     The algorithm is that of Ma, Muthukrishnan and Sandler, "Frugal streaming
--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
+from msgspec import Struct, field
+
 from wasabitray_core.controllers.attempt_times import AttemptTimes
 from wasabitray_core.controllers.controller import (
     Context,
@@ -98,8 +99,7 @@
 _NO_DOMAIN = FailureDomainName("")
 
 
-@dataclass(slots=True)
-class _Service:
+class _Service(Struct):
     budget: RetryBudget
     targets: dict[TargetId, TargetState] = field(default_factory=dict)
     queues: dict[WorkClass, FairQueue] = field(
--- a/packages/core/src/wasabitray_core/controllers/evidence.py
+++ b/packages/core/src/wasabitray_core/controllers/evidence.py
@@ -4,7 +4,8 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from wasabitray_core.controllers.detector import (
     NORMAL_FAILURE_SHARE,
@@ -29,8 +30,7 @@
 WIDESPREAD_SHARE = 0.4
 
 
-@dataclass(slots=True)
-class AttemptCount:
+class AttemptCount(Struct):
     """Numbers of successful attempts and of failed or slow ones."""
 
     successes: int = 0
@@ -47,8 +47,7 @@
         return self.failures / self.total if self.total else 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class EntryReport:
+class EntryReport(Struct, frozen=True):
     """One entry's counts for a target, kept for the window."""
 
     at: Seconds
@@ -58,8 +57,7 @@
     failures: int
 
 
-@dataclass(slots=True)
-class TargetEvidence:
+class TargetEvidence(Struct):
     """A target as the evaluator of its service sees it.
 
     Attributes:
@@ -122,8 +120,7 @@
         return {r.reporter for r in self.window if r.failures}
 
 
-@dataclass(slots=True)
-class ServiceEvidence:
+class ServiceEvidence(Struct):
     """A service that this host evaluates.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/controllers/feed_readers.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_readers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from wasabitray_core.controllers.controller import Origin
 from wasabitray_core.ids import FeedPosition, Seconds
@@ -15,8 +15,7 @@
 CONFIRM_TIMEOUT_S = 2.0
 
 
-@dataclass(slots=True)
-class FeedReader:
+class FeedReader(Struct):
     """A host that reads a feed.
 
     Attributes:
@@ -50,8 +49,7 @@
             self.acked, self.progress_at = position, now
 
 
-@dataclass(frozen=True, slots=True)
-class _PendingReply:
+class _PendingReply(Struct, frozen=True):
     position: FeedPosition
     origin: Origin
     asked_at: Seconds
--- a/packages/core/src/wasabitray_core/controllers/feed_table.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_table.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, replace
 from functools import singledispatch
 
+from msgspec import Struct
+from msgspec.structs import replace
+
 from wasabitray_core.controllers.crashes import (
     get_time_to_live,
     merge_records,
@@ -169,8 +171,7 @@
     return get_time_to_live(item)
 
 
-@dataclass(slots=True)
-class FeedRecord:
+class FeedRecord(Struct):
     """An item and where it came from.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/controllers/grants.py
+++ b/packages/core/src/wasabitray_core/controllers/grants.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
+from msgspec import Struct
+
 from wasabitray_core.controllers.controller import (
     Context,
     Controller,
@@ -48,8 +49,7 @@
 CONTESTED = ClaimId("?")
 
 
-@dataclass(slots=True)
-class _Held:
+class _Held(Struct):
     claim: ClaimId
     expires: Seconds
 
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -9,10 +9,12 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import Any, ClassVar, TypeGuard
 
+from msgspec import Struct
+from msgspec.structs import replace
+
 from wasabitray_core.controllers.controller import (
     Context,
     Controller,
@@ -96,8 +98,7 @@
 _NEVER = Seconds(math.inf)
 
 
-@dataclass(slots=True)
-class _Subscriber:
+class _Subscriber(Struct):
     """An entry that subscribes to this hub.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/controllers/hub_peers.py
+++ b/packages/core/src/wasabitray_core/controllers/hub_peers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from wasabitray_core.controllers.feed_readers import FEED_START, FeedReader
 from wasabitray_core.ids import FeedPosition, HostId, Incarnation, Seconds
@@ -18,8 +19,7 @@
 _NEVER = Seconds(float("-inf"))
 
 
-@dataclass(slots=True)
-class PeerHub:
+class PeerHub(Struct):
     """Another hub.
 
     Attributes:
@@ -39,8 +39,7 @@
         return now - self.last_contact > HUB_TIMEOUT_S
 
 
-@dataclass(frozen=True, slots=True)
-class _FeedLag:
+class _FeedLag(Struct, frozen=True):
     """A hub's mark in a third hub's feed, and since when it lags behind."""
 
     mark: FeedMark
--- a/packages/core/src/wasabitray_core/controllers/long_slots.py
+++ b/packages/core/src/wasabitray_core/controllers/long_slots.py
@@ -9,10 +9,11 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
+from msgspec import Struct, field
+
 from wasabitray_core.controllers.controller import (
     Context,
     Controller,
@@ -56,8 +57,7 @@
 _Holder = tuple[HostId, RequestId]
 
 
-@dataclass(slots=True)
-class _Pending:
+class _Pending(Struct):
     """A request of this host that waits for its coordinator's reply."""
 
     reservation: ReserveLongSlot
@@ -65,14 +65,12 @@
     coordinator: HostId
 
 
-@dataclass(frozen=True, slots=True)
-class _Lease:
+class _Lease(Struct, frozen=True):
     target: TargetId
     expires: Seconds
 
 
-@dataclass(slots=True)
-class _Service:
+class _Service(Struct):
     """A service whose long slots this host grants as its coordinator.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/controllers/membership.py
+++ b/packages/core/src/wasabitray_core/controllers/membership.py
@@ -10,10 +10,12 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
+from msgspec import Struct
+from msgspec.structs import replace
+
 from wasabitray_core.controllers.controller import (
     Context,
     Controller,
@@ -54,16 +56,14 @@
 MAX_ITEMS_PER_GOSSIP = 64
 
 
-@dataclass(slots=True)
-class _Peer:
+class _Peer(Struct):
     """A host and when its heartbeat last advanced here."""
 
     status: HostStatus
     advanced_at: Seconds
 
 
-@dataclass(slots=True)
-class _GossipItem:
+class _GossipItem(Struct):
     item: Announcement | Ejection | Quarantine
     remaining_rounds: int
 
--- a/packages/core/src/wasabitray_core/controllers/quarantine.py
+++ b/packages/core/src/wasabitray_core/controllers/quarantine.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections import Counter, OrderedDict
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
+from msgspec import Struct, field
+
 from wasabitray_core.controllers.controller import (
     Context,
     Controller,
@@ -56,8 +57,7 @@
 _NEVER = Seconds(float("-inf"))
 
 
-@dataclass(slots=True)
-class _Suspect:
+class _Suspect(Struct):
     """A request that may crash targets.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/controllers/retry_budget.py
+++ b/packages/core/src/wasabitray_core/controllers/retry_budget.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 RETRY_BURST = 10.0
 # Part of a fleet-wide allowance that is divided among the entries; the rest
@@ -10,8 +10,7 @@
 FLEET_ALLOWANCE_SHARE = 0.8
 
 
-@dataclass(frozen=True, slots=True)
-class RetryLimits:
+class RetryLimits(Struct, frozen=True):
     """Limits on the retries of all entries together.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/controllers/shared_work.py
+++ b/packages/core/src/wasabitray_core/controllers/shared_work.py
@@ -9,10 +9,11 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
+from msgspec import Struct, field
+
 from wasabitray_core.controllers.controller import (
     Context,
     Controller,
@@ -45,8 +46,7 @@
 AttemptCounts = Counter[TargetId]
 
 
-@dataclass(slots=True)
-class _Source:
+class _Source(Struct):
     """An entry, or another hub that sums its entries.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
+from msgspec import Struct
+
 from wasabitray_core.controllers.controller import (
     Context,
     Controller,
@@ -75,8 +76,7 @@
 _FEED_START = FeedPosition(0)
 
 
-@dataclass(frozen=True, slots=True)
-class EntryProfile:
+class EntryProfile(Struct, frozen=True):
     """What an entry reports about itself."""
 
     region: RegionName
--- a/packages/core/src/wasabitray_core/controllers/targets.py
+++ b/packages/core/src/wasabitray_core/controllers/targets.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
+from msgspec import Struct
+from msgspec.structs import replace
+
 from wasabitray_core.controllers.controller import (
     Context,
     Controller,
@@ -47,8 +49,7 @@
 )
 
 
-@dataclass(slots=True)
-class _KnownTarget:
+class _KnownTarget(Struct):
     """A target's newest announcement.
 
     Attributes:
@@ -75,8 +76,7 @@
         return now - self.renewed_at > limit
 
 
-@dataclass(slots=True)
-class _KnownEjection:
+class _KnownEjection(Struct):
     ejection: Ejection
     expires_at: Seconds
 
--- a/packages/core/src/wasabitray_core/controllers/trials.py
+++ b/packages/core/src/wasabitray_core/controllers/trials.py
@@ -4,10 +4,11 @@
 
 import math
 from collections import OrderedDict
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
+from msgspec import Struct
+
 from wasabitray_core.controllers.controller import (
     Context,
     Controller,
@@ -31,8 +32,7 @@
 MAX_RECORDS = 4_096
 
 
-@dataclass(slots=True)
-class _Granted:
+class _Granted(Struct):
     """The trials that were granted for a request.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/controllers/waiting.py
+++ b/packages/core/src/wasabitray_core/controllers/waiting.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from wasabitray_core.controllers.controller import Origin
 from wasabitray_core.ids import OrganisationName, Seconds
@@ -12,8 +13,7 @@
 MAX_QUEUE_PER_ORGANISATION = 256
 
 
-@dataclass(slots=True)
-class Waiter:
+class Waiter(Struct):
     """A request that waits for a slot, and the time of its arrival."""
 
     request: AcquireSlot
@@ -21,8 +21,7 @@
     arrived_at: Seconds
 
 
-@dataclass(slots=True)
-class FairQueue:
+class FairQueue(Struct):
     """Waiting requests of one work class, served fairly by organisation.
 
     Each organisation has a queue of its own; the queues are served in turn.
--- a/packages/core/src/wasabitray_core/filters/chain.py
+++ b/packages/core/src/wasabitray_core/filters/chain.py
@@ -9,10 +9,11 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Generator, Sequence
-from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
+from msgspec import Struct
+
 from wasabitray_core.ids import Seconds
 from wasabitray_core.local_messages import ControllerName
 from wasabitray_core.requests import Exchange, Request, Response, Target
@@ -20,24 +21,21 @@
 from wasabitray_core.states import WorkClass
 
 
-@dataclass(frozen=True, slots=True)
-class AskController:
+class AskController(Struct, frozen=True):
     """Send a message to a controller and wait for its reply."""
 
     controller: ControllerName
     message: Any
 
 
-@dataclass(frozen=True, slots=True)
-class TellController:
+class TellController(Struct, frozen=True):
     """Send a message to a controller without waiting."""
 
     controller: ControllerName
     message: Any
 
 
-@dataclass(frozen=True, slots=True)
-class Attempt:
+class Attempt(Struct, frozen=True):
     """Send the request to a target; the result is an AttemptResult.
 
     Attributes:
@@ -65,15 +63,13 @@
     work: WorkClass = WorkClass.SHORT
 
 
-@dataclass(frozen=True, slots=True)
-class AfterResponse:
+class AfterResponse(Struct, frozen=True):
     """Tell a controller once the last byte of the response was sent."""
 
     tell: TellController
 
 
-@dataclass(frozen=True, slots=True)
-class LogDecision:
+class LogDecision(Struct, frozen=True):
     """Log a decision about the request."""
 
     event: str
--- a/packages/core/src/wasabitray_core/local_messages.py
+++ b/packages/core/src/wasabitray_core/local_messages.py
@@ -6,9 +6,10 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from wasabitray_core.documents import Fleet, RenderedTemplate, Route
 from wasabitray_core.ids import (
     AuthorityName,
@@ -70,21 +71,18 @@
     DIRECTORY = "directory"
 
 
-@dataclass(frozen=True, slots=True)
-class Tick:
+class Tick(Struct, frozen=True):
     """Time has passed; sent to each controller at its own interval."""
 
 
-@dataclass(frozen=True, slots=True)
-class GetStatus:
+class GetStatus(Struct, frozen=True):
     """Asks a controller for its state, as plain data for operators."""
 
 
 # Configuration
 
 
-@dataclass(frozen=True, slots=True)
-class ResolveRoute:
+class ResolveRoute(Struct, frozen=True):
     """Asks for the route of a request.
 
     The reply is a RouteResolved or a RouteUnresolved.
@@ -100,8 +98,7 @@
     authority: AuthorityName = AuthorityName("")
 
 
-@dataclass(frozen=True, slots=True)
-class RouteResolved:
+class RouteResolved(Struct, frozen=True):
     """A request's route and the configuration that it comes from.
 
     Attributes:
@@ -114,40 +111,34 @@
     claim_retention_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class RouteUnresolved:
+class RouteUnresolved(Struct, frozen=True):
     """Why a request has no route."""
 
     reason: RefusalReason
     detail: str
 
 
-@dataclass(frozen=True, slots=True)
-class IsServing:
+class IsServing(Struct, frozen=True):
     """Asks whether this host serves requests; the reply is a bool."""
 
 
-@dataclass(frozen=True, slots=True)
-class GetDocuments:
+class GetDocuments(Struct, frozen=True):
     """Asks for the applied documents; the reply is a ConfigState."""
 
 
-@dataclass(frozen=True, slots=True)
-class Committed:
+class Committed(Struct, frozen=True):
     """Changes that the replicated log has committed."""
 
     changes: tuple[CommittedChange, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Restored:
+class Restored(Struct, frozen=True):
     """State restored from a snapshot of the replicated log."""
 
     snapshot: Snapshot
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationApplied:
+class ConfigurationApplied(Struct, frozen=True):
     """This host has applied a revision of the configuration.
 
     Attributes:
@@ -160,8 +151,7 @@
     limits: TrafficLimits | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Isolation:
+class Isolation(Struct, frozen=True):
     """Whether this entry is cut off from the fleet.
 
     Attributes:
@@ -173,15 +163,13 @@
     newest: Revision
 
 
-@dataclass(frozen=True, slots=True)
-class Propose:
+class Propose(Struct, frozen=True):
     """Asks the leader to commit a change."""
 
     change: Change
 
 
-@dataclass(frozen=True, slots=True)
-class ReplaceTable:
+class ReplaceTable(Struct, frozen=True):
     """Asks the leader to replace the whole route table.
 
     The highest version wins. A table whose version is not higher than that of
@@ -194,8 +182,7 @@
     source: RouteTableSource
 
 
-@dataclass(frozen=True, slots=True)
-class ReadDocuments:
+class ReadDocuments(Struct, frozen=True):
     """Asks the leader for the newest documents.
 
     The reply is a ConfigState with every change that was accepted before, or
@@ -203,8 +190,7 @@
     """
 
 
-@dataclass(frozen=True, slots=True)
-class GroupContact:
+class GroupContact(Struct, frozen=True):
     """This member's contact with its control group.
 
     Attributes:
@@ -219,8 +205,7 @@
     voters: tuple[HostId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ChangeCommitted:
+class ChangeCommitted(Struct, frozen=True):
     """The reply to a change that was committed.
 
     Attributes:
@@ -234,23 +219,20 @@
     waiting: tuple[HostId, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class GetHistory:
+class GetHistory(Struct, frozen=True):
     """Asks for the newest changes; the reply is a tuple of changes."""
 
     limit: int
 
 
-@dataclass(frozen=True, slots=True)
-class TransferLeadership:
+class TransferLeadership(Struct, frozen=True):
     """Hands leadership to another voter before a planned stop."""
 
 
 # Membership and addresses
 
 
-@dataclass(frozen=True, slots=True)
-class TargetLeaving:
+class TargetLeaving(Struct, frozen=True):
     """Reports that a target stated in a response that it is leaving.
 
     Attributes:
@@ -261,36 +243,31 @@
     generation: int
 
 
-@dataclass(frozen=True, slots=True)
-class StoreDepartures:
+class StoreDepartures(Struct, frozen=True):
     """Asks for targets' departures to be made durable."""
 
     departures: tuple[Announcement, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class DeparturesStored:
+class DeparturesStored(Struct, frozen=True):
     """Reports that targets' departures are durable."""
 
     departures: tuple[Announcement, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Broadcast:
+class Broadcast(Struct, frozen=True):
     """Sends an update to the other hosts."""
 
     item: Announcement | Ejection | Quarantine | TargetReport
 
 
-@dataclass(frozen=True, slots=True)
-class SendToLeader:
+class SendToLeader(Struct, frozen=True):
     """Sends a message to the leader's host, if it is known."""
 
     message: TrialRequest
 
 
-@dataclass(frozen=True, slots=True)
-class InFlightSubscribers:
+class InFlightSubscribers(Struct, frozen=True):
     """Hosts that receive the in-flight attempts of a hub's entries.
 
     Attributes:
@@ -302,8 +279,7 @@
     hubs: tuple[HostId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Register:
+class Register(Struct, frozen=True):
     """A target's announcement, sent to a hub.
 
     The reply is true once the announcement may be acknowledged. For a target
@@ -314,8 +290,7 @@
     announcement: Announcement
 
 
-@dataclass(frozen=True, slots=True)
-class Deregister:
+class Deregister(Struct, frozen=True):
     """A target's announcement that it has stopped, sent to a hub.
 
     The reply is the same as for a Register.
@@ -328,29 +303,25 @@
     generation: int | None
 
 
-@dataclass(frozen=True, slots=True)
-class SeedsChanged:
+class SeedsChanged(Struct, frozen=True):
     """The settings name other seeds, the hosts to contact first."""
 
     seeds: tuple[HostId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class PeerAddresses:
+class PeerAddresses(Struct, frozen=True):
     """Addresses of the peer listeners of some hosts."""
 
     addresses: tuple[HostAddress, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class EntriesView:
+class EntriesView(Struct, frozen=True):
     """The current state of all entries, as the hubs know it."""
 
     entries: tuple[EntryState, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class FleetSize:
+class FleetSize(Struct, frozen=True):
     """The number of entries that share the fleet's budgets.
 
     Attributes:
@@ -362,16 +333,14 @@
     by_region: tuple[tuple[RegionName, int], ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class SetFlag:
+class SetFlag(Struct, frozen=True):
     """Sets or clears a flag in the heartbeats of this host."""
 
     flag: HostFlag
     value: bool
 
 
-@dataclass(frozen=True, slots=True)
-class HostView:
+class HostView(Struct, frozen=True):
     """The state of a host, as this host knows it.
 
     Attributes:
@@ -384,8 +353,7 @@
     is_recent: bool
 
 
-@dataclass(frozen=True, slots=True)
-class FleetView:
+class FleetView(Struct, frozen=True):
     """The state of all hosts, as this host knows it; includes its own."""
 
     hosts: tuple[HostView, ...]
@@ -401,16 +369,14 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class GetAddresses:
+class GetAddresses(Struct, frozen=True):
     """Asks which entries a caller should use; the reply is an Addresses."""
 
     region: RegionName
     failure_domain: FailureDomainName = FailureDomainName("")
 
 
-@dataclass(frozen=True, slots=True)
-class Addresses:
+class Addresses(Struct, frozen=True):
     """Addresses of entries for a caller, the best first.
 
     Attributes:
@@ -424,8 +390,7 @@
 # Targets and dispatch
 
 
-@dataclass(frozen=True, slots=True)
-class UsableTarget:
+class UsableTarget(Struct, frozen=True):
     """A target that may get requests.
 
     Attributes:
@@ -436,8 +401,7 @@
     probation: bool
 
 
-@dataclass(frozen=True, slots=True)
-class UsableTargets:
+class UsableTargets(Struct, frozen=True):
     """The targets of a service, by state.
 
     Attributes:
@@ -454,8 +418,7 @@
     warming: tuple[TargetId, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class AcquireSlot:
+class AcquireSlot(Struct, frozen=True):
     """Asks for a slot on a target of a service.
 
     The reply is a SlotGrant or a SlotRefusal.
@@ -480,8 +443,7 @@
     large: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class SlotGrant:
+class SlotGrant(Struct, frozen=True):
     """A slot on a target.
 
     Attributes:
@@ -509,8 +471,7 @@
     silence: SilenceLimits | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class SlotRefusal:
+class SlotRefusal(Struct, frozen=True):
     """No slot was granted.
 
     Attributes:
@@ -521,8 +482,7 @@
     retry_after: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ReleaseSlot:
+class ReleaseSlot(Struct, frozen=True):
     """Releases a slot and reports how the attempt ended.
 
     Attributes:
@@ -541,8 +501,7 @@
     retry_after: Seconds | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class SilentTarget:
+class SilentTarget(Struct, frozen=True):
     """Reports a target that accepts connections but does not respond.
 
     Attributes:
@@ -557,8 +516,7 @@
     is_conclusive: bool
 
 
-@dataclass(frozen=True, slots=True)
-class RequestEnded:
+class RequestEnded(Struct, frozen=True):
     """Reports how a request ended, after all its attempts."""
 
     service: ServiceName
@@ -568,8 +526,7 @@
 # Health
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptSample:
+class AttemptSample(Struct, frozen=True):
     """The result of one attempt, as evidence about its target."""
 
     service: ServiceName
@@ -579,8 +536,7 @@
     elapsed: Seconds
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceLimits:
+class ServiceLimits(Struct, frozen=True):
     """Floors of the services in the applied configuration."""
 
     floors: dict[ServiceName, int]
@@ -589,8 +545,7 @@
 # Claims
 
 
-@dataclass(frozen=True, slots=True)
-class AcquireClaim:
+class AcquireClaim(Struct, frozen=True):
     """Asks the claim groups to grant a key to one claim.
 
     The reply is a ClaimVerdict. A controller that sent the message without
@@ -603,8 +558,7 @@
     timeout_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class WithdrawClaim:
+class WithdrawClaim(Struct, frozen=True):
     """Withdraws a claim whose request did not run and will not run."""
 
     key: ClaimKey
@@ -620,8 +574,7 @@
     UNAVAILABLE = "unavailable"
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimDecided:
+class ClaimDecided(Struct, frozen=True):
     """The decision of the claim groups, for the controller that asked."""
 
     key: ClaimKey
@@ -632,15 +585,13 @@
 # Quarantine
 
 
-@dataclass(frozen=True, slots=True)
-class CheckQuarantine:
+class CheckQuarantine(Struct, frozen=True):
     """Asks whether a request is suspect; the reply is a Suspicion."""
 
     fingerprint: Fingerprint
 
 
-@dataclass(frozen=True, slots=True)
-class AdmitAttempt:
+class AdmitAttempt(Struct, frozen=True):
     """Asks whether an attempt may be made now; the reply is a Suspicion.
 
     For a quarantined request, the reply may have to wait for the leader.
@@ -659,22 +610,19 @@
     QUARANTINED = "quarantined"
 
 
-@dataclass(frozen=True, slots=True)
-class ReportResponse:
+class ReportResponse(Struct, frozen=True):
     """A target served this request, so it did not crash."""
 
     fingerprint: Fingerprint
 
 
-@dataclass(frozen=True, slots=True)
-class ReportUnusedTrial:
+class ReportUnusedTrial(Struct, frozen=True):
     """A trial attempt ended before the target ran the request."""
 
     fingerprint: Fingerprint
 
 
-@dataclass(frozen=True, slots=True)
-class ReportBrokenConnection:
+class ReportBrokenConnection(Struct, frozen=True):
     """A target broke the connection while it had this request.
 
     Attributes:
@@ -689,8 +637,7 @@
 # Long work
 
 
-@dataclass(frozen=True, slots=True)
-class ReserveLongSlot:
+class ReserveLongSlot(Struct, frozen=True):
     """Asks for a long slot.
 
     The reply is a LongSlotReserved or a SlotRefusal.
@@ -702,8 +649,7 @@
     excluded: tuple[TargetId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class LongSlotReserved:
+class LongSlotReserved(Struct, frozen=True):
     """A long slot on a target.
 
     Attributes:
@@ -714,8 +660,7 @@
     target: TargetId
 
 
-@dataclass(frozen=True, slots=True)
-class ReleaseLongSlot:
+class ReleaseLongSlot(Struct, frozen=True):
     """Releases a long slot."""
 
     request: RequestId
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from wasabitray_core.ids import (
     ChangeId,
@@ -36,8 +36,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Hello:
+class Hello(Struct, frozen=True):
     """Opens a link and carries the shared secret.
 
     Attributes:
@@ -52,8 +51,7 @@
 # Membership
 
 
-@dataclass(frozen=True, slots=True)
-class HostStatus:
+class HostStatus(Struct, frozen=True):
     """The newest known heartbeat of a host; other hosts forward it.
 
     Attributes:
@@ -67,8 +65,7 @@
     flags: HostFlag
 
 
-@dataclass(frozen=True, slots=True)
-class Announcement:
+class Announcement(Struct, frozen=True):
     """A target's announcement of itself; entries forward it.
 
     Attributes:
@@ -92,8 +89,7 @@
     address: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Ejection:
+class Ejection(Struct, frozen=True):
     """A decision, for the whole fleet, to eject a target or to return it.
 
     Attributes:
@@ -110,8 +106,7 @@
     evidence: str
 
 
-@dataclass(frozen=True, slots=True)
-class Quarantine:
+class Quarantine(Struct, frozen=True):
     """A request that crashed targets, as far as the sender knows.
 
     Attributes:
@@ -130,15 +125,13 @@
     unused_trials: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class TrialRequest:
+class TrialRequest(Struct, frozen=True):
     """Asks the leader to allow an attempt of a quarantined request."""
 
     record: Quarantine
 
 
-@dataclass(frozen=True, slots=True)
-class TrialReply:
+class TrialReply(Struct, frozen=True):
     """The leader's reply to a trial request.
 
     Attributes:
@@ -150,8 +143,7 @@
     granted: bool
 
 
-@dataclass(frozen=True, slots=True)
-class TargetReport:
+class TargetReport(Struct, frozen=True):
     """Reports the result of an attempt at a target to all entries.
 
     Attributes:
@@ -187,8 +179,7 @@
         return self.number, self.cools_down
 
 
-@dataclass(frozen=True, slots=True)
-class EntryState:
+class EntryState(Struct, frozen=True):
     """The state of an entry, as its hub last received it.
 
     Attributes:
@@ -208,8 +199,7 @@
     hub: HostId
 
 
-@dataclass(frozen=True, slots=True)
-class Gossip:
+class Gossip(Struct, frozen=True):
     """Heartbeats and updates, sent to a few peers at a time."""
 
     statuses: tuple[HostStatus, ...]
@@ -221,8 +211,7 @@
 # Feeds of hubs
 
 
-@dataclass(frozen=True, slots=True)
-class HostAddress:
+class HostAddress(Struct, frozen=True):
     """A host, the address of its peer listener and where it is."""
 
     host: HostId
@@ -231,8 +220,7 @@
     failure_domain: FailureDomainName = FailureDomainName("")
 
 
-@dataclass(frozen=True, slots=True)
-class FeedMark:
+class FeedMark(Struct, frozen=True):
     """The position up to which a host has read a hub's feed.
 
     Attributes:
@@ -244,8 +232,7 @@
     position: FeedPosition
 
 
-@dataclass(frozen=True, slots=True)
-class Presence:
+class Presence(Struct, frozen=True):
     """A heartbeat to a hub; it also acknowledges what was read.
 
     Attributes:
@@ -265,13 +252,11 @@
     marks: tuple[FeedMark, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Unsubscribe:
+class Unsubscribe(Struct, frozen=True):
     """Ends the feed to an entry that now subscribes to another hub."""
 
 
-@dataclass(frozen=True, slots=True)
-class Feed:
+class Feed(Struct, frozen=True):
     """Feed items from a hub; without any, the hub's heartbeat.
 
     Attributes:
@@ -303,8 +288,7 @@
     leader: HostId = HostId("")
 
 
-@dataclass(frozen=True, slots=True)
-class News:
+class News(Struct, frozen=True):
     """Updates from an entry to its hub."""
 
     announcements: tuple[Announcement, ...] = ()
@@ -313,16 +297,14 @@
     reports: tuple[TargetReport, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class TargetWork:
+class TargetWork(Struct, frozen=True):
     """In-flight attempts at a target."""
 
     target: TargetId
     attempts: int
 
 
-@dataclass(frozen=True, slots=True)
-class RequestCounts:
+class RequestCounts(Struct, frozen=True):
     """Requests to a service that ended within the last two seconds.
 
     Attributes:
@@ -334,8 +316,7 @@
     lost: int
 
 
-@dataclass(frozen=True, slots=True)
-class EntryWork:
+class EntryWork(Struct, frozen=True):
     """In-flight attempts of an entry, or of all entries of a hub.
 
     Attributes:
@@ -350,8 +331,7 @@
     requests: tuple[RequestCounts, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class OthersWork:
+class OthersWork(Struct, frozen=True):
     """In-flight attempts of the other entries of a region.
 
     Attributes:
@@ -369,16 +349,14 @@
 # Configuration
 
 
-@dataclass(frozen=True, slots=True)
-class DocumentEdit:
+class DocumentEdit(Struct, frozen=True):
     """A document that is written, or deleted if `body` is None."""
 
     key: str
     body: str | None
 
 
-@dataclass(frozen=True, slots=True)
-class Change:
+class Change(Struct, frozen=True):
     """An operator's change of the configuration.
 
     Attributes:
@@ -403,30 +381,26 @@
     version: ConfigVersion = ConfigVersion(0)
 
 
-@dataclass(frozen=True, slots=True)
-class CommittedChange:
+class CommittedChange(Struct, frozen=True):
     """A committed change and its revision."""
 
     revision: Revision
     change: Change
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigPull:
+class ConfigPull(Struct, frozen=True):
     """Asks for the changes after a revision."""
 
     after: Revision
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigPush:
+class ConfigPush(Struct, frozen=True):
     """Committed changes in order, without gaps."""
 
     changes: tuple[CommittedChange, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigState:
+class ConfigState(Struct, frozen=True):
     """The whole committed configuration at a revision."""
 
     revision: Revision
@@ -436,32 +410,28 @@
 # The replicated log
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
+class Member(Struct, frozen=True):
     """A member of the control group and its host."""
 
     member: MemberId
     host: HostId
 
 
-@dataclass(frozen=True, slots=True)
-class Members:
+class Members(Struct, frozen=True):
     """The members of the control group; only voters count in a quorum."""
 
     voters: tuple[Member, ...]
     learners: tuple[Member, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Noop:
+class Noop(Struct, frozen=True):
     """Written by a new leader to commit the records of earlier terms."""
 
 
 Command = Change | Members | Noop
 
 
-@dataclass(frozen=True, slots=True)
-class LogRecord:
+class LogRecord(Struct, frozen=True):
     """One record of the replicated log."""
 
     index: LogIndex
@@ -469,8 +439,7 @@
     command: Command
 
 
-@dataclass(frozen=True, slots=True)
-class AnsweredChange:
+class AnsweredChange(Struct, frozen=True):
     """The result of a change, kept in case the change is sent again.
 
     Attributes:
@@ -483,8 +452,7 @@
     revision: Revision
 
 
-@dataclass(frozen=True, slots=True)
-class Snapshot:
+class Snapshot(Struct, frozen=True):
     """The state of the replicated log up to and including `index`."""
 
     index: LogIndex
@@ -496,16 +464,14 @@
     recent: tuple[CommittedChange, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Ballot:
+class Ballot(Struct, frozen=True):
     """Term and vote of a member; synced to disk before a reply is sent."""
 
     term: Term
     voted_for: MemberId
 
 
-@dataclass(frozen=True, slots=True)
-class VoteRequest:
+class VoteRequest(Struct, frozen=True):
     """Asks for a vote.
 
     Attributes:
@@ -521,8 +487,7 @@
     transfer: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class VoteReply:
+class VoteReply(Struct, frozen=True):
     """Replies to a vote request of the same term and kind."""
 
     term: Term
@@ -531,8 +496,7 @@
     pre: bool
 
 
-@dataclass(frozen=True, slots=True)
-class AppendRequest:
+class AppendRequest(Struct, frozen=True):
     """Log records for a follower; without any, a heartbeat.
 
     Attributes:
@@ -548,8 +512,7 @@
     round: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class AppendReply:
+class AppendReply(Struct, frozen=True):
     """Reports to the leader how far a follower's log matches its own.
 
     Attributes:
@@ -564,8 +527,7 @@
     round: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class InstallSnapshot:
+class InstallSnapshot(Struct, frozen=True):
     """Replaces the log of a follower that is too far behind."""
 
     term: Term
@@ -573,16 +535,14 @@
     snapshot: Snapshot
 
 
-@dataclass(frozen=True, slots=True)
-class CampaignNow:
+class CampaignNow(Struct, frozen=True):
     """The leader, before it stops, asks a follower to start an election."""
 
     term: Term
     leader: MemberId
 
 
-@dataclass(frozen=True, slots=True)
-class JoinRequest:
+class JoinRequest(Struct, frozen=True):
     """Asks to add a member with an empty disk to the control group."""
 
     member: Member
@@ -591,8 +551,7 @@
 # Claims
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimRequest:
+class ClaimRequest(Struct, frozen=True):
     """Asks a group member to grant a key to a single claim."""
 
     key: ClaimKey
@@ -601,16 +560,14 @@
     ttl_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class MemberIncarnation:
+class MemberIncarnation(Struct, frozen=True):
     """The newest incarnation of a member that another member has seen."""
 
     host: HostId
     incarnation: Incarnation
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimReply:
+class ClaimReply(Struct, frozen=True):
     """A group member's reply to a claim request.
 
     Attributes:
@@ -626,16 +583,14 @@
     known: tuple[MemberIncarnation, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimRelease:
+class ClaimRelease(Struct, frozen=True):
     """Withdraws a claim whose request did not run and will not run."""
 
     key: ClaimKey
     claim: ClaimId
 
 
-@dataclass(frozen=True, slots=True)
-class HeldClaim:
+class HeldClaim(Struct, frozen=True):
     """A granted claim and the seconds for which it remains valid."""
 
     key: ClaimKey
@@ -643,15 +598,13 @@
     remaining_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class RecallRequest:
+class RecallRequest(Struct, frozen=True):
     """A restarted group member asks another one for the granted claims."""
 
     incarnation: Incarnation
 
 
-@dataclass(frozen=True, slots=True)
-class RecallChallenge:
+class RecallChallenge(Struct, frozen=True):
     """A one-time number that the asking member must return.
 
     So a delayed request of an earlier incarnation can't pass for one of the
@@ -662,16 +615,14 @@
     nonce: int
 
 
-@dataclass(frozen=True, slots=True)
-class RecallConfirm:
+class RecallConfirm(Struct, frozen=True):
     """Returns the number; from then on the new incarnation is valid."""
 
     incarnation: Incarnation
     nonce: int
 
 
-@dataclass(frozen=True, slots=True)
-class RecallState:
+class RecallState(Struct, frozen=True):
     """The claims that a group member knows, sent after a confirmation.
 
     Attributes:
@@ -690,8 +641,7 @@
 # Health
 
 
-@dataclass(frozen=True, slots=True)
-class TargetSample:
+class TargetSample(Struct, frozen=True):
     """An entry's attempts at a target since its last report.
 
     Attributes:
@@ -704,8 +654,7 @@
     bad: int
 
 
-@dataclass(frozen=True, slots=True)
-class Evidence:
+class Evidence(Struct, frozen=True):
     """An entry's samples of a service, for the service's evaluator."""
 
     service: ServiceName
@@ -716,8 +665,7 @@
 # Long work
 
 
-@dataclass(frozen=True, slots=True)
-class LongSlotRequest:
+class LongSlotRequest(Struct, frozen=True):
     """Asks a service's coordinator for a slot for long work."""
 
     request: RequestId
@@ -727,31 +675,27 @@
     excluded: tuple[TargetId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class LongSlotReply:
+class LongSlotReply(Struct, frozen=True):
     """Grants a slot on a target; an empty target means a refusal."""
 
     request: RequestId
     target: TargetId
 
 
-@dataclass(frozen=True, slots=True)
-class LongSlotRelease:
+class LongSlotRelease(Struct, frozen=True):
     """Releases a long slot."""
 
     request: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class LongHeld:
+class LongHeld(Struct, frozen=True):
     """Long slots that are in use on a target."""
 
     target: TargetId
     slots: int
 
 
-@dataclass(frozen=True, slots=True)
-class LongOccupancy:
+class LongOccupancy(Struct, frozen=True):
     """A coordinator's announcement of the long slots in use.
 
     Targets that are not listed have none.
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -9,9 +9,10 @@
 import math
 import random
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
 from enum import Enum
 
+from msgspec import Struct, field
+
 from wasabitray_core.ids import (
     FailureDomainName,
     RegionName,
@@ -79,8 +80,7 @@
     """It is cooling down, but the other targets can't carry the load."""
 
 
-@dataclass(slots=True)
-class SharedLoad:
+class SharedLoad(Struct):
     """The load that the hub reports; the targets' states share it.
 
     Attributes:
@@ -90,8 +90,7 @@
     received_at: Seconds = Seconds(-math.inf)
 
 
-@dataclass(slots=True)
-class TargetState:
+class TargetState(Struct):
     """What this entry knows of one target, and its use of the target.
 
     Attributes:
@@ -218,8 +217,7 @@
         return Seconds(now - newest) if newest else None
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementRequest:
+class PlacementRequest(Struct, frozen=True):
     """What a request needs, and the load of its service.
 
     Attributes:
@@ -252,16 +250,14 @@
         return self.lost_share > EARLY_READMISSION_LOST_SHARE
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementChoice:
+class PlacementChoice(Struct, frozen=True):
     """The chosen target and the reason for the choice."""
 
     state: TargetState
     basis: Basis
 
 
-@dataclass(frozen=True, slots=True)
-class Availability:
+class Availability(Struct, frozen=True):
     """How many of a service's targets are available.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/requests.py
+++ b/packages/core/src/wasabitray_core/requests.py
@@ -4,7 +4,8 @@
 
 import math
 from collections.abc import Callable, Generator, Iterator
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from wasabitray_core.documents import RenderedTemplate, Route, ServicePolicy
 from wasabitray_core.ids import (
@@ -30,8 +31,7 @@
     return next((v for n, v in headers if n.lower() == lowered), "")
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
+class Request(Struct, frozen=True):
     """A caller's request.
 
     Attributes:
@@ -68,8 +68,7 @@
         return f"<Request [{self.method} {self.path}]>"
 
 
-@dataclass(frozen=True, slots=True)
-class Target:
+class Target(Struct, frozen=True):
     """A target as it announced itself.
 
     Attributes:
@@ -90,8 +89,7 @@
         return f"<Target [{self.target}]>"
 
 
-@dataclass(frozen=True, slots=True)
-class LoadReport:
+class LoadReport(Struct, frozen=True):
     """Load that a target reported with a response.
 
     Attributes:
@@ -104,8 +102,7 @@
     waiting: int = 0
 
 
-@dataclass(slots=True)
-class Response:
+class Response(Struct):
     """A response of a target, or one that the proxy itself generated.
 
     Attributes:
@@ -157,8 +154,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptResult:
+class AttemptResult(Struct, frozen=True):
     """The result of one attempt at a target.
 
     Attributes:
@@ -197,8 +193,7 @@
     return True
 
 
-@dataclass(slots=True)
-class Exchange:
+class Exchange(Struct):
     """A request and its state while it goes through the filter chain.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/route_table.py
+++ b/packages/core/src/wasabitray_core/route_table.py
@@ -9,9 +9,9 @@
 
 import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 from functools import lru_cache
 
+from msgspec import Struct
 from pydantic import Field
 from result import Err, Ok, Result
 
@@ -116,8 +116,7 @@
     version: ConfigVersion
 
 
-@dataclass(frozen=True, slots=True)
-class RouteTableSource:
+class RouteTableSource(Struct, frozen=True):
     """A whole route table as the operator gives it."""
 
     version: ConfigVersion
--- a/packages/core/src/wasabitray_core/silence.py
+++ b/packages/core/src/wasabitray_core/silence.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from wasabitray_core.ids import Seconds
 
@@ -21,8 +21,7 @@
 MIN_CONCLUDE_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class SilenceLimits:
+class SilenceLimits(Struct, frozen=True):
     """Times without a response, in seconds since the attempt began.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/spillover.py
+++ b/packages/core/src/wasabitray_core/spillover.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from wasabitray_core.ids import RegionName
 
@@ -12,8 +13,7 @@
 MIN_DENSITY_SHARE = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class Spillover:
+class Spillover(Struct, frozen=True):
     """The part of an entry's requests for targets of other regions.
 
     Attributes:
--- a/packages/core/src/wasabitray_core/stopping.py
+++ b/packages/core/src/wasabitray_core/stopping.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from wasabitray_core.ids import Seconds
 
@@ -23,8 +23,7 @@
 LONGEST_TIME_FACTOR = 1.5
 
 
-@dataclass(frozen=True, slots=True)
-class StopSchedule:
+class StopSchedule(Struct, frozen=True):
     """The times of a planned stop, in monotonic seconds.
 
     Attributes:
--- a/packages/node/src/wasabitray_node/bodies.py
+++ b/packages/node/src/wasabitray_node/bodies.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 from typing import Any
 
 import falcon
 from gevent import Timeout
+from msgspec import Struct
 
 from wasabitray_node.settings import Limits
 from wasabitray_node.watch import CallerGoneError
@@ -18,8 +18,7 @@
 BODY_START_BYTES = 1_024
 
 
-@dataclass(frozen=True, slots=True)
-class Body:
+class Body(Struct, frozen=True):
     """A request's body, buffered or to be read in pieces.
 
     Attributes:
@@ -35,8 +34,7 @@
     start: bytes = b""
 
 
-@dataclass(frozen=True, slots=True)
-class RequestRejection:
+class RequestRejection(Struct, frozen=True):
     """Why a request is rejected before it enters the filter chain."""
 
     status: int
--- a/packages/node/src/wasabitray_node/connections.py
+++ b/packages/node/src/wasabitray_node/connections.py
@@ -4,10 +4,11 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any, NewType
 
+from msgspec import Struct
+
 from wasabitray_core.ids import Seconds
 from wasabitray_core.requests import Target
 from wasabitray_node.settings import Limits
@@ -26,8 +27,7 @@
     return PoolKey((target.target, target.address, target.generation))
 
 
-@dataclass(slots=True)
-class Connection:
+class Connection(Struct):
     """A connection to a target; one task owns it at a time.
 
     Attributes:
@@ -53,8 +53,7 @@
         self.socket.close()
 
 
-@dataclass(frozen=True, slots=True)
-class BorrowConnection:
+class BorrowConnection(Struct, frozen=True):
     """Asks the pool for an idle connection; the reply is None if it has none.
 
     The borrower owns the connection.
@@ -63,15 +62,13 @@
     pool_key: PoolKey
 
 
-@dataclass(frozen=True, slots=True)
-class ReturnConnection:
+class ReturnConnection(Struct, frozen=True):
     """Returns a reusable connection to the pool."""
 
     connection: Connection
 
 
-@dataclass(frozen=True, slots=True)
-class CloseIdleConnections:
+class CloseIdleConnections(Struct, frozen=True):
     """Closes a target's idle connections: their path may be broken."""
 
     pool_key: PoolKey
--- a/packages/node/src/wasabitray_node/dialects.py
+++ b/packages/node/src/wasabitray_node/dialects.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
 from typing import Protocol
 
 import falcon
+from msgspec import Struct
 
 from wasabitray_core.filters.chain import Attempt
 from wasabitray_core.ids import (
@@ -37,8 +37,7 @@
 _SECONDS = re.compile(r"[0-9]{1,18}(\.[0-9]{1,18})?")
 
 
-@dataclass(frozen=True, slots=True)
-class RequestMetadata:
+class RequestMetadata(Struct, frozen=True):
     """The metadata in the headers of a caller's request.
 
     Attributes:
@@ -71,8 +70,7 @@
         """Add the fleet's headers to a target's response."""
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseMetadata:
+class ResponseMetadata(Struct, frozen=True):
     """The metadata in the head of a target's response.
 
     Attributes:
--- a/packages/node/src/wasabitray_node/interfaces.py
+++ b/packages/node/src/wasabitray_node/interfaces.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from wasabitray_core.states import Role
 from wasabitray_node.announcements import build_targets_app
@@ -18,8 +19,7 @@
 from wasabitray_node.tasks import Router
 
 
-@dataclass(frozen=True, slots=True)
-class ServerParts:
+class ServerParts(Struct, frozen=True):
     """The parts that the listeners of an interface are built from.
 
     Attributes:
@@ -31,8 +31,7 @@
     is_ready: Callable[[], bool]
 
 
-@dataclass(frozen=True, slots=True)
-class Interfaces:
+class Interfaces(Struct, frozen=True):
     """The dialects of a process and its additional listeners.
 
     Attributes:
--- a/packages/node/src/wasabitray_node/storage.py
+++ b/packages/node/src/wasabitray_node/storage.py
@@ -17,10 +17,11 @@
 import os
 import struct
 import zlib
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import TypeVar
 
+from msgspec import Struct, field
+
 from wasabitray_core.errors import CorruptLogError, WasabitrayError
 from wasabitray_core.ids import LogIndex, MemberId, Revision, Term
 from wasabitray_core.messages import (
@@ -46,8 +47,7 @@
     return Snapshot(LogIndex(0), Term(0), members, Revision(0), {}, (), ())
 
 
-@dataclass(slots=True)
-class StoredState:
+class StoredState(Struct):
     """The state that a disk held when the process started."""
 
     member: Member
--- a/packages/node/src/wasabitray_node/tasks.py
+++ b/packages/node/src/wasabitray_node/tasks.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any, cast
 
 import gevent
 from gevent.event import AsyncResult
 from gevent.queue import Empty, SimpleQueue
+from msgspec import Struct
 
 from wasabitray_core import messages as m
 from wasabitray_core.controllers.controller import (
@@ -61,32 +61,27 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class _PeerDelivery:
+class _PeerDelivery(Struct, frozen=True):
     host: HostId
     message: Any
 
 
-@dataclass(frozen=True, slots=True)
-class _ControllerDelivery:
+class _ControllerDelivery(Struct, frozen=True):
     controller: ControllerName
     message: Any
 
 
-@dataclass(frozen=True, slots=True)
-class _ReplyDelivery:
+class _ReplyDelivery(Struct, frozen=True):
     token: ReplyToken
     value: Any
 
 
-@dataclass(frozen=True, slots=True)
-class _LogDelivery:
+class _LogDelivery(Struct, frozen=True):
     event: str
     fields: dict[str, Any]
 
 
-@dataclass(frozen=True, slots=True)
-class _Envelope:
+class _Envelope(Struct, frozen=True):
     message: Any
     origin: Origin
 
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -5,13 +5,13 @@
 import errno
 import socket
 from collections.abc import Callable, Generator
-from dataclasses import replace
 from typing import Any
 
 import gevent
 import gevent.socket
 from gevent import Timeout
 from geventhttpclient.response import HTTPParseError
+from msgspec.structs import replace
 
 from wasabitray_core.errors import TruncatedAnswerError
 from wasabitray_core.filters.chain import Attempt
--- a/packages/wire/src/wasabitray_wire/convert.py
+++ b/packages/wire/src/wasabitray_wire/convert.py
@@ -1,4 +1,4 @@
-"""Conversion between the core's dataclasses and generated structs.
+"""Conversion between the core's messages and generated structs.
 
 Both sides have the same names, so the converters are derived from the type
 hints once and then called without reflection.
@@ -10,11 +10,12 @@
 import types
 import typing
 from collections.abc import Callable
-from dataclasses import MISSING, fields, is_dataclass
 from enum import Enum
 from functools import cache
 from typing import Any
 
+from msgspec import NODEFAULT, Struct
+
 from wasabitray_wire.gen import ttypes
 
 Converter = Callable[[Any], Any]
@@ -28,7 +29,7 @@
 
 
 def get_field_name(name: str) -> str:
-    """Return a dataclass field's name in the generated struct."""
+    """Return a message field's name in the generated struct."""
     return f"{name}_" if name in RESERVED_WORDS else name
 
 
@@ -40,6 +41,10 @@
     return isinstance(hint, types.UnionType)
 
 
+def _is_message(hint: Any) -> bool:
+    return isinstance(hint, type) and issubclass(hint, Struct)
+
+
 def _get_optional_type(hint: Any) -> Any:
     """Return X if the hint is `X | None`, else None."""
     if not _is_union(hint):
@@ -81,17 +86,17 @@
     if typing.get_origin(hint) is tuple:
         item = make_encoder(typing.get_args(hint)[0])
         return lambda v: [item(i) for i in v]
-    if is_dataclass(hint):
-        return _make_struct_encoder(typing.cast(type, hint))
+    if _is_message(hint):
+        return _make_struct_encoder(hint)
     if isinstance(hint, type) and issubclass(hint, Enum):
         return lambda v: v.value
     return _identity
 
 
-def _make_struct_encoder(kind: type) -> Converter:
+def _make_struct_encoder(kind: type[Struct]) -> Converter:
     struct = getattr(ttypes, kind.__name__)
     hints = _get_hints(kind)
-    parts = [(f.name, make_encoder(hints[f.name])) for f in fields(kind)]
+    parts = [(n, make_encoder(hints[n])) for n in kind.__struct_fields__]
     return lambda v: struct(*[e(getattr(v, n)) for n, e in parts])
 
 
@@ -127,8 +132,8 @@
     if typing.get_origin(hint) is tuple:
         item = make_decoder(typing.get_args(hint)[0])
         return lambda v: tuple([item(i) for i in _require(v)])
-    if is_dataclass(hint):
-        return _make_struct_decoder(typing.cast(type, hint))
+    if _is_message(hint):
+        return _make_struct_decoder(hint)
     if isinstance(hint, type) and issubclass(hint, Enum):
         return hint
     return _require
@@ -140,18 +145,21 @@
     return value
 
 
-def _make_struct_decoder(kind: type) -> Converter:
+def _make_struct_decoder(kind: type[Struct]) -> Converter:
     hints = _get_hints(kind)
+    names = kind.__struct_fields__
+    required = len(names) - len(kind.__struct_defaults__)
+    defaults = (*[NODEFAULT] * required, *kind.__struct_defaults__)
     parts = [
-        (get_field_name(f.name), make_decoder(hints[f.name]), f.default)
-        for f in fields(kind)
+        (get_field_name(name), make_decoder(hints[name]), default)
+        for name, default in zip(names, defaults, strict=True)
     ]
 
     def decode(value: Any) -> Any:
         values = []
         for name, convert, default in parts:
             part = getattr(_require(value), name)
-            is_missing = part is None and default is not MISSING
+            is_missing = part is None and default is not NODEFAULT
             values.append(default if is_missing else convert(part))
         return kind(*values)
 
--- a/tests/core/controllers/test_dispatch.py
+++ b/tests/core/controllers/test_dispatch.py
@@ -1,7 +1,6 @@
 """How an entry grants slots, queues requests and limits retries."""
 
-from dataclasses import replace
-
+from msgspec.structs import replace
 from support.fakes import ControllerBed
 
 from wasabitray_core.controllers.dispatch import (
--- a/tests/core/controllers/test_hub.py
+++ b/tests/core/controllers/test_hub.py
@@ -1,7 +1,6 @@
 """A hub's feed, its entries and the departures that it confirms."""
 
-from dataclasses import replace
-
+from msgspec.structs import replace
 from support.fakes import ControllerBed
 
 from wasabitray_core.controllers.hub import (
--- a/tests/core/controllers/test_subscriber.py
+++ b/tests/core/controllers/test_subscriber.py
@@ -1,7 +1,6 @@
 """An entry's subscription to a hub."""
 
-from dataclasses import replace
-
+from msgspec.structs import replace
 from support.fakes import ControllerBed
 
 from wasabitray_core.controllers.subscriber import (
--- a/tests/core/filters/test_quarantine.py
+++ b/tests/core/filters/test_quarantine.py
@@ -1,8 +1,7 @@
 """Which requests count as the same one sent again."""
 
-from dataclasses import replace
-
 import pytest
+from msgspec.structs import replace
 
 from wasabitray_core.filters.quarantine import compute_fingerprint
 from wasabitray_core.requests import Request
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -1,9 +1,9 @@
 """Tests that messages and stored items are the same after decoding."""
 
 import typing
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from wasabitray_core import messages as m
 from wasabitray_core.errors import PeerError
@@ -72,7 +72,7 @@
 def test_schema_has_every_message_and_field(kind):
     struct = getattr(ttypes, kind.__name__)
     names = [spec[2].rstrip("_") for spec in struct.thrift_spec if spec]
-    assert names == list(kind.__dataclass_fields__)
+    assert names == list(kind.__struct_fields__)
     assert hasattr(ttypes.PeerMessage(), to_snake_case(kind.__name__))
 
 
