Wait before a new leader grants a trial of a quarantined request

Cause: found while looking for two processes that act at a hand-over. A new leader granted the first trial that an entry asked for. Its predecessor may have granted one just before, of which that entry knew nothing: two trials at once, and both records count one. Change: a leader counts the wait for a trial from its own start, or from the return of its contact, at least. Result: two new tests failed before.

--- a/packages/core/src/wasabitray_core/controllers/trials.py
+++ b/packages/core/src/wasabitray_core/controllers/trials.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import OrderedDict
 from functools import singledispatchmethod
 from typing import Any, ClassVar
@@ -49,7 +48,9 @@
 
     The number of targets that a request may still reach is a limit of the
     fleet, so a single host grants the attempts. A new leader learns from the
-    entries' records of the trials that were granted before.
+    entries' records of the trials that were granted before. It waits before
+    it grants one itself, because its predecessor may have granted one just
+    now that few entries know of.
     """
 
     name: ClassVar[ControllerName] = ControllerName.TRIALS
@@ -59,6 +60,7 @@
         """Start without any request."""
         super().__init__(context)
         self._is_leader = False
+        self._leader_since = context.clock()
         self._granted: OrderedDict[Fingerprint, _Granted] = OrderedDict()
 
     @singledispatchmethod
@@ -75,7 +77,10 @@
 
     @receive.register
     def _(self, message: GroupContact, origin: Origin) -> None:
+        was_leader = self._is_leader
         self._is_leader = message.in_contact and message.leader == self.host
+        if self._is_leader and not was_leader:
+            self._leader_since = self._now()
 
     @receive.register
     def _(self, message: TrialRequest, origin: Origin) -> None:
@@ -107,11 +112,11 @@
         return granted.record
 
     def _is_due(self, record: Quarantine) -> bool:
-        wait = get_trial_wait(record)
         granted = self._granted.get(record.fingerprint)
-        if granted is None:
-            return math.isfinite(wait)
-        return self._now() >= granted.newest_at + wait
+        newest_at = self._leader_since
+        if granted is not None:
+            newest_at = max(newest_at, granted.newest_at)
+        return self._now() >= newest_at + get_trial_wait(record)
 
     def _grant(self, record: Quarantine) -> Quarantine:
         record = count_trial(record)
--- a/tests/core/controllers/test_trials.py
+++ b/tests/core/controllers/test_trials.py
@@ -11,10 +11,16 @@
 RECORD = Quarantine("f", ("t1", "t2", "t3"))
 
 
+def start_leader(host):
+    bed = ControllerBed(TrialsController, host=host)
+    bed.tell(GroupContact(True, host, ("c1", "c2", "c3")))
+    return bed
+
+
 @pytest.fixture
 def bed():
-    bed = ControllerBed(TrialsController, host="c1")
-    bed.tell(GroupContact(True, "c1", ("c1", "c2", "c3")))
+    bed = start_leader("c1")
+    bed.clock.advance(max(TRIAL_WAITS_S))
     return bed
 
 
@@ -47,6 +53,23 @@
     assert not request_trial(bed, record).granted
 
 
+def test_two_leaders_at_a_hand_over_grant_one_trial(bed):
+    assert request_trial(bed).granted
+    successor = start_leader("c2")
+    assert not request_trial(successor, entry="e2").granted
+    successor.clock.advance(TRIAL_WAITS_S[0])
+    known = count_trial(RECORD)
+    assert not request_trial(successor, known, "e2").granted
+
+
+def test_leader_that_lost_contact_grants_no_trial_at_once(bed):
+    for in_contact in (False, True):
+        bed.tell(GroupContact(in_contact, "c1", ("c1", "c2", "c3")))
+    assert not request_trial(bed).granted
+    bed.clock.advance(TRIAL_WAITS_S[0])
+    assert request_trial(bed).granted
+
+
 def test_served_request_that_crashes_targets_again_gets_new_trials(bed):
     for _ in TRIAL_WAITS_S:
         bed.clock.advance(max(TRIAL_WAITS_S))
