Look up targets by service and address instead of comparing all with all

Change: targets are indexed by service and by address; a tick looks at the services only where a lease or a warm-up ends; the announcements of one feed are applied together and published once. A target whose address a target of another service takes is unusable at once instead of after a tick. Unit tests of the core pass.

--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -30,6 +30,7 @@
     Seconds,
 )
 from wasabitray_core.local_messages import (
+    Announcements,
     Broadcast,
     ConfigurationApplied,
     ControllerName,
@@ -200,11 +201,7 @@
         self._record_position(message)
         self._apply_hub_list(message.hubs)
         self._apply_entry_states(message.entry_states)
-        for item in iterate_items(message):
-            if isinstance(item, EntryState):
-                continue
-            self._received_items[(type(item), get_subject(item))] = item
-            self._outbox.tell(_CONTROLLER_BY_KIND[type(item)], item)
+        self._apply_items(message)
         self._entry_count = message.entries
         self._publish_fleet_size()
         if self._switch_to_nearer_hub():
@@ -234,6 +231,18 @@
             },
         )
 
+    def _apply_items(self, feed: Feed) -> None:
+        """Pass the items of a feed to their controllers."""
+        if feed.announcements:
+            announcements = Announcements(feed.announcements)
+            self._outbox.tell(ControllerName.TARGETS, announcements)
+        for item in iterate_items(feed):
+            if isinstance(item, EntryState):
+                continue
+            self._received_items[(type(item), get_subject(item))] = item
+            if not isinstance(item, Announcement):
+                self._outbox.tell(_CONTROLLER_BY_KIND[type(item)], item)
+
     def _apply_entry_states(self, states: tuple[EntryState, ...]) -> None:
         """Store the states of the other entries that the hub sent."""
         if states:
@@ -394,7 +403,6 @@
 
 
 _CONTROLLER_BY_KIND: dict[type, ControllerName] = {
-    Announcement: ControllerName.TARGETS,
     Ejection: ControllerName.TARGETS,
     Quarantine: ControllerName.QUARANTINE,
     TargetReport: ControllerName.DISPATCH,
--- a/packages/core/src/wasabitray_core/controllers/targets.py
+++ b/packages/core/src/wasabitray_core/controllers/targets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Iterable
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
@@ -14,8 +16,13 @@
     Origin,
 )
 from wasabitray_core.controllers.feed_table import is_newer
+from wasabitray_core.controllers.known_targets import (
+    KnownTarget,
+    KnownTargets,
+)
 from wasabitray_core.ids import Seconds, ServiceName, TargetId
 from wasabitray_core.local_messages import (
+    Announcements,
     Broadcast,
     ConfigurationApplied,
     ControllerName,
@@ -32,13 +39,6 @@
 from wasabitray_core.states import EjectionPhase, TargetPhase
 
 DEFAULT_FLOOR = 1
-# Announcements also stop when a link is cut. A quiet target, one whose lease
-# has expired, is therefore kept as a reserve for the floor until no
-# announcement of it has arrived for this many leases.
-EXPIRE_AFTER_LEASES = 20
-# A target that starts cold is slow at first: for this long, slow attempts do
-# not count as failed.
-WARM_UP_S = 15.0
 # Version of an ejection decided on this host until the targets controller
 # assigns one to it.
 UNASSIGNED_VERSION = 0
@@ -49,33 +49,6 @@
 )
 
 
-class _KnownTarget(Struct):
-    """A target's newest announcement.
-
-    Attributes:
-        renewed_at: when it was received.
-        generation_began_at: when the first announcement of the target's
-            generation was received.
-    """
-
-    announcement: Announcement
-    renewed_at: Seconds
-    generation_began_at: Seconds
-
-    def is_quiet(self, now: Seconds) -> bool:
-        """Return whether its lease has expired."""
-        if not self.announcement.lease_s:
-            return False
-        return now - self.renewed_at > self.announcement.lease_s
-
-    def is_expired(self, now: Seconds) -> bool:
-        """Return whether it has been quiet for too long to be kept."""
-        if not self.announcement.lease_s:
-            return False
-        limit = self.announcement.lease_s * EXPIRE_AFTER_LEASES
-        return now - self.renewed_at > limit
-
-
 class _KnownEjection(Struct):
     ejection: Ejection
     expires_at: Seconds
@@ -103,10 +76,13 @@
         """
         super().__init__(context)
         self._version = first_version
-        self._targets: dict[TargetId, _KnownTarget] = {}
+        self._targets = KnownTargets()
         self._ejections: dict[TargetId, _KnownEjection] = {}
         self._floors: dict[ServiceName, int] = {}
         self._published: dict[ServiceName, UsableTargets] = {}
+        # When the usable targets of a service change next if nothing is
+        # announced.
+        self._review_at: dict[ServiceName, float] = {}
 
     @singledispatchmethod
     def receive(self, message: Any, origin: Origin) -> None:
@@ -116,13 +92,16 @@
     @receive.register
     def _(self, message: Tick, origin: Origin) -> None:
         now = self._now()
-        for target, known in list(self._targets.items()):
-            if known.is_expired(now):
-                del self._targets[target]
+        concerned = {s for s, at in self._review_at.items() if at <= now}
+        for service in list(concerned):
+            for known in self._targets.get_service_targets(service):
+                if known.is_expired(now):
+                    concerned |= self._targets.remove(known.target)
         for target, ejected in list(self._ejections.items()):
             if now > ejected.expires_at:
                 del self._ejections[target]
-        self._publish_all()
+                concerned.add(ejected.ejection.service)
+        self._publish(concerned)
 
     @receive.register
     def _(
@@ -133,15 +112,22 @@
     @receive.register
     def _(self, message: ServiceLimits, origin: Origin) -> None:
         self._floors = dict(message.floors)
-        self._publish_all()
+        self._publish(self._targets.get_services() | set(self._published))
 
     @receive.register
     def _(self, message: Announcement, origin: Origin) -> None:
         self._reply(origin, self._apply(message))
 
+    @receive.register
+    def _(self, message: Announcements, origin: Origin) -> None:
+        concerned: set[ServiceName] = set()
+        for announcement in message.items:
+            concerned |= self._store(announcement) or set()
+        self._publish(concerned)
+
     @receive.register
     def _(self, message: TargetLeaving, origin: Origin) -> None:
-        known = self._targets.get(message.target)
+        known = self._targets.find(message.target)
         if known is None:
             return
         departure = replace(
@@ -153,21 +139,31 @@
 
     def _apply(self, message: Announcement) -> bool:
         """Store and spread an announcement; return whether it is newer."""
-        previous = self._targets.get(message.target)
+        concerned = self._store(message)
+        if concerned is None:
+            return False
+        self._outbox.tell(ControllerName.MEMBERSHIP, Broadcast(message))
+        self._publish(concerned)
+        return True
+
+    def _store(self, message: Announcement) -> set[ServiceName] | None:
+        """Store an announcement.
+
+        Returns:
+            The services that are concerned, None if it is not newer than the
+            known one.
+        """
+        previous = self._targets.find(message.target)
         if previous is not None and not is_newer(
             message, previous.announcement
         ):
-            return False
+            return None
         now = self._now()
         generation_began_at = now
         if previous is not None and _has_same_generation(
             previous.announcement, message
         ):
             generation_began_at = previous.generation_began_at
-        self._targets[message.target] = _KnownTarget(
-            message, now, generation_began_at
-        )
-        self._outbox.tell(ControllerName.MEMBERSHIP, Broadcast(message))
         if previous is None or previous.announcement.phase != message.phase:
             self._outbox.log_event(
                 "target announced",
@@ -175,8 +171,9 @@
                 service=message.service,
                 phase=message.phase.name.lower(),
             )
-        self._publish(message.service)
-        return True
+        return self._targets.put(
+            KnownTarget(message, now, generation_began_at)
+        )
 
     @receive.register
     def _(self, message: Ejection, origin: Origin) -> None:
@@ -199,17 +196,17 @@
             phase=message.phase.name.lower(),
             evidence=message.evidence,
         )
-        self._publish(message.service)
+        self._publish({message.service})
 
     @receive.register
     def _(self, message: GetStatus, origin: Origin) -> None:
         now = self._now()
         self._reply(
             origin,
-            [self._describe(known, now) for known in self._targets.values()],
+            [self._describe(known, now) for known in self._targets.get_all()],
         )
 
-    def _describe(self, known: _KnownTarget, now: Seconds) -> dict[str, Any]:
+    def _describe(self, known: KnownTarget, now: Seconds) -> dict[str, Any]:
         announcement = known.announcement
         ejected = self._ejections.get(announcement.target)
         return {
@@ -226,29 +223,28 @@
 
     # Usable targets
 
-    def _publish_all(self) -> None:
-        services = {
-            known.announcement.service for known in self._targets.values()
-        }
-        for service in sorted(services | set(self._published)):
-            self._publish(service)
-
-    def _publish(self, service: ServiceName) -> None:
-        usable = self._derive_usable(service)
-        if self._published.get(service) == usable:
-            return
-        self._published[service] = usable
-        for controller in SUBSCRIBERS:
-            self._outbox.tell(controller, usable)
+    def _publish(self, services: Iterable[ServiceName]) -> None:
+        """Publish the usable targets of services where they changed."""
+        for service in sorted(services):
+            usable = self._derive_usable(service)
+            if self._published.get(service) == usable:
+                continue
+            self._published[service] = usable
+            for controller in SUBSCRIBERS:
+                self._outbox.tell(controller, usable)
 
     def _derive_usable(self, service: ServiceName) -> UsableTargets:
         now = self._now()
+        targets = self._targets.get_service_targets(service)
+        self._review_at[service] = min(
+            (known.find_next_change(now) for known in targets),
+            default=math.inf,
+        )
         active = [
             known
-            for _, known in sorted(self._targets.items())
-            if known.announcement.service == service
-            and known.announcement.phase is TargetPhase.ACTIVE
-            and not self._is_replaced(known.announcement)
+            for known in targets
+            if known.announcement.phase is TargetPhase.ACTIVE
+            and not self._targets.is_replaced(known.announcement)
         ]
         ejected = {
             t
@@ -256,7 +252,7 @@
             if e.ejection.phase is not EjectionPhase.RETURNED
         }
         usable: list[UsableTarget] = []
-        reserve: list[_KnownTarget] = []
+        reserve: list[KnownTarget] = []
         for known in active:
             target = known.announcement.target
             if known.is_quiet(now) or self._find_phase(target) is _EJECTED:
@@ -279,24 +275,10 @@
             tuple(
                 known.announcement.target
                 for known in active
-                if now - known.generation_began_at < WARM_UP_S
+                if known.is_warming_up(now)
             ),
         )
 
-    def _is_replaced(self, announcement: Announcement) -> bool:
-        """Return whether a newer generation of another target has its address.
-
-        The address is then in use by that target.
-        """
-        if not announcement.address:
-            return False
-        return any(
-            other.announcement.address == announcement.address
-            and other.announcement.target != announcement.target
-            and other.announcement.generation > announcement.generation
-            for other in self._targets.values()
-        )
-
     def _find_phase(self, target: TargetId) -> EjectionPhase | None:
         ejected = self._ejections.get(target)
         return ejected.ejection.phase if ejected else None
@@ -305,7 +287,7 @@
         self,
         service: ServiceName,
         usable: list[UsableTarget],
-        reserve: list[_KnownTarget],
+        reserve: list[KnownTarget],
     ) -> list[UsableTarget]:
         """Return the reserves to use so that the service has its floor.
 
@@ -329,7 +311,7 @@
     return first.generation == second.generation
 
 
-def _build_target(known: _KnownTarget) -> Target:
+def _build_target(known: KnownTarget) -> Target:
     a = known.announcement
     return Target(
         a.target,
--- a/packages/core/src/wasabitray_core/local_messages.py
+++ b/packages/core/src/wasabitray_core/local_messages.py
@@ -232,6 +232,12 @@
 # Membership and addresses
 
 
+class Announcements(Struct, frozen=True):
+    """Announcements of targets that a hub sent together."""
+
+    items: tuple[Announcement, ...]
+
+
 class TargetLeaving(Struct, frozen=True):
     """Reports that a target stated in a response that it is leaving.
 
--- a/tests/core/controllers/test_targets.py
+++ b/tests/core/controllers/test_targets.py
@@ -1,9 +1,17 @@
 """Which targets are usable, and how the floor is kept."""
 
+import sys
+from collections import Counter
+
+import pytest
 from support.fakes import ControllerBed
 
-from wasabitray_core.controllers.targets import TargetsController
+from wasabitray_core.controllers.targets import (
+    SUBSCRIBERS,
+    TargetsController,
+)
 from wasabitray_core.local_messages import (
+    Announcements,
     Broadcast,
     ServiceLimits,
     TargetLeaving,
@@ -134,3 +142,66 @@
     bed.tell(TargetLeaving("unknown", 4))
     assert get_usable(bed) == {"t0"}
     assert len(bed.outbox.get_told(Broadcast)) == count
+
+
+def make_hub_announcement(number, service="rota", generation=1):
+    """Return the announcement of a target that has no lease."""
+    return Announcement(
+        f"{service}-{number}", service, "south", "south-a", 2, generation, 1,
+        TargetPhase.ACTIVE, 0.0, f"10.0.0.{number}:80",
+    )  # fmt: skip
+
+
+def test_announcements_of_one_feed_are_published_together():
+    bed = ControllerBed(TargetsController, 0)
+    items = [make_hub_announcement(n) for n in range(50)]
+    items += [make_hub_announcement(n + 50, "desk") for n in range(50)]
+    bed.tell(Announcements(tuple(items)))
+    published = bed.outbox.get_told(UsableTargets)
+    assert Counter(m.service for m in published) == {
+        "rota": len(SUBSCRIBERS),
+        "desk": len(SUBSCRIBERS),
+    }
+    assert {len(m.usable) for m in published} == {50}
+
+
+def test_target_whose_address_another_service_takes_is_unusable_at_once():
+    bed = ControllerBed(TargetsController, 0)
+    bed.tell(make_hub_announcement(1))
+    bed.tell(make_hub_announcement(1, "desk", generation=2))
+    newest = {m.service: m for m in bed.outbox.get_told(UsableTargets)}
+    assert [len(newest[s].usable) for s in ("rota", "desk")] == [0, 1]
+
+
+def count_calls(work):
+    """Return how many functions were called during some work."""
+    calls = Counter()
+    sys.setprofile(lambda frame, event, arg: calls.update([event]))
+    try:
+        work()
+    finally:
+        sys.setprofile(None)
+    return calls["call"] + calls["c_call"]
+
+
+@pytest.mark.parametrize("warm_up_s", [0.0, 20.0])
+def test_ticks_cost_the_same_whatever_the_number_of_targets(warm_up_s):
+    calls = []
+    for count in (30, 300):
+        bed = ControllerBed(TargetsController, 0)
+        items = tuple(make_hub_announcement(n) for n in range(count))
+        bed.tell(Announcements(items))
+        bed.tick(warm_up_s)
+        calls.append(count_calls(lambda b=bed: b.tick(0.25)))
+    assert calls[0] == calls[1]
+
+
+def test_cost_of_an_announcement_grows_no_faster_than_the_targets():
+    calls = []
+    for count in (30, 300):
+        bed = ControllerBed(TargetsController, 0)
+        items = tuple(make_hub_announcement(n) for n in range(count))
+        bed.tell(Announcements(items))
+        new = make_hub_announcement(count)
+        calls.append(count_calls(lambda b=bed, n=new: b.tell(n)))
+    assert calls[1] <= 10 * calls[0]
