--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -123,6 +123,7 @@
         self._next_review_at = context.clock()
         self._received_items: dict[Subject, FeedItem] = {}
         self._entry_states: dict[HostId, EntryState] = {}
+        self._are_entries_published = False
         self._entry_count = 0
         self._serving_by_region: tuple[tuple[RegionName, int], ...] = ()
         self._sent_fleet_size: FleetSize | None = None
@@ -141,7 +142,8 @@
     def _(self, message: Tick, origin: Origin) -> None:
         self._review_hub()
         self._send_presence()
-        self._publish_entries()
+        if not self._are_entries_published:
+            self._publish_entries()
 
     @receive.register
     def _(self, message: SeedsChanged, origin: Origin) -> None:
@@ -265,6 +267,7 @@
             s for h, s in self._entry_states.items() if h != self.host
         )
         view = EntriesView((own_state, *other_states))
+        self._are_entries_published = True
         self._outbox.tell(ControllerName.ADDRESSES, view)
         serving = Counter(s.region for s in view.entries if _is_serving(s))
         self._serving_by_region = tuple(sorted(serving.items()))
@@ -389,6 +392,7 @@
             "hub changed", hub=host, before=self._hub, reason=reason
         )
         self._hub = host
+        self._are_entries_published = False
         self._mark = FeedMark(HostId(""), _NO_INCARNATION, _FEED_START)
         self._last_hub_contact = self._last_leader_contact = self._now()
         self._next_review_at = Seconds(self._now() + HUB_REVIEW_INTERVAL_S)
--- a/tests/core/controllers/test_subscriber.py
+++ b/tests/core/controllers/test_subscriber.py
@@ -213,3 +213,18 @@
     assert bed.controller.hub == "c4"
     bed.receive("c4", feed("c4", hubs=(NEAR, OTHER_DOMAIN, NORTH)))
     assert bed.controller.hub == "c4"  # c3 failed recently
+
+
+def test_entries_are_published_only_when_they_changed():
+    bed = entry_bed("c1")
+    bed.tick()
+    count = len(bed.outbox.get_told(EntriesView))
+    for _ in range(3):
+        bed.tick(0.5)
+    assert len(bed.outbox.get_told(EntriesView)) == count
+    state = EntryState(
+        "e2", 1, True, HostFlag.SERVING, "south", "hobart", "10.0.0.8:80", "c1"
+    )
+    bed.receive("c1", feed("c1", position=1, entry_states=(state,)))
+    view = bed.outbox.get_told(EntriesView)[-1]
+    assert {s.host for s in view.entries} == {"e1", "e2"}
