Let fewer targets cool down the more requests are lost

Cause: above a threshold of 7% lost requests all but a fifth of the targets returned from their cool-downs. Those that still fail lose a request each, so the losses stayed above the threshold. Change: the requests of the region, which the hub adds up, show how many the fleet has. The share of targets that may cool down falls steadily from all at 6% lost requests to a fifth at 10%, where the floor binds. What counts is the upper end of the 95% confidence interval, so few requests end cool-downs sooner.

--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -30,7 +30,7 @@
     InFlightReporter,
     apply_others_work,
 )
-from wasabitray_core.controllers.losses import LossEstimate
+from wasabitray_core.controllers.losses import FleetShare, LossEstimate
 from wasabitray_core.controllers.retry_budget import RetryBudget, RetryLimits
 from wasabitray_core.controllers.usage import SlotUsage
 from wasabitray_core.controllers.waiting import FairQueue, Waiter
@@ -158,7 +158,7 @@
         self._retry_limits = retries or RetryLimits()
         self._cool_downs = cool_downs
         self._startup_wait_until = Seconds(context.clock() + startup_wait_s)
-        self._entry_count = 1
+        self._fleet_share = FleetShare()
         self._entries_by_region: dict[RegionName, int] = {}
         self._retry_burst = self._retry_limits.get_burst(1)
         self._services: dict[ServiceName, _Service] = {}
@@ -390,8 +390,13 @@
 
     @receive.register
     def _(self, message: FleetSize, origin: Origin) -> None:
-        self._entry_count = max(1, message.entries)
         self._entries_by_region = dict(message.by_region)
+        in_region = self._entries_by_region.get(self._region, 0)
+        serving = sum(self._entries_by_region.values())
+        self._fleet_share = FleetShare(
+            max(1, message.entries),
+            in_region / serving if in_region else 1.0,
+        )
         for service in self._services.values():
             self._update_spillover(service)
         self._retry_burst = self._retry_limits.get_burst(message.entries)
@@ -607,7 +612,7 @@
         latest_end = self._find_latest_end(service, request)
         if latest_end is None:
             return False
-        lost_share = service.losses.estimate_share(self._entry_count, now)
+        lost = service.losses.estimate_share(self._fleet_share, now)
         placement_request = PlacementRequest(
             self._region,
             request.excluded,
@@ -617,12 +622,12 @@
             and not request.retry,
             request.large,
             *self._estimate_demand(service),
-            lost_share,
+            lost.share,
             service.spillover,
             self._failure_domain,
         )
         for state in find_early_readmissions(
-            service.targets.values(), lost_share, now
+            service.targets.values(), lost.upper_bound, now
         ):
             state.cooling_until = now
         choice = choose_target(
@@ -645,7 +650,7 @@
             Seconds(now - waiter.arrived_at),
             measure_availability(service.targets.values(), now),
             state.failure_age(now),
-            lost_share,
+            lost.share,
             latest_end,
             get_silence_limits(
                 service.times[request.work].usual, load, state.target.slots
@@ -662,7 +667,7 @@
         """
         used = service.usage.get_average(self._now())
         regions = {s.target.region for s in service.targets.values()}
-        fleet = used * self._entry_count
+        fleet = used * self._fleet_share.entries
         return fleet, fleet / max(1, len(regions))
 
 
--- a/packages/core/src/wasabitray_core/controllers/losses.py
+++ b/packages/core/src/wasabitray_core/controllers/losses.py
@@ -5,6 +5,8 @@
 import math
 from collections import deque
 
+from msgspec import Struct
+
 from wasabitray_core.ids import Seconds
 
 # Length of the window in which failures and ended requests are counted.
@@ -27,6 +29,44 @@
 MIN_REQUESTS = 12.0
 
 
+# Lower bound of a share when its standard error is derived from it: no loss
+# among few requests doesn't show that there are none.
+MIN_SHARE = 0.02
+# Standard errors on one side of a 95% confidence interval.
+STANDARD_ERRORS = 2.0
+
+
+class LostShare(Struct, frozen=True):
+    """An estimated share of lost requests.
+
+    Attributes:
+        share: the estimate.
+        requests: the requests of the whole fleet that it is about.
+    """
+
+    share: float = 0.0
+    requests: float = math.inf
+
+    @property
+    def upper_bound(self) -> float:
+        """Upper end of the estimate's 95% confidence interval."""
+        share = max(self.share, MIN_SHARE)
+        variance = max(0.0, share * (1.0 - share)) / self.requests
+        return self.share + STANDARD_ERRORS * math.sqrt(variance)
+
+
+class FleetShare(Struct, frozen=True):
+    """How many entries there are, and which part of them is in a region.
+
+    Attributes:
+        entries: number of all entries.
+        region_share: share of them that is in this entry's region, above 0.
+    """
+
+    entries: int = 1
+    region_share: float = 1.0
+
+
 class LossEstimate:
     """Estimates the share of a service's requests that is lost.
 
@@ -72,25 +112,38 @@
         self._others_ended, self._others_lost = ended, lost
         self._others_until = Seconds(now + OTHERS_TTL_S)
 
-    def estimate_share(self, entries: int, now: Seconds) -> float:
+    def estimate_share(self, fleet: FleetShare, now: Seconds) -> LostShare:
         """Return the estimated share of requests that is lost.
 
         Args:
-            entries: number of entries, assumed to have the same load.
+            fleet: the entries of the fleet, assumed to have the same load.
             now: monotonic seconds.
         """
         self._expire_failures(now)
         own = self._lost.value(now) / (self._ended.value(now) + PRIOR_REQUESTS)
-        expected = self._requests.rate(now) * entries * WINDOW_S
-        fleet = len(self._failures) / max(expected, MIN_REQUESTS)
-        return max(own, fleet, self._estimate_region_share(now))
-
-    def _estimate_region_share(self, now: Seconds) -> float:
+        region = self._count_region_requests(now)
+        if region is None:
+            expected = self._requests.rate(now) * fleet.entries * WINDOW_S
+            region_share = 0.0
+        else:
+            # An entry of a large fleet has too few requests to estimate the
+            # fleet's from its own.
+            ended, lost = region
+            expected = ended / fleet.region_share
+            region_share = lost / (ended + PRIOR_REQUESTS)
+        requests = max(expected, MIN_REQUESTS)
+        failed = len(self._failures) / requests
+        return LostShare(max(own, failed, region_share), requests)
+
+    def _count_region_requests(self, now: Seconds) -> tuple[int, int] | None:
+        """Return the region's requests that ended recently, and the lost.
+
+        None if those of the other entries are not known.
+        """
         if now >= self._others_until:
-            return 0.0
+            return None
         ended, lost = self.count_recent(now)
-        all_ended = ended + self._others_ended + PRIOR_REQUESTS
-        return (lost + self._others_lost) / all_ended
+        return ended + self._others_ended, lost + self._others_lost
 
     def _expire_recent(self, now: Seconds) -> None:
         while self._recent and self._recent[0][0] < now - WINDOW_S:
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -38,14 +38,19 @@
 # A repeatable request may go to a cooling target this long after its failure.
 # If the target fails again, that costs one retry.
 TRIAL_DELAY_S = 4.0
-# Share of lost requests above which cool-downs end early. It is lower than the
-# 0.1 above which the users' floor applies, so that the readmitted targets have
+# Share of lost requests above which idle targets go first. It is lower than
+# the 0.1 above which the users' floor applies, so that these targets have
 # received requests by then.
-EARLY_READMISSION_LOST_SHARE = 0.07
-# Part of a service's targets that may cool down at the same time while more
-# requests than that are lost. Targets with a recent failure are not counted.
-# The floor asks for 0.7 of the sound targets to be in use; the difference
-# allows for targets that get no request by chance or for other reasons.
+LOSING_SHARE = 0.07
+# Shares of lost requests at which the first cool-downs end early, and at which
+# only MAX_COOLING_SHARE of the targets may still cool down. The users' floor
+# applies above the second one.
+FIRST_READMISSION_LOST_SHARE = 0.06
+FULL_READMISSION_LOST_SHARE = 0.1
+# Part of a service's targets that may cool down at the same time while that
+# many requests are lost. Targets with a recent failure are not counted. The
+# floor asks for 0.7 of the sound targets to be in use; the difference allows
+# for targets that get no request by chance or for other reasons.
 MAX_COOLING_SHARE = 0.2
 # Requests per slot that targets may have before further requests wait at the
 # entry and before cooling targets are used. Targets queue a few requests: to
@@ -247,7 +252,7 @@
     @property
     def is_losing(self) -> bool:
         """Whether many of the service's requests are lost."""
-        return self.lost_share > EARLY_READMISSION_LOST_SHARE
+        return self.lost_share > LOSING_SHARE
 
 
 class PlacementChoice(Struct, frozen=True):
@@ -317,22 +322,35 @@
     that failed longest ago. All entries know of the same failures, so they
     choose the same targets without further messages.
 
+    The more requests are lost, the fewer targets may cool down. One that
+    returns early often fails again, so a single threshold would keep the
+    losses above it that it is meant to end.
+
     Args:
         states: all targets of the service.
-        lost_share: estimated share of the service's requests that is lost.
+        lost_share: highest share of the service's requests that may be lost,
+            as far as this entry can tell.
         now: monotonic seconds.
     """
-    if lost_share <= EARLY_READMISSION_LOST_SHARE:
+    if lost_share <= FIRST_READMISSION_LOST_SHARE:
         return []
     reachable = [s for s in states if not s.probation and s.avoid_until <= now]
     cooling = [s for s in reachable if s.is_cooling(now)]
     recent = [s for s in cooling if now - s.failed_at <= RECENT_FAILURE_S]
     older = [s for s in cooling if now - s.failed_at > RECENT_FAILURE_S]
-    allowed = int(MAX_COOLING_SHARE * (len(reachable) - len(recent)))
+    share = _get_cooling_share(lost_share)
+    allowed = int(share * (len(reachable) - len(recent)))
     older.sort(key=lambda s: s.failed_at)
     return older[: max(0, len(older) - allowed)]
 
 
+def _get_cooling_share(lost_share: float) -> float:
+    """Return which part of a service's targets may cool down."""
+    span = FULL_READMISSION_LOST_SHARE - FIRST_READMISSION_LOST_SHARE
+    left = (FULL_READMISSION_LOST_SHARE - lost_share) / span
+    return MAX_COOLING_SHARE + (1.0 - MAX_COOLING_SHARE) * max(0.0, left)
+
+
 def choose_target(
     targets: dict[TargetId, TargetState],
     request: PlacementRequest,
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -170,6 +170,14 @@
     assert find_readmitted(targets, lost_share=0.05) == []
 
 
+def test_more_targets_are_readmitted_the_more_requests_are_lost():
+    targets = make_cooling(15, of=20, failed_ago=5.0)
+    counts = [len(find_readmitted(targets, n / 100)) for n in range(6, 12)]
+    assert counts == sorted(counts)
+    assert (counts[0], counts[-1]) == (0, 11)
+    assert 0 < counts[2] < counts[3] < 11
+
+
 def test_targets_with_a_recent_failure_are_not_readmitted_early():
     assert find_readmitted(make_cooling(20, of=20, failed_ago=1.0)) == []
 
