--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -223,7 +223,7 @@
                 del self._targets[name]  # no other service has the target
         self._targets.update(targets)
         service.targets = targets
-        self._update_spillover(service)
+        self._update_spillover(message.service, service)
         self._drain_queues(service)
 
     @receive.register
@@ -397,11 +397,11 @@
             max(1, message.entries),
             in_region / serving if in_region else 1.0,
         )
-        for service in self._services.values():
-            self._update_spillover(service)
+        for name, service in self._services.items():
+            self._update_spillover(name, service)
         self._retry_burst = self._retry_limits.get_burst(message.entries)
 
-    def _update_spillover(self, service: _Service) -> None:
+    def _update_spillover(self, name: ServiceName, service: _Service) -> None:
         before = service.spillover
         regions = Counter(s.target.region for s in service.targets.values())
         service.spillover = find_spillover(
@@ -410,6 +410,7 @@
         if service.spillover.regions != before.regions:
             self._outbox.log_event(
                 "region spillover",
+                service=name,
                 targets=len(service.targets),
                 regions=sorted(service.spillover.regions),
                 share=round(service.spillover.share, 3),
