--- a/tests/core/controllers/test_subscriber.py
+++ b/tests/core/controllers/test_subscriber.py
@@ -31,6 +31,8 @@
 )
 from wasabitray_core.states import HostFlag, ReportKind
 
+# The shortest time within which a configuration is promised to be in force.
+MAX_CONFIG_DELAY_S = 2.5
 COOL_DOWN = TargetReport("i-1", 1, 12.0, ReportKind.BROKEN)
 SOUTH = HostAddress("c1", "10.0.0.1:1", "south")
 NORTH = HostAddress("c2", "10.0.0.2:1", "north")
@@ -228,3 +230,18 @@
     bed.receive("c1", feed("c1", position=1, entry_states=(state,)))
     view = bed.outbox.get_told(EntriesView)[-1]
     assert {s.host for s in view.entries} == {"e1", "e2"}
+
+
+def test_entry_finds_the_leader_among_many_hubs_of_which_half_are_cut_off():
+    bed = entry_bed("c1")
+    hubs = tuple(
+        HostAddress(f"c{n}", f"10.0.0.{n}:1", "south" if n < 6 else "north")
+        for n in range(1, 10)
+    )
+    bed.receive("c1", feed("c1", hubs=hubs))
+    cut_off = {h.host for h in hubs if h.region == "south"}
+    for _ in range(int(MAX_CONFIG_DELAY_S / 0.5)):
+        hub = bed.controller.hub
+        bed.receive(hub, feed(hub, in_contact=hub not in cut_off))
+        bed.tick(0.5)
+    assert bed.controller.hub not in cut_off
