--- a/review/support/harness.py
+++ b/review/support/harness.py
@@ -674,6 +674,8 @@
         size: the numbers of `controls` and `entries`.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # The processes are ended also if the case takes too long.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     record = Record(Path(sys.argv[0]).resolve().parent / "record.txt")
     folder = Path(tempfile.mkdtemp(prefix="review-"))
     fleet = None
