--- a/review/support/harness.py
+++ b/review/support/harness.py
@@ -28,8 +28,17 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 HOST = "rota.example"
-REGION_OF_ZONE = {"hobart": "south", "launceston": "north"}
-ZONES = tuple(REGION_OF_ZONE)
+REGION_OF_ZONE = {
+    "hobart": "south",
+    "launceston": "north",
+    "burnie": "northwest",
+    "huonville": "south",
+    "scottsdale": "north",
+    "devonport": "northwest",
+    "kingston": "south",
+    "deloraine": "north",
+    "smithton": "northwest",
+}
 PEER_PORT, METRICS_PORT = 7200, 9100
 FRONT_PORT, READY_PORT = 8381, 8388
 CONTROL_PORT, DIRECTORY_PORT, INSTANCE_PORT = 8382, 8383, 8407
@@ -359,15 +368,22 @@
     """Control hosts and entries, started as the deploy file says."""
 
     def __init__(
-        self, folder: Path, record: Record, controls: int, entries: int
+        self,
+        folder: Path,
+        record: Record,
+        controls: int,
+        entries: int,
+        zones: int = 2,
     ) -> None:
         """Choose addresses that are free; nothing is started."""
+        self._zones = tuple(REGION_OF_ZONE)[:zones]
         self.folder, self.record = folder, record
         self.controls = [f"c{n + 1}" for n in range(controls)]
         self.entries = [f"e{n + 1}" for n in range(entries)]
         self.processes: dict[str, subprocess.Popen] = {}
         self.instances: dict[str, Instance] = {}
-        self.advertised: dict[str, str] = {}
+        # Hosts before whose peer listener stands a proxy.
+        self.proxied: set[str] = set()
         self._number = self._find_free_number()
         with (ROOT / "deploy" / "system.toml").open("rb") as file:
             self._deploy = tomllib.load(file)
@@ -386,12 +402,20 @@
 
     def ip(self, name: str) -> str:
         """Return a machine's address."""
-        kind = {"c": 5, "e": 6, "i": 7, "p": 8}[name[0]]
+        kind = {"c": 5, "e": 6, "i": 7}[name[0]]
         return f"127.{self._number}.{kind}.{name[1:]}"
 
+    def inner_ip(self, name: str) -> str:
+        """Return where a host behind a proxy listens for its peers."""
+        return f"127.{self._number}.8.{name[1:]}"
+
     def zone(self, name: str) -> str:
         """Return a machine's zone."""
-        return ZONES[(int(name[1:]) - 1) % len(ZONES)]
+        return self._zones[(int(name[1:]) - 1) % len(self._zones)]
+
+    def region(self, name: str) -> str:
+        """Return a machine's region."""
+        return REGION_OF_ZONE[self.zone(name)]
 
     def control(self, name: str) -> str:
         """Return the address of `control` of a machine."""
@@ -418,7 +442,7 @@
         fields = {
             "ip": ip,
             "role": "control" if is_control else "entry",
-            "region": REGION_OF_ZONE[self.zone(name)],
+            "region": self.region(name),
             "zone": self.zone(name),
             "bootstrap": bootstrap,
             "bounds": {"grace": "6s", "retry_ratio": 0.2, "retry_slack": 56},
@@ -426,11 +450,14 @@
             "listen": listen,
             "port_range": [PEER_PORT, PEER_PORT + 15],
             "seeds": [self.control(c) for c in self.controls[:3]],
-            "zones": REGION_OF_ZONE,
+            "zones": {z: REGION_OF_ZONE[z] for z in self._zones},
         }
         text = render((ROOT / role["template"]).read_text(), fields)
-        if name in self.advertised:
-            text = f'advertised_peers = "{self.advertised[name]}"\n' + text
+        if name in self.proxied:
+            peers = f"{ip}:{PEER_PORT}"
+            inner = f"{self.inner_ip(name)}:{PEER_PORT}"
+            text = text.replace(f'peers = "{peers}"', f'peers = "{inner}"')
+            text = f'advertised_peers = "{peers}"\n' + text
         settings = self.folder / f"{name}.toml"
         settings.write_text(text)
         if is_control:
@@ -486,11 +513,16 @@
 
     # The operator
 
-    def put_config(self, config: dict[str, Any], timeout: float = 10.0) -> int:
+    def put_config(
+        self,
+        config: dict[str, Any],
+        timeout: float = 10.0,
+        first: list[str] | None = None,
+    ) -> int:
         """Send a configuration until it gets a clear answer."""
         deadline = time.monotonic() + timeout
         while time.monotonic() < deadline:
-            for name in self.controls:
+            for name in first or self.controls:
                 with contextlib.suppress(OSError, EOFError):
                     status = self._put_once(self.control(name), config)
                     if status < 500:
@@ -553,37 +585,37 @@
             return read_answer(Reader(sock))
 
 
-class SlowLink:
-    """A loopback proxy with the bandwidth of a machine's link.
+class CutLink:
+    """A loopback proxy before one host's listener for its peers.
 
-    Bytes towards the machine are read and forwarded at a fixed rate; the
-    other direction is forwarded at once.
+    While `is_cut` returns true for a peer's address, nothing is forwarded in
+    either direction and no connection is closed, as behind a partition.
     """
 
-    CHUNK_BYTES = 4_096
+    POLL_S = 0.02
 
-    def __init__(self, address: str, target: str, bytes_per_s: float) -> None:
+    def __init__(
+        self, address: str, target: str, is_cut: Callable[[str], bool]
+    ) -> None:
         """Listen at an address and forward to a target."""
-        self._target, self._rate = target, bytes_per_s
-        self._lock = threading.Lock()
-        self._free_at = time.monotonic()
-        self._listener = socket.socket()
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(split_address(address))
-        self._listener.listen(128)
+        self._target, self._is_cut = target, is_cut
+        self._listener = socket.create_server(
+            split_address(address), backlog=128
+        )
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self) -> None:
         while True:
             try:
-                sock, _ = self._listener.accept()
+                sock, (peer, _) = self._listener.accept()
             except OSError:
                 return
             threading.Thread(
-                target=self._forward, args=(sock,), daemon=True
+                target=self._forward, args=(sock, peer), daemon=True
             ).start()
 
-    def _forward(self, near: socket.socket) -> None:
+    def _forward(self, near: socket.socket, peer: str) -> None:
+        self._wait(peer)
         try:
             far = connect(self._target)
         except OSError:
@@ -591,18 +623,22 @@
             return
         far.settimeout(None)
         threading.Thread(
-            target=self._copy, args=(far, near, False), daemon=True
+            target=self._copy, args=(far, near, peer), daemon=True
         ).start()
-        self._copy(near, far, True)
+        self._copy(near, far, peer)
+
+    def _wait(self, peer: str) -> None:
+        while self._is_cut(peer):
+            time.sleep(self.POLL_S)
 
     def _copy(
-        self, source: socket.socket, sink: socket.socket, shaped: bool
+        self, source: socket.socket, sink: socket.socket, peer: str
     ) -> None:
         try:
-            while data := source.recv(self.CHUNK_BYTES):
-                if shaped:
-                    self._wait_for_turn(len(data))
+            while data := source.recv(READ_BYTES):
+                self._wait(peer)
                 sink.sendall(data)
+            self._wait(peer)
         except OSError:
             pass
         finally:
@@ -610,14 +646,6 @@
                 with contextlib.suppress(OSError):
                     sock.shutdown(socket.SHUT_RDWR)
 
-    def _wait_for_turn(self, size: int) -> None:
-        """Wait until the link has carried these bytes."""
-        with self._lock:
-            now = time.monotonic()
-            self._free_at = max(now, self._free_at) + size / self._rate
-            pause = self._free_at - now
-        time.sleep(pause)
-
 
 def reset(sock: socket.socket) -> None:
     """Close a connection with a reset."""
