--- a/review/5/case.py
+++ b/review/5/case.py
@@ -36,20 +36,21 @@
 CRASHES = 3
 GAP_S = 1.0
 FIRST_PART_S = 14.0
-SECOND_PART_S = 30.0
+SECOND_PART_S = 18.0
 RESTART_DELAY_S = 0.9
+OK = 200
 
 
 class CrashingInstance(Instance):
     """Crashes on one path.
 
     Attributes:
-        crashes: when each instance of this class crashed, in order.
+        crashes: when each instance of this class crashed, and on which
+            request, in order.
     """
 
-    crashes: list[float] = []
+    crashes: list[tuple[float, str]] = []
     down_until = 0.0
-    open_sockets: set
 
     def serve_one(self, sock, reader, method, target, headers) -> bool:
         """Serve one request."""
@@ -60,9 +61,9 @@
             return super().serve_one(sock, reader, method, target, headers)
         if self.is_mistaken(sock, headers):
             return True
-        self.start_run(method, target, headers)
+        request_id = self.start_run(method, target, headers)
         self.record.write("crash", at=self.name)
-        self.crashes.append(time.monotonic())
+        self.crashes.append((time.monotonic(), request_id))
         self.down_until = time.monotonic() + BACK_AFTER_S
         self.born = int((time.time() + BACK_AFTER_S) * 1_000)
         reset(sock)
@@ -89,8 +90,12 @@
     def _run(self) -> None:
         while not self._ends.wait(0.2):
             for entry in self._fleet.entries:
+                request_id, status = os.urandom(4).hex(), 0
                 with contextlib.suppress(OSError, EOFError):
-                    self._fleet.get(entry, "/rota/x")
+                    status = self._fleet.get(
+                        entry, "/rota/x", request_id
+                    ).status
+                self._record.write("answer", id=request_id, status=status)
 
 
 def send_poison(fleet: Fleet, record: Record, duration: float) -> None:
@@ -121,6 +126,10 @@
     send_poison(fleet, record, FIRST_PART_S)
     if len(crashes) < CRASHES:
         raise NotRunError("the request crashed too few instances")
+    # The fault strikes right after a change was acknowledged.
+    change = make_config(2, {"/rota/": route}, ["rota-board"])
+    if fleet.put_config(change) != OK:
+        raise NotRunError("the change was not acknowledged")
     if trouble:
         restart_all(fleet)
     for name in fleet.entries:
@@ -130,15 +139,18 @@
     in_touch_from = time.monotonic()
     send_poison(fleet, record, SECOND_PART_S)
     load.stop()
-    third_at = crashes[CRASHES - 1]
-    retries = [
-        t for t in crashes[CRASHES:] if t > max(third_at, 0.0) + CONTACT_S
-    ]
+    third_at = crashes[CRASHES - 1][0]
+    # A request that reached two instances is one retry.
+    retries = {
+        request_id
+        for at, request_id in crashes[CRASHES:]
+        if at > third_at + CONTACT_S
+    }
     record.write(
         "judged",
         crashes=len(crashes),
         retries=len(retries),
-        after_restart=sum(t > in_touch_from for t in retries),
+        after_restart=len({r for at, r in crashes if at > in_touch_from}),
     )
     return len(retries) <= MAX_RETRIES
 
--- a/review/support/harness.py
+++ b/review/support/harness.py
@@ -581,6 +581,9 @@
             "Deadline-Ms": "4000",
         }
         with contextlib.closing(connect(self.front(entry))) as sock:
+            self.record.write(
+                "send", id=headers["Request-Id"], entry=entry, path=path
+            )
             sock.sendall(build_head("GET", path, headers, None))
             return read_answer(Reader(sock))
 
