Let a departure at a restarted hub end the runs that it doesn't know

Cause: the hub had just started and didn't know the instance. It recorded a departure of generation 0, which all other hosts ignored while they confirmed its position in the feed. With a departure of an earlier run on its disk, the DELETE of the next run was acknowledged as a repetition.

Change: the adapter passes the time of the DELETE as the highest generation that can have stopped. A hub that hasn't heard of the target since its start uses it. It outranks any earlier announcement, and a target that starts later outranks it. test_registry now also checks that time, with a clock of its own.

--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -155,6 +155,7 @@
         self._next_broadcast_at = _NEVER
         for departure in stored_departures or ():
             self._table.put(departure, self.host, self._now())
+        self._restored_position = self._table.position
 
     @property
     def tick_interval_s(self) -> float:  # type: ignore[override]
@@ -269,6 +270,9 @@
         generation = message.generation
         if generation is None:
             generation = announcement.generation
+            if record is None or self._is_restored(record):
+                # Other hubs may know a later generation, which has to end too.
+                generation = max(generation, message.newest_generation)
         if generation < announcement.generation:
             self._reply(origin, True)  # a later generation uses the name
             return
@@ -277,6 +281,10 @@
         )
         self._register(departure, origin)
 
+    def _is_restored(self, record: FeedRecord) -> bool:
+        """Return whether nothing but this hub's disk has shown a record."""
+        return record.position <= self._restored_position
+
     def _register(self, announcement: Announcement, origin: Origin) -> None:
         known_record = self._table.find(Announcement, announcement.target)
         mark = self._build_own_mark()
--- a/packages/core/src/wasabitray_core/local_messages.py
+++ b/packages/core/src/wasabitray_core/local_messages.py
@@ -302,11 +302,14 @@
     The reply is the same as for a Register.
 
     Attributes:
-        generation: the generation that has stopped, None for any.
+        generation: the generation that has stopped, None if the target
+            doesn't say.
+        newest_generation: the highest generation that can have stopped.
     """
 
     target: TargetId
     generation: int | None
+    newest_generation: int = 0
 
 
 class SeedsChanged(Struct, frozen=True):
--- a/tests/core/controllers/test_hub.py
+++ b/tests/core/controllers/test_hub.py
@@ -1,5 +1,6 @@
 """A hub's feed, its entries and the departures that it confirms."""
 
+import pytest
 from msgspec.structs import replace
 from support.fakes import ControllerBed
 
@@ -9,9 +10,12 @@
     HubController,
 )
 from wasabitray_core.controllers.hub_peers import HUB_TIMEOUT_S
+from wasabitray_core.controllers.targets import TargetsController
 from wasabitray_core.local_messages import (
+    Announcements,
     Deregister,
     EntriesView,
+    GetStatus,
     GroupContact,
     InFlightSubscribers,
     Register,
@@ -41,6 +45,16 @@
     return bed
 
 
+def restarted_hub_bed(stored_departures=()):
+    """Return a bed whose hub has just started and knows no target."""
+    address = HostAddress("c1", "127.0.0.1:1", "south")
+    bed = ControllerBed(
+        HubController, address, "run-1", 100, stored_departures, host="c1"
+    )
+    bed.tell(GroupContact(True, "c1", ("c1", "c2", "c3")))
+    return bed
+
+
 def presence(counter=1, marks=(), flags=HostFlag.SERVING):
     return Presence(counter, 0, flags, "south", "hobart", "10.0.0.1:80", marks)
 
@@ -89,6 +103,59 @@
     assert item.phase is TargetPhase.ACTIVE
 
 
+def leave_feed(hub, *announcements):
+    return Feed(hub, "run-9", 0, 1, 0, True, 0, announcements=announcements)
+
+
+# Guards against an acknowledged departure that the fleet ignores because the
+# hub that took it had just started.
+@pytest.mark.parametrize("stored_generation", [None, 3])
+def test_departure_at_a_restarted_hub_ends_a_run_it_does_not_know(
+    stored_generation,
+):
+    stored = ()
+    if stored_generation is not None:
+        departure = replace(
+            ANNOUNCEMENT,
+            generation=stored_generation,
+            phase=TargetPhase.LEAVING,
+        )
+        stored = (departure,)
+    bed = restarted_hub_bed(stored)
+    bed.ask(Deregister("i-1", None, 100))
+    departure = bed.controller.table.find(Announcement, "i-1").item
+    bed.receive("c2", leave_feed("c2", ANNOUNCEMENT))
+    assert bed.controller.table.find(Announcement, "i-1").item == departure
+    other = hub_bed("c1", "c2", "c3")
+    other.ask(Register(ANNOUNCEMENT))
+    other.receive("c3", leave_feed("c3", departure))
+    record = other.controller.table.find(Announcement, "i-1")
+    assert record.item.phase is TargetPhase.LEAVING
+    entry = ControllerBed(TargetsController, 100)
+    entry.tell(Announcements((ANNOUNCEMENT,)))
+    entry.tell(Announcements((departure,)))
+    entry.tell(Announcements((ANNOUNCEMENT,)))
+    assert entry.ask(GetStatus())[0]["phase"] == "leaving"
+
+
+# Guards against a departure that also ends a run that starts after it.
+def test_target_that_starts_after_its_departure_is_used():
+    bed = restarted_hub_bed()
+    bed.ask(Deregister("i-1", None, 100))
+    bed.receive("c2", leave_feed("c2", replace(ANNOUNCEMENT, generation=101)))
+    record = bed.controller.table.find(Announcement, "i-1")
+    assert record.item.phase is TargetPhase.ACTIVE
+
+
+def test_departure_of_a_known_run_ends_no_other():
+    bed = hub_bed()
+    bed.ask(Register(ANNOUNCEMENT))
+    for _ in range(2):
+        bed.ask(Deregister("i-1", None, 100))
+        record = bed.controller.table.find(Announcement, "i-1")
+        assert record.item.generation == ANNOUNCEMENT.generation
+
+
 def test_departure_is_confirmed_once_a_majority_of_hubs_holds_it():
     bed = hub_bed("c1", "c2", "c3")
     for host in ("c2", "c3"):
--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -26,6 +26,7 @@
     "seq": 4,
 }
 REGIONS = {"hobart": "south"}
+NOW_MS = 1_700_000_123_000
 
 
 def parse(**fields):
@@ -133,7 +134,10 @@
 @pytest.fixture
 def client(router):
     app = falcon.App()
-    app.add_route(INSTANCES_PATH, InstancesResource(router, REGIONS))
+    app.add_route(
+        INSTANCES_PATH,
+        InstancesResource(router, REGIONS, lambda: NOW_MS / 1_000),
+    )
     return falcon.testing.TestClient(app)
 
 
@@ -171,4 +175,4 @@
 def test_departure_is_sent_to_the_hub(client, router, body, generation):
     response = client.simulate_delete("/-/instances/i-1", body=body)
     assert response.status_code == 200
-    assert router.messages == [Deregister("i-1", generation)]
+    assert router.messages == [Deregister("i-1", generation, NOW_MS)]
