Leave isolated hubs at their first answer while an entry looks for a leader

Cause: an entry gave each hub that it tried a second without contact to the leader, although the hub's first message tells. The near hubs are tried first and are all cut off. The list of hubs of an isolated hub, which lacks the other side, replaced the entry's own.

Change: HostFlag.NEEDS_LEADER in the heartbeats of an entry that lost its hub's leader. An isolated hub declines with an empty feed, and the entry goes on at once, after two isolated hubs of a region to another region. Isolated hubs' lists add hubs only. Read positions are kept for each hub. The choice of a hub is in hub_choice.py.

--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -80,7 +80,7 @@
     Unsubscribe,
 )
 from wasabitray_core.nearness import Nearness, get_nearness
-from wasabitray_core.states import HostFlag, TargetPhase
+from wasabitray_core.states import SUBSCRIPTION_FLAGS, HostFlag, TargetPhase
 
 HUB_TICK_INTERVAL_S = 0.5
 # Entries send a heartbeat every half second; three in a row may be lost.
@@ -572,7 +572,10 @@
             read_position = mark.position
         subscriber = self._subscribers.get(host)
         if subscriber is None and self._has_nearer_hub(presence, now):
-            self._send_hub_list_to_entry(host)
+            self._send_empty_feed(host, with_hubs=True)
+            return
+        if subscriber is None and self._lacks_leader(presence):
+            self._send_empty_feed(host, with_hubs=False)
             return
         if subscriber is None:
             subscriber = _Subscriber(
@@ -590,7 +593,7 @@
             host,
             presence.counter,
             True,
-            presence.flags & ~HostFlag.KNOWS_HUBS,
+            presence.flags & ~SUBSCRIPTION_FLAGS,
             presence.region,
             presence.failure_domain,
             presence.caller_address,
@@ -613,9 +616,16 @@
         )
         return nearest > get_nearness(self._address, *place)
 
-    def _send_hub_list_to_entry(self, host: HostId) -> None:
+    def _lacks_leader(self, presence: Presence) -> bool:
+        """Return whether an entry asks for a leader that is out of reach."""
+        needs_leader = HostFlag.NEEDS_LEADER in presence.flags
+        return needs_leader and not self._group_contact.in_contact
+
+    def _send_empty_feed(self, host: HostId, with_hubs: bool) -> None:
+        """Answer an entry that does not become a subscriber."""
         mark = FeedMark(self.host, self._table.incarnation, FEED_START)
-        self._outbox.send(host, self._build_feed(mark, FEED_START, [], True))
+        feed = self._build_feed(mark, FEED_START, [], with_hubs)
+        self._outbox.send(host, feed)
 
     @receive.register
     def _(self, message: Unsubscribe, origin: Origin) -> None:
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -20,6 +20,7 @@
     iterate_items,
     select_by_kind,
 )
+from wasabitray_core.controllers.hub_choice import HubChoice
 from wasabitray_core.ids import (
     FailureDomainName,
     FeedPosition,
@@ -52,15 +53,13 @@
     EntryWork,
     Feed,
     FeedMark,
-    HostAddress,
     News,
     Presence,
     Quarantine,
     TargetReport,
     Unsubscribe,
 )
-from wasabitray_core.nearness import Nearness, get_nearness
-from wasabitray_core.rendezvous import choose_owner
+from wasabitray_core.nearness import Nearness
 from wasabitray_core.states import HostFlag
 
 PRESENCE_INTERVAL_S = 0.5
@@ -68,13 +67,14 @@
 HUB_TIMEOUT_S = 1.5
 # A hub without contact to the leader may be the isolated one.
 LEADER_TIMEOUT_S = 1.0
-# Delay before a failed hub is used again; there is no delay if all failed.
-HUB_RETRY_DELAY_S = 5.0
+# How long a hub may take to answer an entry that looks for the leader.
+SEARCH_TIMEOUT_S = 1.0
 # How often the entry looks for a nearer hub.
 HUB_REVIEW_INTERVAL_S = 4.0
 
 _NO_INCARNATION = Incarnation("")
 _FEED_START = FeedPosition(0)
+_NO_LEADER = "no contact with the leader"
 
 
 class EntryProfile(Struct, frozen=True):
@@ -112,14 +112,15 @@
         self._flags = HostFlag.NONE
         self._revision = Revision(0)
         self._newest_revision = Revision(0)
-        self._seeds: tuple[HostId, ...] = ()
-        self._known_hubs: dict[HostId, HostAddress] = {}
+        self._hubs = HubChoice(
+            context.host, profile.region, profile.failure_domain
+        )
         self._hub: HostId | None = None
+        self._is_searching = False
         self._leader = HostId("")
-        self._mark = FeedMark(HostId(""), _NO_INCARNATION, _FEED_START)
+        self._marks: dict[HostId, FeedMark] = {}
         self._last_hub_contact = context.clock()
         self._last_leader_contact = context.clock()
-        self._retry_at: dict[HostId, Seconds] = {}
         self._next_review_at = context.clock()
         self._received_items: dict[Subject, FeedItem] = {}
         self._entry_states: dict[HostId, EntryState] = {}
@@ -133,6 +134,12 @@
         """The hub that this entry subscribes to."""
         return self._hub
 
+    @property
+    def _mark(self) -> FeedMark:
+        """The read position in the hub's feed."""
+        start = FeedMark(HostId(""), _NO_INCARNATION, _FEED_START)
+        return self._marks.get(self._hub, start) if self._hub else start
+
     @singledispatchmethod
     def receive(self, message: Any, origin: Origin) -> None:
         """Handle one message."""
@@ -147,7 +154,7 @@
 
     @receive.register
     def _(self, message: SeedsChanged, origin: Origin) -> None:
-        self._seeds = tuple(message.seeds)
+        self._hubs.set_seeds(tuple(message.seeds))
         if self._hub is None:
             self._review_hub()
             self._send_presence()
@@ -198,10 +205,13 @@
         now = self._now()
         self._last_hub_contact = now
         self._leader = message.leader
+        self._apply_hub_list(message)
         if message.in_contact:
-            self._last_leader_contact = now
+            self._record_leader_contact(now)
+        elif self._is_searching:
+            self._replace_hub(now, _NO_LEADER)
+            return
         self._record_position(message)
-        self._apply_hub_list(message.hubs)
         self._apply_entry_states(message.entry_states)
         self._apply_items(message)
         self._entry_count = message.entries
@@ -291,18 +301,24 @@
             self._received_items.clear()  # a restarted hub lost its feed
         if feed.after <= read_position:
             position = max(read_position, feed.position)
-            self._mark = FeedMark(feed.origin, feed.incarnation, position)
+            self._set_mark(feed, position)
         else:
-            self._mark = FeedMark(feed.origin, feed.incarnation, read_position)
+            self._set_mark(feed, read_position)
             self._send_presence()
 
+    def _set_mark(self, feed: Feed, position: FeedPosition) -> None:
+        mark = FeedMark(feed.origin, feed.incarnation, position)
+        self._marks[feed.origin] = mark
+
     def _send_presence(self) -> None:
         if self._hub is None:
             return
         self._counter += 1
         flags = self._flags
-        if self._known_hubs:
+        if self._hubs.has_addresses:
             flags |= HostFlag.KNOWS_HUBS
+        if self._is_searching:
+            flags |= HostFlag.NEEDS_LEADER
         presence = Presence(
             self._counter,
             self._revision,
@@ -316,71 +332,73 @@
 
     # Hubs
 
-    def _apply_hub_list(self, addresses: tuple[HostAddress, ...]) -> None:
-        if not addresses:
+    def _apply_hub_list(self, feed: Feed) -> None:
+        if not feed.hubs:
             return
-        changed = tuple(
-            a for a in addresses if self._known_hubs.get(a.host) != a
-        )
-        self._known_hubs = {a.host: a for a in addresses}
+        changed = self._hubs.update_addresses(feed.hubs, feed.in_contact)
+        self._marks = {
+            h: m for h, m in self._marks.items() if self._hubs.is_known(h)
+        }
         if changed:
             update = PeerAddresses(changed)
             self._outbox.tell(ControllerName.DIRECTORY, update)
 
+    def _record_leader_contact(self, now: Seconds) -> None:
+        assert self._hub is not None
+        self._last_leader_contact = now
+        self._is_searching = False
+        self._hubs.record_contact(self._hub)
+
     def _review_hub(self) -> None:
         """Switch hubs if this one fails or there is a nearer one."""
         now = self._now()
         reason = self._find_hub_problem(now)
         if reason is not None:
-            if self._hub is not None:
-                self._retry_at[self._hub] = Seconds(now + HUB_RETRY_DELAY_S)
-            self._switch_hub(self._choose_hub(now), reason)
+            self._replace_hub(now, reason)
         elif now >= self._next_review_at:
             self._next_review_at = Seconds(now + HUB_REVIEW_INTERVAL_S)
             self._switch_to_nearer_hub()
 
+    def _replace_hub(self, now: Seconds, reason: str) -> None:
+        """Switch to another hub because this one fails.
+
+        The search for a hub in contact with the leader ends when none is
+        left to try. The entry then stays with one of them for some time.
+        """
+        if self._hub is not None:
+            is_isolated = reason == _NO_LEADER
+            self._hubs.record_failure(self._hub, now, is_isolated)
+            self._is_searching = self._hubs.has_untried(now)
+        chosen = self._hubs.choose(now)
+        if not self._is_searching:
+            self._hubs.forget_isolated()
+        self._switch_hub(chosen, reason)
+
     def _switch_to_nearer_hub(self) -> bool:
         """Switch to a nearer hub, if there is one; return whether it did."""
-        chosen = self._choose_hub(self._now())
-        if self._get_nearness(chosen) <= self._get_nearness(self._hub):
+        chosen = self._hubs.choose(self._now())
+        nearness = self._hubs.get_nearness(chosen)
+        if nearness <= self._hubs.get_nearness(self._hub):
             return False
+        self._is_searching = self._has_leader_contact(self._now())
         self._switch_hub(chosen, "nearer")
         return True
 
     def _find_hub_problem(self, now: Seconds) -> str | None:
         if self._hub is None:
             return "start"
-        if now - self._last_hub_contact > HUB_TIMEOUT_S:
+        timeout = SEARCH_TIMEOUT_S if self._is_searching else HUB_TIMEOUT_S
+        if now - self._last_hub_contact > timeout:
             return "silent"
-        if now - self._last_leader_contact > LEADER_TIMEOUT_S:
-            return "no contact with the leader"
+        if not self._has_leader_contact(now):
+            return _NO_LEADER
         return None
 
-    def _is_in_region(self, host: HostId) -> bool:
-        return self._get_nearness(host) >= Nearness.REGION
-
-    def _get_nearness(self, host: HostId | None) -> Nearness:
-        address = self._known_hubs.get(host) if host else None
-        if address is None:
-            return Nearness.ELSEWHERE
-        profile = self._profile
-        return get_nearness(address, profile.region, profile.failure_domain)
-
-    def _choose_hub(self, now: Seconds) -> HostId | None:
-        """Choose one of the nearest hubs without a recent failure.
+    def _has_leader_contact(self, now: Seconds) -> bool:
+        return now - self._last_leader_contact <= LEADER_TIMEOUT_S
 
-        Rendezvous hashing distributes entries over hubs that are equally
-        near. If all hubs failed recently, one of them is chosen at random.
-        """
-        hosts = sorted({*self._known_hubs, *self._seeds})
-        if not hosts:
-            return None
-        usable = [h for h in hosts if self._retry_at.get(h, now) <= now]
-        if not usable:
-            return self._context.random.choice(hosts)
-        nearest = max(self._get_nearness(h) for h in usable)
-        candidates = [h for h in usable if self._get_nearness(h) is nearest]
-        return choose_owner(self.host, tuple(candidates))
+    def _is_in_region(self, host: HostId) -> bool:
+        return self._hubs.get_nearness(host) >= Nearness.REGION
 
     def _switch_hub(self, host: HostId | None, reason: str) -> None:
         if host == self._hub:
@@ -393,7 +411,6 @@
         )
         self._hub = host
         self._are_entries_published = False
-        self._mark = FeedMark(HostId(""), _NO_INCARNATION, _FEED_START)
         self._last_hub_contact = self._last_leader_contact = self._now()
         self._next_review_at = Seconds(self._now() + HUB_REVIEW_INTERVAL_S)
         self._send_presence()
--- a/packages/core/src/wasabitray_core/states.py
+++ b/packages/core/src/wasabitray_core/states.py
@@ -114,6 +114,12 @@
     LEAVING = 8
     KNOWS_HUBS = 16
     """An entry has chosen its hub from a list of all hubs."""
+    NEEDS_LEADER = 32
+    """An entry subscribes only to a hub in contact with the leader."""
+
+
+SUBSCRIPTION_FLAGS = HostFlag.KNOWS_HUBS | HostFlag.NEEDS_LEADER
+"""Flags that concern only the hub that gets the heartbeat."""
 
 
 class ConsensusRole(Enum):
--- a/tests/core/controllers/test_hub.py
+++ b/tests/core/controllers/test_hub.py
@@ -74,6 +74,19 @@
     assert get_feeds_sent_to(bed, "e1")[0].announcements == (ANNOUNCEMENT,)
 
 
+def test_isolated_hub_declines_an_entry_that_needs_a_leader():
+    bed = hub_bed()
+    bed.tell(GroupContact(False, "", ("c1",)))
+    bed.ask(Register(ANNOUNCEMENT))
+    needs_leader = HostFlag.SERVING | HostFlag.NEEDS_LEADER
+    bed.receive("e1", presence(flags=needs_leader))
+    (declined,) = get_feeds_sent_to(bed, "e1")
+    assert not declined.in_contact
+    assert declined.announcements == ()
+    bed.receive("e1", presence(2))
+    assert get_feeds_sent_to(bed, "e1")[1].announcements == (ANNOUNCEMENT,)
+
+
 def test_target_heartbeat_is_not_broadcast():
     bed = hub_bed()
     bed.receive("e1", presence())
--- a/tests/core/controllers/test_subscriber.py
+++ b/tests/core/controllers/test_subscriber.py
@@ -1,10 +1,14 @@
 """An entry's subscription to a hub."""
 
+import pytest
 from msgspec.structs import replace
 from support.fakes import ControllerBed
 
+from wasabitray_core.controllers.hub_choice import HUB_RETRY_DELAY_S
 from wasabitray_core.controllers.subscriber import (
+    HUB_REVIEW_INTERVAL_S,
     HUB_TIMEOUT_S,
+    LEADER_TIMEOUT_S,
     EntryProfile,
     SubscriberController,
 )
@@ -245,3 +249,152 @@
         bed.receive(hub, feed(hub, in_contact=hub not in cut_off))
         bed.tick(0.5)
     assert bed.controller.hub not in cut_off
+
+
+HUB_REPLY_S = 0.07
+STEP_S = 0.01
+
+
+class Hubs:
+    """Hubs that answer an entry's heartbeats, some without a leader."""
+
+    def __init__(self, bed, regions, isolated=()):
+        self.bed = bed
+        self.isolated = set(isolated)
+        self.silent = set()
+        self.declined = 0
+        self.addresses = tuple(
+            HostAddress(f"c{n}", f"10.0.0.{n}:1", region, f"{region}-{n}")
+            for n, region in enumerate(regions, 1)
+        )
+        self._replies = []
+        self._seen = 0
+        self._heartbeat_at = 0.0
+
+    def run(self, seconds):
+        """Let time pass; return when the entry got a hub with a leader."""
+        clock = self.bed.clock
+        start, found = clock.now, None
+        while clock.now < start + seconds:
+            self.bed.clock.advance(STEP_S)
+            if clock.now >= self._heartbeat_at:
+                self._heartbeat_at = clock.now + 0.5
+                self.bed.tick(0.0)
+                self._plan_reply(self.bed.controller.hub, 0)
+            self._read_heartbeats()
+            self._deliver()
+            if found is None and self.has_leader():
+                found = clock.now - start
+        return found
+
+    def has_leader(self):
+        """Return whether the entry's hub is in contact with the leader."""
+        return self.bed.controller.hub not in self.isolated | self.silent
+
+    def _read_heartbeats(self):
+        messages = self.bed.outbox.sent[self._seen :]
+        self._seen = len(self.bed.outbox.sent)
+        for host, message in messages:
+            if isinstance(message, Presence):
+                self._plan_reply(host, message.flags)
+
+    def _plan_reply(self, host, flags):
+        if host in self.silent:
+            return
+        is_declined = host in self.isolated and flags & HostFlag.NEEDS_LEADER
+        self.declined += bool(is_declined)
+        hubs = () if is_declined else self.addresses
+        if host in self.isolated:
+            hubs = tuple(a for a in hubs if a.host in self.isolated)
+        reply = feed(host, in_contact=host not in self.isolated, hubs=hubs)
+        self._replies.append((self.bed.clock.now + HUB_REPLY_S, host, reply))
+
+    def _deliver(self):
+        now = self.bed.clock.now
+        due = [(h, m) for at, h, m in self._replies if at <= now]
+        self._replies = [r for r in self._replies if r[0] > now]
+        for host, message in due:
+            self.bed.receive(host, message)
+
+
+def start_entry(count, isolated_count):
+    """Return the hubs of an entry whose region is among the isolated."""
+    regions = ["south" if n * 3 < count else "north" for n in range(count)]
+    bed = entry_bed("c1")
+    hubs = Hubs(bed, regions)
+    hubs.run(1.0)
+    hubs.isolated = {a.host for a in hubs.addresses[:isolated_count]}
+    return hubs
+
+
+# Guards against an entry that takes seconds for each hub of the wrong side
+# while control hosts are cut in two (404 for acknowledged routes).
+@pytest.mark.parametrize("count", [3, 9, 15])
+def test_entry_finds_the_leader_in_time_whatever_the_number_of_hubs(count):
+    hubs = start_entry(count, (count - 1) // 2)
+    assert hubs.run(6.0) < MAX_CONFIG_DELAY_S
+    assert hubs.has_leader()
+
+
+@pytest.mark.parametrize("count", [3, 9, 15])
+def test_entry_finds_the_leader_after_an_election(count):
+    hubs = start_entry(count, count)  # no hub has a leader
+    hubs.run(3.0)
+    hubs.isolated = {a.host for a in hubs.addresses[: (count - 1) // 2]}
+    assert hubs.run(6.0) < MAX_CONFIG_DELAY_S
+
+
+def test_entry_finds_the_leader_with_a_silent_hub():
+    hubs = start_entry(9, 4)
+    hubs.silent = {hubs.addresses[4].host, hubs.addresses[5].host}
+    assert hubs.run(8.0) < MAX_CONFIG_DELAY_S + 2 * HUB_TIMEOUT_S
+
+
+def test_entry_keeps_a_leader_while_its_near_hubs_are_isolated():
+    hubs = start_entry(9, 4)
+    hubs.run(MAX_CONFIG_DELAY_S)
+    samples = []
+    for _ in range(100):
+        hubs.run(0.2)
+        samples.append(hubs.has_leader())
+    assert samples.count(False) <= 10  # it asks a near hub now and then
+
+
+def test_entry_returns_to_its_region_once_its_hubs_are_back():
+    hubs = start_entry(9, 4)
+    hubs.run(6.0)
+    hubs.isolated = set()
+    hubs.run(HUB_RETRY_DELAY_S + HUB_REVIEW_INTERVAL_S + 1.0)
+    assert hubs.bed.controller.hub in {"c1", "c2", "c3"}
+
+
+def test_entry_without_any_leader_stays_subscribed():
+    hubs = start_entry(9, 9)
+    hubs.run(2.0)
+    declined = hubs.declined
+    hubs.run(10.0)
+    assert hubs.declined - declined < 10.0 / LEADER_TIMEOUT_S * 8
+    newest = sent(hubs.bed, Presence)[-1]
+    assert newest[0] == hubs.bed.controller.hub
+
+
+def test_entry_that_comes_back_to_a_hub_reads_on_where_it_stopped():
+    bed = entry_bed("c3")
+    bed.receive("c3", feed("c3", hubs=(NEAR, OTHER_DOMAIN), position=7))
+    bed.tick(HUB_TIMEOUT_S + 0.1)
+    assert bed.controller.hub == "c4"
+    for _ in range(int(HUB_RETRY_DELAY_S + HUB_REVIEW_INTERVAL_S) * 2):
+        bed.receive(bed.controller.hub, feed(bed.controller.hub))
+        bed.tick(0.5)
+    assert bed.controller.hub == "c3"
+    assert sent(bed, Presence)[-1][1].marks[0].position == 7
+
+
+def test_hubs_that_an_isolated_hub_leaves_out_are_kept():
+    bed = entry_bed("c1")
+    bed.receive("c1", feed("c1", hubs=(SOUTH, NORTH)))
+    for _ in range(4):
+        lost = feed("c1", in_contact=False, hubs=(SOUTH,))
+        bed.receive("c1", lost)
+        bed.tick(0.5)
+    assert bed.controller.hub == "c2"
