Keep requests that crashed targets on the disks of the control hosts

Cause: crashes, quarantines and granted trials were in memory only. Entries repeat a quarantine to a restarted hub, but nothing remembers it when all processes end.

Change: hubs pass the records to the trials controller, which writes them to a file, at most every 0.2 s; a granted trial is written before its reply leaves. A hub that starts puts the file into its feed.

--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -60,9 +60,11 @@
     InFlightSubscribers,
     PeerAddresses,
     Register,
+    RestoredQuarantine,
     SeedsChanged,
     SetFlag,
     StoreDepartures,
+    StoreQuarantines,
     Tick,
 )
 from wasabitray_core.messages import (
@@ -125,8 +127,9 @@
         incarnation: Incarnation,
         first_counter: int,
         stored_departures: tuple[Announcement, ...] | None = None,
+        quarantines: tuple[RestoredQuarantine, ...] = (),
     ) -> None:
-        """Start with a feed of the stored departures alone.
+        """Start with a feed of the items on this hub's disk alone.
 
         Args:
             context: shared by all controllers.
@@ -135,6 +138,7 @@
             first_counter: above any counter of an earlier incarnation here.
             stored_departures: departures of targets on this hub's disk; None
                 if it stores none.
+            quarantines: requests that crashed targets, from the same disk.
         """
         super().__init__(context)
         self._stores_departures = stored_departures is not None
@@ -156,6 +160,9 @@
         for departure in stored_departures or ():
             self._table.put(departure, self.host, self._now())
         self._restored_position = self._table.position
+        for restored in quarantines:
+            stored_at = Seconds(self._now() - restored.age_s)
+            self._table.put(restored.record, self.host, stored_at)
 
     @property
     def tick_interval_s(self) -> float:  # type: ignore[override]
@@ -340,13 +347,22 @@
     def _apply_items(self, items: Any, sender: HostId) -> None:
         now = self._now()
         records = [self._table.put(item, sender, now) for item in items]
-        self._store_departures(records)
+        self._store(records)
         self._spread(records)
 
     def _build_own_mark(self) -> FeedMark:
         table = self._table
         return FeedMark(self.host, table.incarnation, table.position)
 
+    def _store(self, records: list[FeedRecord | None]) -> None:
+        """Write the new items among records that must outlive a restart."""
+        self._store_departures(records)
+        items = (record.item for record in records if record is not None)
+        quarantines = select_by_kind(items, Quarantine)
+        if quarantines:
+            request = StoreQuarantines(quarantines)
+            self._outbox.tell(ControllerName.TRIALS, request)
+
     def _store_departures(self, records: Iterable[FeedRecord | None]) -> None:
         """Write the new departures among records to disk."""
         departures = tuple(
@@ -380,7 +396,7 @@
             self._table.put(item, sender, now, reached)
             for item in iterate_items(message)
         ]
-        self._store_departures(records)
+        self._store(records)
         departures = filter(_is_departure, message.announcements)
         self._unstored.hold(read_before, [d.target for d in departures])
         self._spread(records)
--- a/packages/core/src/wasabitray_core/controllers/trials.py
+++ b/packages/core/src/wasabitray_core/controllers/trials.py
@@ -1,7 +1,13 @@
-"""Trials of quarantined requests, granted by the leader."""
+"""Trials of quarantined requests, and the records of them on disk.
+
+The leader grants the trials. Each control host stores what the fleet knows of
+requests that crashed targets, as the limit on their attempts also holds when
+all processes are started again.
+"""
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from functools import singledispatchmethod
 from typing import Any, ClassVar
@@ -17,6 +23,7 @@
     QUARANTINE_TTL_S,
     count_trial,
     get_trial_wait,
+    is_quarantined,
     merge_records,
 )
 from wasabitray_core.ids import Fingerprint, Seconds
@@ -24,11 +31,17 @@
     ControllerName,
     GetStatus,
     GroupContact,
+    RestoredQuarantine,
+    StoreQuarantines,
     Tick,
 )
 from wasabitray_core.messages import Quarantine, TrialReply, TrialRequest
 
 MAX_RECORDS = 4_096
+# Time between two writes of records; the first quarantine after a pause is
+# written at once.
+STORE_INTERVAL_S = 0.2
+IDLE_INTERVAL_S = 60.0
 
 
 class _Granted(Struct):
@@ -44,7 +57,7 @@
 
 
 class TrialsController(Controller):
-    """Grants the trials of quarantined requests on the leader's host.
+    """Owns the grants of trials and the file of requests that crashed targets.
 
     The number of targets that a request may still reach is a limit of the
     fleet, so a single host grants the attempts. A new leader learns from the
@@ -54,14 +67,33 @@
     """
 
     name: ClassVar[ControllerName] = ControllerName.TRIALS
-    tick_interval_s = 60.0
 
-    def __init__(self, context: Context) -> None:
-        """Start without any request."""
+    def __init__(
+        self,
+        context: Context,
+        restored: tuple[RestoredQuarantine, ...] = (),
+    ) -> None:
+        """Start with the records on disk.
+
+        Args:
+            context: shared by all controllers.
+            restored: the records on this host's disk, the oldest first.
+        """
         super().__init__(context)
         self._is_leader = False
         self._leader_since = context.clock()
         self._granted: OrderedDict[Fingerprint, _Granted] = OrderedDict()
+        self._unstored: dict[Fingerprint, Quarantine] = {}
+        self._stored_at = Seconds(-math.inf)
+        for item in restored:
+            newest_at = Seconds(context.clock() - item.age_s)
+            granted = _Granted(item.record, newest_at)
+            self._granted[item.record.fingerprint] = granted
+
+    @property
+    def tick_interval_s(self) -> float:  # type: ignore[override]
+        """Seconds between ticks; short while records wait to be stored."""
+        return STORE_INTERVAL_S if self._unstored else IDLE_INTERVAL_S
 
     @singledispatchmethod
     def receive(self, message: Any, origin: Origin) -> None:
@@ -70,11 +102,22 @@
 
     @receive.register
     def _(self, message: Tick, origin: Origin) -> None:
+        self._store()
         expired_before = self._now() - QUARANTINE_TTL_S
         for fingerprint, granted in list(self._granted.items()):
             if granted.newest_at < expired_before:
                 del self._granted[fingerprint]
 
+    @receive.register
+    def _(self, message: StoreQuarantines, origin: Origin) -> None:
+        for record in message.records:
+            self._unstored[record.fingerprint] = record
+        while len(self._unstored) > MAX_RECORDS:
+            del self._unstored[next(iter(self._unstored))]
+        is_due = self._now() >= self._stored_at + STORE_INTERVAL_S
+        if is_due and any(map(is_quarantined, message.records)):
+            self._store()
+
     @receive.register
     def _(self, message: GroupContact, origin: Origin) -> None:
         was_leader = self._is_leader
@@ -104,6 +147,12 @@
             origin, {f: g.record.trials for f, g in self._granted.items()}
         )
 
+    def _store(self) -> None:
+        for record in self._unstored.values():
+            self._outbox.persist(self._learn(record))
+        self._unstored.clear()
+        self._stored_at = self._now()
+
     def _learn(self, record: Quarantine) -> Quarantine:
         granted = self._granted.get(record.fingerprint)
         if granted is None:
@@ -120,6 +169,7 @@
 
     def _grant(self, record: Quarantine) -> Quarantine:
         record = count_trial(record)
+        self._outbox.persist(record)  # durable before the entry's attempt
         self._granted[record.fingerprint] = _Granted(record, self._now())
         self._granted.move_to_end(record.fingerprint)
         if len(self._granted) > MAX_RECORDS:
--- a/packages/core/src/wasabitray_core/local_messages.py
+++ b/packages/core/src/wasabitray_core/local_messages.py
@@ -261,6 +261,23 @@
     departures: tuple[Announcement, ...]
 
 
+class RestoredQuarantine(Struct, frozen=True):
+    """A record of a request that crashed targets, read from disk at the start.
+
+    Attributes:
+        age_s: seconds since it was written.
+    """
+
+    record: Quarantine
+    age_s: float
+
+
+class StoreQuarantines(Struct, frozen=True):
+    """Asks for records of requests that crashed targets to be stored."""
+
+    records: tuple[Quarantine, ...]
+
+
 class Broadcast(Struct, frozen=True):
     """Sends an update to the other hosts."""
 
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -125,6 +125,17 @@
     unused_trials: int = 0
 
 
+class StoredQuarantine(Struct, frozen=True):
+    """A record of a request that crashed targets, as written to disk.
+
+    Attributes:
+        stored_at: when it was written, in Unix seconds.
+    """
+
+    record: Quarantine
+    stored_at: float
+
+
 class TrialRequest(Struct, frozen=True):
     """Asks the leader to allow an attempt of a quarantined request."""
 
--- a/packages/node/src/wasabitray_node/assembly.py
+++ b/packages/node/src/wasabitray_node/assembly.py
@@ -48,10 +48,13 @@
 from wasabitray_node.fleet_directory import DirectoryController
 from wasabitray_node.links import PeerLinks
 from wasabitray_node.logs import flush_logs, log_error, log_event
+from wasabitray_node.quarantine_file import QuarantineFile
 from wasabitray_node.settings import Settings, split_address
 from wasabitray_node.storage import Storage, StoredState
 from wasabitray_node.tasks import ControllerTask, Router, TaskOutbox
 
+DiskFile = Storage | DepartureFile | QuarantineFile
+
 EXIT_TASK_FAILED = 3
 # More than the entries of any fleet: a hub pushes a new configuration to every
 # entry that subscribes to it.
@@ -91,6 +94,7 @@
         self.router.connect_peers(self.links.send)
         self._storage: Storage | None = None
         self._departure_file: DepartureFile | None = None
+        self._quarantine_file: QuarantineFile | None = None
         if settings.topology is Topology.HUBS:
             self._build_hubs()
         else:
@@ -103,7 +107,12 @@
 
     def close_files(self) -> None:
         """Close the files of the data folder; nothing is written later."""
-        for file in (self._storage, self._departure_file):
+        files: tuple[DiskFile | None, ...] = (
+            self._storage,
+            self._departure_file,
+            self._quarantine_file,
+        )
+        for file in files:
             if file is not None:
                 file.close()
 
@@ -130,6 +139,7 @@
                 (ControllerName.CONFIGURATION, ControllerName.CONSENSUS),
             )
             self._add(ConfigurationController, (ControllerName.DIRECTORY,))
+            self._add(TrialsController)
             self._add_consensus(self._load_consensus())
         else:
             self._add_membership(
@@ -230,6 +240,8 @@
     def _add_hub(self, region: RegionName) -> None:
         assert self._settings.data_folder is not None
         self._departure_file = DepartureFile(self._settings.data_folder)
+        self._quarantine_file = QuarantineFile(self._settings.data_folder)
+        quarantines = self._quarantine_file.load()
         hello = self._build_hello()
         self._add(
             HubController,
@@ -242,8 +254,10 @@
             Incarnation(secrets.token_hex(4)),
             self._first_counter,
             self._departure_file.load(),
+            quarantines,
         )
         self._add(DeparturesController, storage=self._departure_file)
+        self._add(TrialsController, quarantines, storage=self._quarantine_file)
 
     def _load_consensus(self) -> StoredState:
         assert self._settings.data_folder is not None
@@ -253,7 +267,6 @@
         return state
 
     def _add_consensus(self, state: StoredState) -> None:
-        self._add(TrialsController)
         self._add(
             ConsensusController,
             state.member.member,
@@ -268,7 +281,7 @@
         self,
         controller_class: Any,
         *args: Any,
-        storage: Storage | DepartureFile | None = None,
+        storage: DiskFile | None = None,
     ) -> Controller:
         """Create a controller and its task.
 
@@ -319,9 +332,7 @@
         return storage.create(Member(name, self._host), Members(()))
 
 
-def _try_sync(
-    storage: Storage | DepartureFile, items: list[Any]
-) -> Exception | None:
+def _try_sync(storage: DiskFile, items: list[Any]) -> Exception | None:
     """Sync in a worker thread and return the error, if there is one.
 
     The thread pool would print an error that is raised there.
--- a/packages/node/src/wasabitray_node/storage.py
+++ b/packages/node/src/wasabitray_node/storage.py
@@ -5,7 +5,7 @@
 - `identity`: the member of the consensus group that this disk belongs to.
 - `snapshot-N`: the newest snapshot, at log index N.
 - `log-K`: segments with ballots and log records in the order written.
-- `departures`: see `departure_file.py`.
+- `departures`, `quarantines`: see `departure_file.py`, `quarantine_file.py`.
 
 A record is a header (payload length, payload checksum, header checksum) and
 a payload. An incomplete record at the very end of the newest segment was
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -146,9 +146,10 @@
   31: TrialRequest trial_request, 32: TrialReply trial_reply
 }
 
+struct StoredQuarantine { 1: Quarantine record, 2: double stored_at }
 union StoredItem {
   1: Ballot ballot, 2: LogRecord log_record, 3: Snapshot snapshot, 4: Member member,
-  5: Announcement announcement
+  5: Announcement announcement, 6: StoredQuarantine stored_quarantine
 }
 
 // A link carries messages in one direction. Each batch is acknowledged, so that
--- a/packages/wire/src/wasabitray_wire/codec.py
+++ b/packages/wire/src/wasabitray_wire/codec.py
@@ -22,6 +22,7 @@
     OthersWork,
     PeerMessage,
     Snapshot,
+    StoredQuarantine,
 )
 from wasabitray_wire.convert import (
     get_item_kinds,
@@ -33,7 +34,9 @@
 
 PROTOCOL = TCompactProtocolAcceleratedFactory()
 
-StoredItem = Ballot | LogRecord | Snapshot | Member | Announcement
+StoredItem = (
+    Ballot | LogRecord | Snapshot | Member | Announcement | StoredQuarantine
+)
 
 _encode_message = make_encoder(PeerMessage, "PeerMessage")
 _decode_message = make_decoder(PeerMessage)
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -5569,6 +5569,75 @@
         return not (self == other)
 
 
+class StoredQuarantine(object):
+    """
+    Attributes:
+     - record
+     - stored_at
+
+    """
+
+
+    def __init__(self, record=None, stored_at=None,):
+        self.record = record
+        self.stored_at = stored_at
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.record = Quarantine()
+                    self.record.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.stored_at = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoredQuarantine')
+        if self.record is not None:
+            oprot.writeFieldBegin('record', TType.STRUCT, 1)
+            self.record.write(oprot)
+            oprot.writeFieldEnd()
+        if self.stored_at is not None:
+            oprot.writeFieldBegin('stored_at', TType.DOUBLE, 2)
+            oprot.writeDouble(self.stored_at)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StoredItem(object):
     """
     Attributes:
@@ -5577,16 +5646,18 @@
      - snapshot
      - member
      - announcement
+     - stored_quarantine
 
     """
 
 
-    def __init__(self, ballot=None, log_record=None, snapshot=None, member=None, announcement=None,):
+    def __init__(self, ballot=None, log_record=None, snapshot=None, member=None, announcement=None, stored_quarantine=None,):
         self.ballot = ballot
         self.log_record = log_record
         self.snapshot = snapshot
         self.member = member
         self.announcement = announcement
+        self.stored_quarantine = stored_quarantine
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5627,6 +5698,12 @@
                     self.announcement.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.stored_quarantine = StoredQuarantine()
+                    self.stored_quarantine.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5657,6 +5734,10 @@
             oprot.writeFieldBegin('announcement', TType.STRUCT, 5)
             self.announcement.write(oprot)
             oprot.writeFieldEnd()
+        if self.stored_quarantine is not None:
+            oprot.writeFieldBegin('stored_quarantine', TType.STRUCT, 6)
+            self.stored_quarantine.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6135,6 +6216,12 @@
     (31, TType.STRUCT, 'trial_request', [TrialRequest, None], None, ),  # 31
     (32, TType.STRUCT, 'trial_reply', [TrialReply, None], None, ),  # 32
 )
+all_structs.append(StoredQuarantine)
+StoredQuarantine.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'record', [Quarantine, None], None, ),  # 1
+    (2, TType.DOUBLE, 'stored_at', None, None, ),  # 2
+)
 all_structs.append(StoredItem)
 StoredItem.thrift_spec = (
     None,  # 0
@@ -6143,6 +6230,7 @@
     (3, TType.STRUCT, 'snapshot', [Snapshot, None], None, ),  # 3
     (4, TType.STRUCT, 'member', [Member, None], None, ),  # 4
     (5, TType.STRUCT, 'announcement', [Announcement, None], None, ),  # 5
+    (6, TType.STRUCT, 'stored_quarantine', [StoredQuarantine, None], None, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/core/controllers/test_hub.py
+++ b/tests/core/controllers/test_hub.py
@@ -4,6 +4,7 @@
 from msgspec.structs import replace
 from support.fakes import ControllerBed
 
+from wasabitray_core.controllers.crashes import QUARANTINE_TTL_S
 from wasabitray_core.controllers.hub import (
     ENTRY_TIMEOUT_S,
     GATHER_INTERVAL_S,
@@ -19,6 +20,8 @@
     GroupContact,
     InFlightSubscribers,
     Register,
+    RestoredQuarantine,
+    StoreQuarantines,
 )
 from wasabitray_core.messages import (
     Announcement,
@@ -28,6 +31,7 @@
     HostAddress,
     News,
     Presence,
+    Quarantine,
     TargetReport,
 )
 from wasabitray_core.states import HostFlag, ReportKind, TargetPhase
@@ -45,11 +49,17 @@
     return bed
 
 
-def restarted_hub_bed(stored_departures=()):
-    """Return a bed whose hub has just started and knows no target."""
+def restarted_hub_bed(stored_departures=(), quarantines=()):
+    """Return a bed whose hub has just started, with items on its disk."""
     address = HostAddress("c1", "127.0.0.1:1", "south")
     bed = ControllerBed(
-        HubController, address, "run-1", 100, stored_departures, host="c1"
+        HubController,
+        address,
+        "run-1",
+        100,
+        stored_departures,
+        quarantines,
+        host="c1",
     )
     bed.tell(GroupContact(True, "c1", ("c1", "c2", "c3")))
     return bed
@@ -160,6 +170,33 @@
     assert record.item.phase is TargetPhase.ACTIVE
 
 
+QUARANTINE = Quarantine("f", ("t1", "t2", "t3"), trials=1)
+
+
+# Guards against quarantines that are lost when all processes end.
+def test_restarted_hub_sends_the_quarantines_on_its_disk():
+    restored = (RestoredQuarantine(QUARANTINE, 5.0),)
+    bed = restarted_hub_bed(quarantines=restored)
+    bed.receive("e1", presence())
+    assert get_feeds_sent_to(bed, "e1")[0].quarantines == (QUARANTINE,)
+    bed.clock.advance(QUARANTINE_TTL_S - 4.0)  # its age counts
+    bed.receive("e2", presence())
+    assert get_feeds_sent_to(bed, "e2")[0].quarantines == ()
+
+
+def test_hub_stores_the_quarantines_of_entries_and_other_hubs():
+    bed = hub_bed()
+    crashed = Quarantine("g", ("t1",))
+    bed.receive("e1", News(quarantines=(QUARANTINE,)))
+    bed.receive(
+        "c2", Feed("c2", "run-2", 0, 1, 0, True, 0, quarantines=(crashed,))
+    )
+    stored = bed.outbox.get_told(StoreQuarantines)
+    assert [s.records for s in stored] == [(QUARANTINE,), (crashed,)]
+    bed.receive("e1", News(quarantines=(QUARANTINE,)))
+    assert len(bed.outbox.get_told(StoreQuarantines)) == 2
+
+
 def test_departure_of_a_known_run_ends_no_other():
     bed = hub_bed()
     bed.ask(Register(ANNOUNCEMENT))
--- a/tests/core/controllers/test_trials.py
+++ b/tests/core/controllers/test_trials.py
@@ -4,15 +4,23 @@
 from support.fakes import ControllerBed
 
 from wasabitray_core.controllers.crashes import TRIAL_WAITS_S, count_trial
-from wasabitray_core.controllers.trials import TrialsController
-from wasabitray_core.local_messages import GroupContact
+from wasabitray_core.controllers.trials import (
+    MAX_RECORDS,
+    STORE_INTERVAL_S,
+    TrialsController,
+)
+from wasabitray_core.local_messages import (
+    GroupContact,
+    RestoredQuarantine,
+    StoreQuarantines,
+)
 from wasabitray_core.messages import Quarantine, TrialReply, TrialRequest
 
 RECORD = Quarantine("f", ("t1", "t2", "t3"))
 
 
-def start_leader(host):
-    bed = ControllerBed(TrialsController, host=host)
+def start_leader(host, restored=()):
+    bed = ControllerBed(TrialsController, restored, host=host)
     bed.tell(GroupContact(True, host, ("c1", "c2", "c3")))
     return bed
 
@@ -89,3 +97,53 @@
 def test_only_a_leader_in_contact_replies(bed, contact):
     bed.tell(contact)
     assert request_trial(bed) is None
+
+
+# Guards against trials that are granted anew after all processes ended.
+def test_restarted_leader_counts_the_trials_on_its_disk():
+    used = RECORD
+    for _ in TRIAL_WAITS_S:
+        used = count_trial(used)
+    bed = start_leader("c1", (RestoredQuarantine(used, 5.0),))
+    bed.clock.advance(max(TRIAL_WAITS_S))
+    assert not request_trial(bed).granted
+
+
+def test_trial_is_stored_before_the_entry_learns_of_it(bed):
+    reply = request_trial(bed)
+    assert bed.outbox.persisted == [reply.record]
+
+
+def test_records_are_stored_together(bed):
+    for number in range(100):
+        bed.tell(StoreQuarantines((Quarantine(f"f{number % 10}", ("t1",)),)))
+    assert bed.outbox.persisted == []
+    assert bed.controller.tick_interval_s == STORE_INTERVAL_S
+    bed.tick(STORE_INTERVAL_S)
+    assert len(bed.outbox.persisted) == 10
+    bed.tick(STORE_INTERVAL_S)
+    assert len(bed.outbox.persisted) == 10
+
+
+def test_quarantine_is_stored_at_once_unless_another_just_was(bed):
+    other = Quarantine("g", RECORD.targets)
+    bed.tell(StoreQuarantines((RECORD,)))
+    assert bed.outbox.persisted == [RECORD]
+    bed.tell(StoreQuarantines((other,)))
+    assert bed.outbox.persisted == [RECORD]
+    bed.tick(STORE_INTERVAL_S)
+    assert bed.outbox.persisted == [RECORD, other]
+
+
+def test_records_that_wait_to_be_stored_are_bounded(bed):
+    for number in range(MAX_RECORDS + 10):
+        bed.tell(StoreQuarantines((Quarantine(f"f{number}", ("t1",)),)))
+    bed.tick(STORE_INTERVAL_S)
+    assert len(bed.outbox.persisted) == MAX_RECORDS
+
+
+def test_older_record_does_not_replace_a_stored_trial(bed):
+    bed.tell(StoreQuarantines((RECORD,)))
+    reply = request_trial(bed)
+    bed.tick(STORE_INTERVAL_S)
+    assert bed.outbox.persisted[-1] == reply.record
--- a/tests/core/test_crashing_requests.py
+++ b/tests/core/test_crashing_requests.py
@@ -21,7 +21,9 @@
     GroupContact,
     ReportBrokenConnection,
     ReportResponse,
+    RestoredQuarantine,
     SendToLeader,
+    StoreQuarantines,
     Suspicion,
     Tick,
 )
@@ -38,12 +40,12 @@
 class Host:
     """A host with one controller, and its links to the others."""
 
-    def __init__(self, fleet, name, build):
+    def __init__(self, fleet, name, build, *args):
         self.fleet, self.name = fleet, name
         self.waiting = {}
         self.tokens = 0
         context = Context(name, fleet.clock, fleet.random, self)
-        self.controller = build(context)
+        self.controller = build(context, *args)
 
     def ask(self, message, resume):
         """Ask the controller; it may reply later."""
@@ -68,9 +70,13 @@
             for name in self.fleet.entries:
                 if name != self.name:
                     self.fleet.send(self.name, name, message.item)
+            self.fleet.store(message.item)
         elif isinstance(message, SendToLeader):
             self.fleet.send(self.name, "c1", message.message)
 
+    def persist(self, item):
+        self.fleet.disk[item.fingerprint] = (self.fleet.clock(), item)
+
     def log_event(self, event, **fields):
         pass
 
@@ -85,17 +91,35 @@
         self.is_crashing = True
         self.attempts = []
         self.outcomes = []
+        self.disk = {}
         self.entries = [f"e{n}" for n in range(entries)]
+        self.hosts = {}
+        self.start_hosts()
+        self.tick()
+        self.submit()
+
+    def start_hosts(self):
+        """Start all hosts; those that ran before lose their memory."""
         self.hosts = {
             name: Host(self, name, QuarantineController)
             for name in self.entries
         }
-        self.hosts["c1"] = Host(self, "c1", TrialsController)
+        restored = tuple(
+            RestoredQuarantine(record, self.clock() - stored_at)
+            for stored_at, record in self.disk.values()
+        )
+        self.hosts["c1"] = Host(self, "c1", TrialsController, restored)
         self.hosts["c1"].controller.receive(
             GroupContact(True, "c1", ("c1",)), Origin()
         )
-        self.tick()
-        self.submit()
+        for name in self.entries:
+            for item in restored:
+                self.hosts[name].receive_from_peer("c1", item.record)
+
+    def store(self, record):
+        """Pass a record to the control host, as its hub does."""
+        store = StoreQuarantines((record,))
+        self.hosts["c1"].controller.receive(store, Origin())
 
     def send(self, sender, receiver, message):
         delay = self.random.uniform(0.01, 0.3)
@@ -103,8 +127,8 @@
         self.clock.call_later(delay, host.receive_from_peer, sender, message)
 
     def tick(self):
-        for name in self.entries:
-            self.hosts[name].controller.receive(Tick(), Origin())
+        for host in self.hosts.values():
+            host.controller.receive(Tick(), Origin())
         self.clock.call_later(TICK_S, self.tick)
 
     def submit(self):
@@ -157,6 +181,20 @@
         assert fleet.count_retries() <= MAX_RETRIES, seed
 
 
+# Guards against quarantines and counts of trials that are lost when all
+# processes end.
+@pytest.mark.parametrize("rate", [0.2, 2.0, 60.0])
+@pytest.mark.parametrize("restarts", [(30.0,), (30.0, 45.0, 60.0)])
+def test_restart_of_all_hosts_allows_no_more_attempts(rate, restarts):
+    for seed in SEEDS:
+        fleet = Fleet(seed, 32, rate)
+        for at in restarts:
+            fleet.clock.run_until(at)
+            fleet.start_hosts()
+        fleet.clock.run_until(LENGTH_S)
+        assert fleet.count_retries() <= MAX_RETRIES, seed
+
+
 def test_request_is_served_again_after_its_targets_were_repaired():
     for seed in SEEDS:
         fleet = Fleet(seed, 32, 2.0)
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -67,6 +67,13 @@
     When the instances no longer crash on /read/poison
     Then every entry serves /read/poison within 20 s
 
+  Scenario: A request that crashed instances is known after a restart of all hosts
+    When the instances crash on /read/poison
+    And /read/poison is sent 12 times to every entry
+    And all hosts are killed and start again
+    Then every entry refuses /read/poison with status 429
+    And at most 6 requests to /read/poison reached instances
+
   Scenario: Bodies and answers of odd shape
     Then a chunked upload of 1000000 bytes reaches an instance in full
     When the instances respond without a Content-Length
