Return to a near hub soon after an election, and wait there at the start

What callers saw: nothing; bytes between regions cost more.

At the start an entry left its near hub at the first answer, because the leader wasn't elected yet, and came back 5 s later. After an election it stayed with a hub of another region for the same 5 s.

Change: an entry that has found no leader yet gives a nearer hub the usual second. An isolated hub, which answers at once, is tried again after 2 s; a silent one still after 5 s.

--- a/packages/core/src/wasabitray_core/controllers/hub_choice.py
+++ b/packages/core/src/wasabitray_core/controllers/hub_choice.py
@@ -16,8 +16,10 @@
 from wasabitray_core.nearness import Nearness, get_nearness
 from wasabitray_core.rendezvous import choose_owner
 
-# Delay before a failed hub is used again, unless all failed.
+# Delay before a silent hub is used again, unless all failed.
 HUB_RETRY_DELAY_S = 5.0
+# The same for an isolated hub. It answers at once, so a try costs little.
+ISOLATED_RETRY_DELAY_S = 2.0
 # A region with this many isolated hubs is likely cut off as a whole.
 MIN_ISOLATED_OF_REGION = 2
 
@@ -34,6 +36,13 @@
     at: Seconds
     is_isolated: bool
 
+    def is_recent(self, now: Seconds) -> bool:
+        """Return whether the hub should not be used yet."""
+        delay = (
+            ISOLATED_RETRY_DELAY_S if self.is_isolated else HUB_RETRY_DELAY_S
+        )
+        return now - self.at < delay
+
 
 class HubChoice:
     """The known hubs, which of them failed, and which one is best."""
@@ -144,7 +153,7 @@
 
     def _has_failed(self, host: HostId, now: Seconds) -> bool:
         failure = self._failures.get(host)
-        return failure is not None and now - failure.at < HUB_RETRY_DELAY_S
+        return failure is not None and failure.is_recent(now)
 
     def _rank_failed(self, host: HostId) -> tuple[bool, Seconds, HostId]:
         failure = self._failures[host]
@@ -154,7 +163,7 @@
         return Counter(
             self._get_region(host)
             for host, failure in self._failures.items()
-            if failure.is_isolated and self._has_failed(host, now)
+            if failure.is_isolated and failure.is_recent(now)
         )
 
     def _get_region(self, host: HostId) -> RegionName | None:
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -117,6 +117,7 @@
         )
         self._hub: HostId | None = None
         self._is_searching = False
+        self._has_found_leader = False
         self._leader = HostId("")
         self._marks: dict[HostId, FeedMark] = {}
         self._last_hub_contact = context.clock()
@@ -347,6 +348,7 @@
         assert self._hub is not None
         self._last_leader_contact = now
         self._is_searching = False
+        self._has_found_leader = True
         self._hubs.record_contact(self._hub)
 
     def _review_hub(self) -> None:
@@ -365,6 +367,7 @@
         The search for a hub in contact with the leader ends when none is
         left to try. The entry then stays with one of them for some time.
         """
+        self._has_found_leader = False
         if self._hub is not None:
             is_isolated = reason == _NO_LEADER
             self._hubs.record_failure(self._hub, now, is_isolated)
@@ -380,7 +383,8 @@
         nearness = self._hubs.get_nearness(chosen)
         if nearness <= self._hubs.get_nearness(self._hub):
             return False
-        self._is_searching = self._has_leader_contact(self._now())
+        # Without a leader so far, the nearer hub gets the usual time.
+        self._is_searching = self._has_found_leader
         self._switch_hub(chosen, "nearer")
         return True
 
