Read little from a connection that is not known to be a peer

Cause: the peer listener read a frame of up to 64 MB before the hello, and a link read a reply of up to 64 MB, also from a process that has taken over the address of its peer. Replies are empty.

Change: 4 KiB before the hello, 64 KiB for a reply; frames after a hello as before.

--- a/packages/node/src/wasabitray_node/links.py
+++ b/packages/node/src/wasabitray_node/links.py
@@ -33,6 +33,10 @@
 from wasabitray_wire.gen import Peer
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
+# Before its hello, a connection may come from anybody, and the address of a
+# peer may have been taken over by another process.
+MAX_HELLO_BYTES = 4_096
+MAX_REPLY_BYTES = 65_536
 MAX_QUEUED_MESSAGES = 1_024
 MAX_BATCH_MESSAGES = 128
 CONNECT_TIMEOUT_S = 0.5
@@ -164,7 +168,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(ACK_TIMEOUT_S)
         self._socket = MeteredSocket(sock)
-        self._transport = TFramedTransport(self._socket, MAX_FRAME_BYTES)
+        self._transport = TFramedTransport(self._socket, MAX_REPLY_BYTES)
         protocol = PROTOCOL.getProtocol(self._transport)
         client = Peer.Client(protocol)
         client.hello(self._hello)
@@ -333,13 +337,14 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         endpoint = TSocket()
         endpoint.setHandle(sock)
-        transport = TFramedTransport(endpoint, MAX_FRAME_BYTES)
-        protocol = PROTOCOL.getProtocol(transport)
         connection = PeerConnection(
             self._secret, self._receive, self._set_address
         )
         processor = Peer.Processor(connection)
         try:
+            hello = _build_protocol(endpoint, MAX_HELLO_BYTES)
+            processor.process(hello, hello)
+            protocol = _build_protocol(endpoint, MAX_FRAME_BYTES)
             while True:
                 processor.process(protocol, protocol)
         except _LINK_ERRORS:
@@ -347,4 +352,8 @@
         except Exception as error:  # bytes that the protocol can't read
             log_error("link failed", error, peer=address[0])
         finally:
-            transport.close()
+            endpoint.close()
+
+
+def _build_protocol(endpoint: TSocket, max_frame_bytes: int) -> Any:
+    return PROTOCOL.getProtocol(TFramedTransport(endpoint, max_frame_bytes))
--- a/tests/node/test_links.py
+++ b/tests/node/test_links.py
@@ -1,9 +1,13 @@
 """Links between two hosts on real sockets."""
 
+import itertools
 import socket
+import struct
 
 import gevent
 import pytest
+from gevent.server import StreamServer
+from msgspec.structs import replace
 
 from wasabitray_core.messages import (
     Announcement,
@@ -13,7 +17,11 @@
     Quarantine,
 )
 from wasabitray_core.states import TargetPhase
-from wasabitray_node.links import PeerLinks, PeerListener
+from wasabitray_node.links import (
+    MAX_FRAME_BYTES,
+    PeerLinks,
+    PeerListener,
+)
 from wasabitray_wire import to_wire
 
 DEADLINE_S = 5.0
@@ -113,3 +121,68 @@
     quarantine = Quarantine("f", ("t1",))
     links.send("c1", News(announce().announcements, quarantines=(quarantine,)))
     receiver.wait_for(News(quarantines=(quarantine,)))
+
+
+# A few times the limits, and the buffers of two sockets.
+MAX_SENT_BYTES = 16 * 1_048_576
+LARGEST_FRAME = struct.pack("!i", MAX_FRAME_BYTES)
+
+
+def send_endlessly(sock, start):
+    """Send bytes until the connection is closed; return how many."""
+    sent = 0
+    try:
+        for piece in itertools.chain([start], itertools.repeat(b"a" * 4_096)):
+            sock.sendall(piece)
+            sent += len(piece)
+            gevent.sleep(0)
+    except OSError:
+        return sent
+
+
+# Guards against a process that is no peer and exhausts a host's memory.
+@pytest.mark.parametrize(
+    "start", [b"", LARGEST_FRAME], ids=["no protocol", "large frame"]
+)
+def test_connection_that_sends_endlessly_before_its_hello_is_closed(
+    receiver, start
+):
+    host, _, port = receiver.address.rpartition(":")
+    sock = gevent.socket.create_connection((host, int(port)))
+    with gevent.Timeout(DEADLINE_S):
+        assert send_endlessly(sock, start) < MAX_SENT_BYTES
+    assert receiver.messages == []
+
+
+@pytest.mark.parametrize(
+    "start", [b"", LARGEST_FRAME], ids=["no protocol", "large frame"]
+)
+def test_link_to_an_address_that_was_taken_over_reads_little(start):
+    sent = []
+
+    def serve(sock, _address):
+        sock.recv(4_096)
+        sent.append(send_endlessly(sock, start))
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    address = f"127.0.0.1:{server.server_port}"
+    hello = Hello("e1", "127.0.0.1:1", "")
+    links = PeerLinks(hello, {"c1": address}, "127.0.0.1")
+    links.send("c1", ConfigPull(1))
+    with gevent.Timeout(DEADLINE_S):
+        while not sent:
+            gevent.sleep(0.01)
+    server.stop(timeout=0)
+    assert sent[0] < MAX_SENT_BYTES
+
+
+def test_large_message_passes_after_the_hello(links, receiver):
+    message = News(
+        tuple(
+            replace(announce().announcements[0], target=f"i-{n}")
+            for n in range(2_000)
+        )
+    )
+    links.send("c1", message)
+    receiver.wait_for(message)
