Close idle connections that nobody borrows again

Cause: an idle connection was looked at only when it was borrowed.

Change: when a connection is returned, and at most each idle_connection_s, the pool closes those whose time is over or that have input.

--- a/packages/node/src/wasabitray_node/connections.py
+++ b/packages/node/src/wasabitray_node/connections.py
@@ -90,6 +90,7 @@
         self._limits = limits
         self._clock = clock
         self._idle: dict[PoolKey, deque[Connection]] = {}
+        self._next_sweep = clock()
 
     @singledispatchmethod
     def receive(self, message: Any) -> Connection | None:
@@ -113,9 +114,7 @@
         idle = self._idle.get(pool_key)
         while idle:
             connection = idle.pop()
-            age = self._clock() - connection.idle_since
-            is_recent = age <= self._limits.idle_connection_s
-            if is_recent and connection.is_clean():
+            if self._is_usable(connection, self._clock()):
                 return connection
             connection.close()
         return None
@@ -127,3 +126,26 @@
         idle.append(connection)
         if len(idle) > self._limits.idle_connections_per_target:
             idle.popleft().close()
+        self._sweep()
+
+    def _sweep(self) -> None:
+        """Close what is no longer usable, from time to time.
+
+        Targets that are gone are never borrowed from again, and a faulty one
+        may send on an idle connection.
+        """
+        now = self._clock()
+        if now < self._next_sweep:
+            return
+        self._next_sweep = Seconds(now + self._limits.idle_connection_s)
+        for pool_key, idle in list(self._idle.items()):
+            for connection in list(idle):
+                if not self._is_usable(connection, now):
+                    idle.remove(connection)
+                    connection.close()
+            if not idle:
+                del self._idle[pool_key]
+
+    def _is_usable(self, connection: Connection, now: Seconds) -> bool:
+        age = now - connection.idle_since
+        return age <= self._limits.idle_connection_s and connection.is_clean()
