Ignore load headers with numbers that can't be converted

What callers would have seen: 500 from the entry in place of an answer or of another target's, and an id of any length in its detail and in the logs.

Cause: isdigit holds for superscripts, which Latin-1 has, and int refuses more than 4,300 digits; the error left the attempt.

Change: a count has one to nine digits; ids of another request are quoted with 64 characters at most.

--- a/packages/node/src/wasabitray_node/dialects.py
+++ b/packages/node/src/wasabitray_node/dialects.py
@@ -35,6 +35,10 @@
 SHED_STATUSES = frozenset({429, UNAVAILABLE})
 # Bounded, so that the number is finite.
 _SECONDS = re.compile(r"[0-9]{1,18}(\.[0-9]{1,18})?")
+# `isdigit` also holds for superscripts, and `int` refuses very long numbers.
+_COUNT = re.compile(r"[0-9]{1,9}")
+# Characters of a header that are quoted in logs and refusals.
+MAX_QUOTED = 64
 
 
 class RequestMetadata(Struct, frozen=True):
@@ -206,7 +210,7 @@
         if named != attempt.request.id and (named or is_reused):
             return ResponseMetadata(
                 AttemptStatus.INVALID,
-                detail=f"response is for request {named!r}",
+                detail=f"response is for request {named[:MAX_QUOTED]!r}",
             )
         outcome = find_header(headers, h.OUTCOME_HEADER)
         load = parse_load(find_header(headers, h.LOAD_HEADER))
@@ -231,13 +235,19 @@
     return Seconds(float(value))
 
 
+def parse_count(text: str) -> int | None:
+    """Return a number of at most nine digits, None for any other text."""
+    return int(text) if _COUNT.fullmatch(text) else None
+
+
 def parse_load(value: str) -> LoadReport | None:
     """Parse `busy=1, slots=2` from a target's load header."""
     fields = {}
     for part in value.split(","):
         name, _, number = part.strip().partition("=")
-        if number.isdigit():
-            fields[name] = int(number)
+        count = parse_count(number)
+        if count is not None:
+            fields[name] = count
     if "busy" in fields and "slots" in fields:
         return LoadReport(fields["busy"], fields["slots"])
     return None
--- a/tests/platform/test_dialects.py
+++ b/tests/platform/test_dialects.py
@@ -110,7 +110,10 @@
         ("3, 1, 8", (3, 1, 8)),
         ("", None),
         ("a,b,c", None),
+        ("\xb2,1,8", None),
+        ("9" * 5_000 + ",1,8", None),
     ],
+    ids=["plain", "spaces", "empty", "letters", "superscript", "long"],
 )
 def test_load_header_is_parsed(value, load):
     report = parse_load(value)
