Bound the memory that endless responses of many targets take

Cause: the limit on heads counted bytes, but the parser makes an object of each field: 128 KiB of short header lines took 1.3 MB, trailers as much. The beginnings of bodies, up to 256 KiB twice, had no common bound and were kept until the end of a stream.

Change: 64 KiB and 256 fields for heads, framing and trailers; a new limit, hold_total_bytes, for all beginnings of bodies together; a stream keeps nothing that it has sent.

Two scenarios measure the memory of entries.

--- a/packages/node/src/wasabitray_node/callers.py
+++ b/packages/node/src/wasabitray_node/callers.py
@@ -403,7 +403,9 @@
         self._completion = completion
 
     def __iter__(self) -> Iterator[bytes]:
-        yield self._response.body
+        body, self._response.body = self._response.body, b""
+        yield body
+        del body  # a long stream keeps nothing that was sent
         if self._response.chunks is not None:
             yield from self._response.chunks
 
--- a/packages/node/src/wasabitray_node/settings.py
+++ b/packages/node/src/wasabitray_node/settings.py
@@ -121,6 +121,8 @@
     Attributes:
         hold_bytes: bytes of a body that are buffered before any of it is
             forwarded; a longer body is streamed.
+        hold_total_bytes: bytes of targets' responses that are buffered so at
+            the same time; beyond it, they are forwarded as they arrive.
         max_body_bytes: largest size of a caller's or a target's body.
         stream_idle_s: seconds that a streamed body may go without a byte.
         stream_timeout_s: seconds that forwarding a body may take.
@@ -128,6 +130,7 @@
     """
 
     hold_bytes: int = Field(default=262_144, ge=1_024)
+    hold_total_bytes: int = Field(default=33_554_432, ge=1_024)
     max_body_bytes: int = Field(default=1_073_741_824, ge=1_024)
     connect_timeout_s: float = Field(default=1.0, gt=0)
     stream_idle_s: float = Field(default=30.0, gt=0)
--- a/packages/node/src/wasabitray_node/target_responses.py
+++ b/packages/node/src/wasabitray_node/target_responses.py
@@ -9,7 +9,10 @@
 LAST_INTERIM_STATUS = 199
 # Bytes of heads, chunk framing and trailers that may arrive without a byte
 # of a body in between. The parser keeps most of them in memory.
-MAX_OVERHEAD_BYTES = 131_072
+MAX_OVERHEAD_BYTES = 65_536
+# Fields of heads and trailers together. The parser's objects for a short
+# field take far more memory than its bytes.
+MAX_FIELDS = 256
 
 
 class ExtraBytesError(HTTPParseError):
@@ -17,7 +20,7 @@
 
 
 class ExcessOverheadError(HTTPParseError):
-    """Too many bytes arrived that belong to no body."""
+    """Too many bytes or fields arrived that belong to no body."""
 
 
 class SingleResponse(HTTPSocketResponse):
@@ -32,6 +35,7 @@
         """Read the head of the response."""
         self._is_complete = False
         self._overhead = 0
+        self._field_count = 0
         super().__init__(*args, **options)
 
     @property
@@ -49,6 +53,12 @@
             self._is_complete = True
         super()._on_message_complete()
 
+    def _flush_header(self) -> None:
+        self._field_count += 1
+        if self._field_count > MAX_FIELDS:
+            raise ExcessOverheadError(f"more than {MAX_FIELDS} header fields")
+        super()._flush_header()
+
     def _on_body(self, buf: bytearray) -> None:
         self._overhead = 0
         super()._on_body(buf)
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -28,6 +28,7 @@
 )
 from wasabitray_node.dialects import ResponseMetadata, TargetDialect
 from wasabitray_node.headers import strip_hop_by_hop
+from wasabitray_node.held_bytes import HeldBytes
 from wasabitray_node.settings import Limits, split_address
 from wasabitray_node.silence_watch import SilenceReporter, SilenceWatch
 from wasabitray_node.target_responses import SingleResponse
@@ -71,6 +72,7 @@
             is_stopping: returns whether a planned stop has begun.
         """
         self._is_stopping = is_stopping
+        self._held = HeldBytes(limits.hold_total_bytes)
         self._send_to_pool = pool.receive
         self._limits = limits
         self._clock = clock
@@ -90,7 +92,9 @@
             report_silence: called if silence of the target is evidence.
         """
         started = self._clock()
-        exchange = _HttpExchange(attempt, self._limits, self._dialect)
+        exchange = _HttpExchange(
+            attempt, self._limits, self._dialect, self._held
+        )
         # A reused connection may have gone silent for good, with a target
         # that responds on new ones.
         silence = SilenceWatch(
@@ -122,6 +126,8 @@
             result = self._build_failure(
                 exchange, str(error), timed_out=no_reply
             )
+        finally:
+            exchange.release_held()
         elapsed = Seconds(self._clock() - started)
         if result.is_silent:
             allowed = attempt.timeout + attempt.stop_extension
@@ -243,14 +249,19 @@
     """One request and its response on one connection."""
 
     def __init__(
-        self, attempt: Attempt, limits: Limits, dialect: TargetDialect
+        self,
+        attempt: Attempt,
+        limits: Limits,
+        dialect: TargetDialect,
+        held: HeldBytes,
     ) -> None:
         self._attempt = attempt
         self._limits = limits
         self._dialect = dialect
+        self._held = held
         self._response: SingleResponse | None = None
         self._names_request = False
-        self._body = b""
+        self._pieces: list[bytes] = []
         self._size = 0
         self._is_sent = False
         self._sender: gevent.Greenlet | None = None
@@ -358,16 +369,15 @@
             self.connection.socket, READ_SIZE_BYTES, method
         )
         self._response = response
-        pieces = []
-        size = 0
-        while size <= self._limits.hold_bytes:
+        while self._size <= self._limits.hold_bytes:
             piece = self._read(response)
             if not piece:
                 break
-            pieces.append(piece)
-            size += len(piece)
-        self._body = b"".join(pieces)
-        self._size = size
+            self._pieces.append(piece)
+            self._size += len(piece)
+            self._held.add(len(piece))
+            if self._held.is_full:
+                break
 
     def _read(self, response: SingleResponse) -> bytes:
         try:
@@ -394,7 +404,7 @@
         response = Response(
             status,
             strip_hop_by_hop(headers),
-            self._body,
+            b"".join(self._pieces),
             None if parsed.is_complete else self._read_rest(parsed),
         )
         return AttemptResult(
@@ -404,6 +414,11 @@
             is_leaving=metadata.is_leaving,
         )
 
+    def release_held(self) -> None:
+        """Drop the pieces of the body that were held back."""
+        self._held.remove(sum(map(len, self._pieces)))
+        self._pieces.clear()
+
     def check_limits(self, added_bytes: int, is_late: bool) -> None:
         """Count further bytes of the body and check its limits.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -59,6 +59,16 @@
     And of 10 requests to /write/x none runs twice
     And all entries stop using i1 immediately
 
+  Scenario Outline: An instance that sends bytes without end
+    When i1 sends bytes without end in <place>
+    Then 50 requests to /read/x at every entry are all answered
+    And the memory of every entry stays below 200 MB
+
+    Examples:
+      | place         |
+      | endless-head  |
+      | endless-after |
+
   Scenario: A request that crashes the instances which run it
     When the instances crash on /read/poison
     And /read/poison is sent 12 times to every entry
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import time
+from pathlib import Path
 
 import gevent
 from behave import given, then, when
@@ -408,6 +409,20 @@
     context.requests_before_reset = len(instance.requests)
 
 
+@when("{name} sends bytes without end in {place}")
+def send_without_end(context, name, place):
+    context.fleet.instances[name].mode = place
+
+
+@then("the memory of every entry stays below {megabytes:d} MB")
+def memory_stays_below(context, megabytes):
+    for entry in context.fleet.entries:
+        pid = context.fleet.processes[entry].child.pid
+        status = Path(f"/proc/{pid}/status").read_text()
+        peak = next(n for n in status.splitlines() if n.startswith("VmHWM"))
+        assert int(peak.split()[1]) < megabytes * 1_000, peak
+
+
 @then("{count:d} requests to {path} at every entry are all answered")
 def all_are_answered_everywhere(context, count, path):
     for entry in context.fleet.entries:
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -1,13 +1,18 @@
 """Attempts at targets on real sockets."""
 
 import itertools
+import json
 import socket
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 import gevent
 import gevent.event
 import pytest
 from gevent.server import StreamServer
+from support.endless_targets import ENDLESS
 
 from wasabitray_core.errors import TruncatedAnswerError
 from wasabitray_core.filters.chain import Attempt
@@ -169,6 +174,29 @@
     assert source.closed.wait(1.0)
 
 
+# The memory of the smallest entries, less that of an entry without requests.
+MAX_GROWN_BYTES = (200 - 50) * 1_000_000
+MANY = 300
+
+
+# Guards against targets that send bytes without end and exhaust the memory of
+# an entry, or keep it from serving others.
+@pytest.mark.parametrize("count", [1, MANY], ids=["one", "many"])
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_endless_responses_take_little_memory(kind, count):
+    command = [sys.executable, "-m", "support.endless_targets"]
+    process = subprocess.run(
+        [*command, kind, str(count)],
+        cwd=Path(__file__).parent.parent,
+        capture_output=True,
+        check=True,
+        timeout=100,
+    )
+    measured = json.loads(process.stdout)
+    assert measured["grown_bytes"] < MAX_GROWN_BYTES, measured
+    assert measured["sound_answered"] == measured["sound"], measured
+
+
 def test_body_above_the_limit_is_cut_off(endless):
     source = endless(*ENDLESS_BODIES["chunks"])
     result = exchange(source.target, max_body_bytes=1_048_576)
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -18,6 +18,8 @@
 REGISTRATION_INTERVAL_S = 0.5
 HOST = "rota.example"
 READ_BYTES = 65_536
+# The connection is idle in the pool of its entry by then.
+ENDLESS_AFTER_S = 0.05
 
 
 @dataclass
@@ -97,7 +99,8 @@
             respond `early`, before the body is read; `unframed`, without a
             length; send `extra` bytes after the response; `full`, refuse
             them as not executed; `other`, respond as an instance other
-            than the expected one does.
+            than the expected one does; `endless-head`, `endless-after`, send
+            header lines without end, or bytes after a complete response.
         delay_s: time that each request takes.
         crash_path: requests with this path break their connection.
         is_leaving: whether its responses state that it is leaving.
@@ -226,7 +229,12 @@
                 + build_response(200, response_headers, b"nobody's")
             )
             return True
+        if self.mode == "endless-head":
+            send_endlessly(sock, b"HTTP/1.1 200 OK\r\n", b"a:\r\n" * 1_024)
         sock.sendall(complete_response)
+        if self.mode == "endless-after":
+            gevent.sleep(ENDLESS_AFTER_S)
+            send_endlessly(sock, b"", b"a" * 4_096)
         return True
 
     def build_refusal(self, headers: dict[str, str]) -> dict[str, str]:
@@ -255,6 +263,14 @@
         return delay_s <= deadline_s
 
 
+def send_endlessly(sock, start: bytes, filler: bytes) -> None:
+    """Send bytes until the connection is closed, which raises OSError."""
+    sock.sendall(start)
+    while True:
+        sock.sendall(filler)
+        gevent.sleep(0)
+
+
 def build_response(
     status: int, headers: dict[str, str], body: bytes = b""
 ) -> bytes:
