Let no disk that refuses quarantines end a control host

What callers would have seen: nothing at once; with the change before, a full disk would have ended a control host whenever a request crashed a target.

Cause: whatever a task can't write ends its process, which is right for what was acknowledged, and not for records that other hosts have too.

Change: the file of quarantines logs that the disk refuses, and writes all records with the next one. A file that may end with a part of a record is rewritten, that of departures too.

Result: two new tests, with a disk that takes half of a record and with one that is full at the start.

--- a/packages/node/src/wasabitray_node/departure_file.py
+++ b/packages/node/src/wasabitray_node/departure_file.py
@@ -24,7 +24,8 @@
 
     def load(self) -> tuple[Announcement, ...]:
         """Open the file; return the newest departures, the oldest first."""
-        return self._file.load()
+        self._file.load()
+        return self._file.records
 
     def sync(self, items: list[Announcement]) -> None:
         """Write departures to disk; returns once they are durable."""
--- a/packages/node/src/wasabitray_node/quarantine_file.py
+++ b/packages/node/src/wasabitray_node/quarantine_file.py
@@ -9,6 +9,7 @@
 from wasabitray_core.controllers.crashes import get_time_to_live
 from wasabitray_core.local_messages import RestoredQuarantine
 from wasabitray_core.messages import Quarantine, StoredQuarantine
+from wasabitray_node.logs import log_event
 from wasabitray_node.record_file import RecordFile
 
 FILE_NAME = "quarantines"
@@ -19,7 +20,8 @@
     """Owns a file with the newest record of each request.
 
     A record's age is told by the time of day, as the steady clock starts anew
-    with the machine.
+    with the machine. A disk that refuses to write ends no process: the
+    records are still in memory and on other control hosts.
     """
 
     def __init__(
@@ -32,6 +34,7 @@
             wall_clock: returns Unix seconds.
         """
         self._wall_clock = wall_clock
+        self._is_refused = False
         self._file = RecordFile(
             folder / FILE_NAME, StoredQuarantine, MAX_QUARANTINES
         )
@@ -42,9 +45,10 @@
         It also opens the file.
         """
         now = self._wall_clock()
+        self._write(self._file.load)
         restored = (
             RestoredQuarantine(item.record, max(0.0, now - item.stored_at))
-            for item in self._file.load()
+            for item in self._file.records
         )
         return tuple(
             item
@@ -55,7 +59,21 @@
     def sync(self, items: list[Quarantine]) -> None:
         """Write records to disk; returns once they are durable."""
         now = self._wall_clock()
-        self._file.append([StoredQuarantine(item, now) for item in items])
+        records = [StoredQuarantine(item, now) for item in items]
+        self._write(lambda: self._file.append(records))
+
+    def _write(self, write: Callable[[], None]) -> None:
+        """Write, and log when the disk begins or ceases to refuse that."""
+        try:
+            write()
+        except OSError as error:
+            if not self._is_refused:
+                self._is_refused = True
+                log_event("quarantines not stored", reason=str(error))
+            return
+        if self._is_refused:
+            self._is_refused = False
+            log_event("quarantines stored again")
 
     def close(self) -> None:
         """Close the file."""
--- a/packages/node/src/wasabitray_node/record_file.py
+++ b/packages/node/src/wasabitray_node/record_file.py
@@ -70,11 +70,19 @@
         self._appended_bytes = 0
         self._file: int | None = None
 
-    def load(self) -> tuple[Item, ...]:
-        """Return the newest records, the oldest first, and open the file.
+    @property
+    def records(self) -> tuple[Item, ...]:
+        """The newest records, the oldest first."""
+        return tuple(self._newest.values())
+
+    def load(self) -> None:
+        """Read the records and open the file.
 
         A damaged file is moved aside. Other control hosts have its records
         too.
+
+        Raises:
+            OSError: the disk refuses to write; the records are read.
         """
         try:
             for item in self._read():
@@ -84,11 +92,14 @@
             self._path.rename(self._path.with_name(f"{self._name}.damaged"))
             log_event(f"{self._name} damaged", reason=str(error))
         self._compact()
-        return tuple(self._newest.values())
 
     def append(self, items: list[Item]) -> None:
-        """Write records to disk; returns once they are durable."""
-        assert self._file is not None
+        """Write records to disk; returns once they are durable.
+
+        Raises:
+            OSError: the disk refuses to write. The next call writes all
+                records, also these.
+        """
         frames = [
             build_frame(encode_item(item)) for item in items if self._put(item)
         ]
@@ -96,11 +107,15 @@
             return
         data = b"".join(frames)
         self._appended_bytes += len(data)
-        if self._appended_bytes > MAX_APPENDED_BYTES:
+        if self._file is None or self._appended_bytes > MAX_APPENDED_BYTES:
             self._compact()
             return
-        write_all(self._file, data)
-        os.fdatasync(self._file)
+        try:
+            write_all(self._file, data)
+            os.fdatasync(self._file)
+        except OSError:
+            self.close()  # the file may end with a part of a record
+            raise
 
     def close(self) -> None:
         """Close the file."""
--- a/tests/node/test_quarantine_file.py
+++ b/tests/node/test_quarantine_file.py
@@ -1,5 +1,8 @@
 """The file with requests that crashed targets."""
 
+import errno
+import os
+
 import pytest
 
 from wasabitray_core.controllers.crashes import (
@@ -111,6 +114,40 @@
     assert (tmp_path / FILE_NAME).stat().st_size < 2_000_000
 
 
+# Guards against a full disk that ends control hosts because of quarantines.
+def test_full_disk_loses_no_record_that_can_be_written_later(
+    tmp_path, wall_clock, monkeypatch
+):
+    file = QuarantineFile(tmp_path, wall_clock)
+    file.load()
+    file.sync([RECORD])
+    other = Quarantine("g", ("t1",))
+
+    def refuse(descriptor, data):
+        os.write(descriptor, data[: len(data) // 2])
+        raise OSError(errno.ENOSPC, "no space left")
+
+    with monkeypatch.context() as full:
+        full.setattr(record_file, "write_all", refuse)
+        full.setattr(os, "fsync", lambda descriptor: refuse(descriptor, b""))
+        for _ in range(3):
+            file.sync([other])
+    file.sync([Quarantine("h", ("t1",))])
+    file.close()
+    restored = [record for record, _ in load(tmp_path, wall_clock)]
+    assert {r.fingerprint for r in restored} == {"f", "g", "h"}
+
+
+def test_records_are_read_from_a_full_disk(tmp_path, wall_clock, monkeypatch):
+    write(tmp_path, wall_clock, [RECORD])
+
+    def refuse(descriptor):
+        raise OSError(errno.ENOSPC, "no space left")
+
+    monkeypatch.setattr(os, "fsync", refuse)
+    assert load(tmp_path, wall_clock) == [(RECORD, 0.0)]
+
+
 @pytest.mark.parametrize("lost_bytes", range(1, 40))
 def test_record_that_was_written_in_part_is_left_out(
     tmp_path, wall_clock, lost_bytes
