Report a refused quarantine in the main thread, and review idle connections in turn

The file of quarantines logged from the thread that syncs, where the log's task can't be woken. The pool looked at all idle connections at once every few seconds, which grows with the number of targets and would delay the request that returns one.

Change: sync errors are handled by the kind of file; that of quarantines logs and goes on. Each returned connection has those of two targets reviewed.

--- a/packages/node/src/wasabitray_node/assembly.py
+++ b/packages/node/src/wasabitray_node/assembly.py
@@ -6,6 +6,7 @@
 import random
 import secrets
 import time
+from functools import singledispatch
 from typing import Any
 
 import gevent
@@ -300,7 +301,7 @@
             def sync(items: list[Any]) -> None:
                 error = pool.apply(_try_sync, (storage, items))
                 if error is not None:
-                    exit_immediately(error)
+                    handle_sync_error(storage, error)
 
         task = ControllerTask(controller, outbox, self.router, monotonic, sync)
         self.router.add(task)
@@ -344,6 +345,18 @@
     return None
 
 
+@singledispatch
+def handle_sync_error(file: DiskFile, error: Exception) -> None:
+    """Handle items that could not be made durable."""
+    exit_immediately(error)
+
+
+@handle_sync_error.register
+def _(file: QuarantineFile, error: Exception) -> None:
+    # The records are still in memory and on other control hosts.
+    log_event("quarantines not stored", reason=str(error))
+
+
 def exit_immediately(error: BaseException) -> None:
     """End the process after a task failed, such as on a disk error.
 
--- a/packages/node/src/wasabitray_node/connections.py
+++ b/packages/node/src/wasabitray_node/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
 from collections.abc import Callable
 from functools import singledispatchmethod
@@ -14,6 +15,10 @@
 from wasabitray_node.settings import Limits
 from wasabitray_node.sockets import has_input
 
+# Whose idle connections are reviewed with each connection that is returned.
+# With two, the pool shrinks faster than new targets can add to it.
+REVIEWED_TARGETS = 2
+
 PoolKey = NewType("PoolKey", tuple[str, str, int])
 """A target, its address and its generation.
 
@@ -90,7 +95,6 @@
         self._limits = limits
         self._clock = clock
         self._idle: dict[PoolKey, deque[Connection]] = {}
-        self._next_sweep = clock()
 
     @singledispatchmethod
     def receive(self, message: Any) -> Connection | None:
@@ -126,25 +130,25 @@
         idle.append(connection)
         if len(idle) > self._limits.idle_connections_per_target:
             idle.popleft().close()
-        self._sweep()
+        self._review_oldest()
 
-    def _sweep(self) -> None:
-        """Close what is no longer usable, from time to time.
+    def _review_oldest(self) -> None:
+        """Close what is no longer usable among a few targets' connections.
 
         Targets that are gone are never borrowed from again, and a faulty one
-        may send on an idle connection.
+        may send on an idle connection. Targets are looked at in turn, so that
+        no request waits for a review of all.
         """
         now = self._clock()
-        if now < self._next_sweep:
-            return
-        self._next_sweep = Seconds(now + self._limits.idle_connection_s)
-        for pool_key, idle in list(self._idle.items()):
-            for connection in list(idle):
-                if not self._is_usable(connection, now):
-                    idle.remove(connection)
+        for pool_key in list(itertools.islice(self._idle, REVIEWED_TARGETS)):
+            usable: deque[Connection] = deque()
+            for connection in self._idle.pop(pool_key):
+                if self._is_usable(connection, now):
+                    usable.append(connection)
+                else:
                     connection.close()
-            if not idle:
-                del self._idle[pool_key]
+            if usable:
+                self._idle[pool_key] = usable  # at the end
 
     def _is_usable(self, connection: Connection, now: Seconds) -> bool:
         age = now - connection.idle_since
--- a/packages/node/src/wasabitray_node/quarantine_file.py
+++ b/packages/node/src/wasabitray_node/quarantine_file.py
@@ -20,8 +20,7 @@
     """Owns a file with the newest record of each request.
 
     A record's age is told by the time of day, as the steady clock starts anew
-    with the machine. A disk that refuses to write ends no process: the
-    records are still in memory and on other control hosts.
+    with the machine.
     """
 
     def __init__(
@@ -34,7 +33,6 @@
             wall_clock: returns Unix seconds.
         """
         self._wall_clock = wall_clock
-        self._is_refused = False
         self._file = RecordFile(
             folder / FILE_NAME, StoredQuarantine, MAX_QUARANTINES
         )
@@ -45,7 +43,10 @@
         It also opens the file.
         """
         now = self._wall_clock()
-        self._write(self._file.load)
+        try:
+            self._file.load()
+        except OSError as error:
+            log_event("quarantines not stored", reason=str(error))
         restored = (
             RestoredQuarantine(item.record, max(0.0, now - item.stored_at))
             for item in self._file.records
@@ -57,23 +58,13 @@
         )
 
     def sync(self, items: list[Quarantine]) -> None:
-        """Write records to disk; returns once they are durable."""
-        now = self._wall_clock()
-        records = [StoredQuarantine(item, now) for item in items]
-        self._write(lambda: self._file.append(records))
+        """Write records to disk; returns once they are durable.
 
-    def _write(self, write: Callable[[], None]) -> None:
-        """Write, and log when the disk begins or ceases to refuse that."""
-        try:
-            write()
-        except OSError as error:
-            if not self._is_refused:
-                self._is_refused = True
-                log_event("quarantines not stored", reason=str(error))
-            return
-        if self._is_refused:
-            self._is_refused = False
-            log_event("quarantines stored again")
+        Raises:
+            OSError: the disk refuses to write; the next call tries again.
+        """
+        now = self._wall_clock()
+        self._file.append([StoredQuarantine(item, now) for item in items])
 
     def close(self) -> None:
         """Close the file."""
--- a/tests/node/test_quarantine_file.py
+++ b/tests/node/test_quarantine_file.py
@@ -114,7 +114,6 @@
     assert (tmp_path / FILE_NAME).stat().st_size < 2_000_000
 
 
-# Guards against a full disk that ends control hosts because of quarantines.
 def test_full_disk_loses_no_record_that_can_be_written_later(
     tmp_path, wall_clock, monkeypatch
 ):
@@ -131,7 +130,8 @@
         full.setattr(record_file, "write_all", refuse)
         full.setattr(os, "fsync", lambda descriptor: refuse(descriptor, b""))
         for _ in range(3):
-            file.sync([other])
+            with pytest.raises(OSError, match="no space"):
+                file.sync([other])
     file.sync([Quarantine("h", ("t1",))])
     file.close()
     restored = [record for record, _ in load(tmp_path, wall_clock)]
