Tell a silent hub from an isolated one

What callers saw: nothing; entries came back to a frozen hub too soon, and bytes between regions rose.

Entries leave a hub a second after its last feed, before the 1.5 s of a silent one, so the frozen hub was taken for an isolated one: it was tried again after 2 s, and chosen when all others had no leader either.

Change: a hub is isolated only if a feed of it came after the last contact with the leader.

Result: test_hub_that_falls_silent_is_not_tried_again_soon failed before; the fake hubs are in different failure domains now, one in the entry's.

--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -74,6 +74,7 @@
 
 _NO_INCARNATION = Incarnation("")
 _FEED_START = FeedPosition(0)
+_SILENT = "silent"
 _NO_LEADER = "no contact with the leader"
 
 
@@ -393,13 +394,11 @@
             return "start"
         timeout = SEARCH_TIMEOUT_S if self._is_searching else HUB_TIMEOUT_S
         if now - self._last_hub_contact > timeout:
-            return "silent"
-        if not self._has_leader_contact(now):
-            return _NO_LEADER
-        return None
-
-    def _has_leader_contact(self, now: Seconds) -> bool:
-        return now - self._last_leader_contact <= LEADER_TIMEOUT_S
+            return _SILENT
+        if now - self._last_leader_contact <= LEADER_TIMEOUT_S:
+            return None
+        has_answered = self._last_hub_contact > self._last_leader_contact
+        return _NO_LEADER if has_answered else _SILENT
 
     def _is_in_region(self, host: HostId) -> bool:
         return self._hubs.get_nearness(host) >= Nearness.REGION
--- a/tests/core/controllers/test_subscriber.py
+++ b/tests/core/controllers/test_subscriber.py
@@ -266,9 +266,12 @@
         self.isolated = set(isolated)
         self.silent = set()
         self.declined = 0
+        domains = ["hobart", *(f"d{n}" for n in range(2, len(regions) + 1))]
         self.addresses = tuple(
-            HostAddress(f"c{n}", f"10.0.0.{n}:1", region, f"{region}-{n}")
-            for n, region in enumerate(regions, 1)
+            HostAddress(f"c{n}", f"10.0.0.{n}:1", region, domain)
+            for n, (region, domain) in enumerate(
+                zip(regions, domains, strict=True), 1
+            )
         )
         self._replies = []
         self._seen = 0
@@ -353,6 +356,18 @@
     assert hubs.run(8.0) < MAX_CONFIG_DELAY_S + 2 * HUB_TIMEOUT_S
 
 
+# Guards against a frozen hub that is taken for an isolated one and tried
+# again too soon.
+def test_hub_that_falls_silent_is_not_tried_again_soon():
+    hubs = start_entry(9, 0)
+    near = hubs.bed.controller.hub
+    hubs.silent = {near}
+    hubs.run(LEADER_TIMEOUT_S + 1.0)
+    for _ in range(int(HUB_RETRY_DELAY_S - 2.0) * 10):
+        assert hubs.bed.controller.hub != near
+        hubs.run(0.1)
+
+
 def test_entry_keeps_a_leader_while_its_near_hubs_are_isolated():
     hubs = start_entry(9, 4)
     hubs.run(MAX_CONFIG_DELAY_S)
