--- a/tests/core/controllers/test_hub.py
+++ b/tests/core/controllers/test_hub.py
@@ -184,6 +184,18 @@
     assert get_feeds_sent_to(bed, "e2")[0].quarantines == ()
 
 
+def test_restarted_hub_sends_other_hubs_the_quarantined_requests_only():
+    crashed = Quarantine("g", ("t1",))
+    restored = tuple(RestoredQuarantine(r, 5.0) for r in (QUARANTINE, crashed))
+    bed = restarted_hub_bed(quarantines=restored)
+    bed.receive("e1", presence())
+    bed.receive("c2", hub_presence())
+    to_hub = [q for f in get_feeds_sent_to(bed, "c2") for q in f.quarantines]
+    assert to_hub == [QUARANTINE]
+    to_entry = get_feeds_sent_to(bed, "e1")[0].quarantines
+    assert set(to_entry) == {QUARANTINE, crashed}
+
+
 def test_hub_stores_the_quarantines_of_entries_and_other_hubs():
     bed = hub_bed()
     crashed = Quarantine("g", ("t1",))
