Store requests that crashed targets from their second crash on

What callers saw: nothing; bytes between regions rose after a restart of all processes.

Cause: a request that met one broken connection was stored, and entries that start read all these records, many from a hub of another region.

Records of a single crash stay in memory: one forgotten crash allows one attempt more, which the promise of three leaves room for.

--- a/packages/core/src/wasabitray_core/controllers/crashes.py
+++ b/packages/core/src/wasabitray_core/controllers/crashes.py
@@ -12,6 +12,9 @@
 
 # Crashes, without a response in between, that quarantine a request.
 MIN_CRASHES = 3
+# Crashes from which on a record is stored. A single one is common and may be
+# forgotten when all processes end: one attempt more is within the promise.
+MIN_STORED_CRASHES = MIN_CRASHES - 1
 # Waits before the first and before the second trial of a quarantined request.
 # Three trials are promised at most; the third is left for entries that do not
 # know of the quarantine yet.
@@ -31,6 +34,11 @@
     return len(record.targets) >= MIN_CRASHES
 
 
+def must_be_stored(record: Quarantine) -> bool:
+    """Return whether a record, or its removal, must outlive a restart."""
+    return not record.targets or len(record.targets) >= MIN_STORED_CRASHES
+
+
 def get_trial_wait(record: Quarantine) -> float:
     """Return the seconds from now to the next trial, infinite if none."""
     used = record.trials - record.unused_trials
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -20,7 +20,7 @@
     Controller,
     Origin,
 )
-from wasabitray_core.controllers.crashes import is_quarantined
+from wasabitray_core.controllers.crashes import must_be_stored
 from wasabitray_core.controllers.departures import UnstoredDepartures
 from wasabitray_core.controllers.feed_readers import (
     FEED_START,
@@ -99,8 +99,6 @@
 
 _NO_DOMAIN = FailureDomainName("")
 _NEVER = Seconds(math.inf)
-# The incarnation of items that are in no hub's feed to other hubs.
-_DISK = Incarnation("disk")
 
 
 class _Subscriber(Struct):
@@ -164,7 +162,8 @@
             self._table.put(departure, self.host, self._now())
         self._restored_position = self._table.position
         for restored in quarantines:
-            self._restore_quarantine(restored)
+            stored_at = Seconds(self._now() - restored.age_s)
+            self._table.put(restored.record, self.host, stored_at)
 
     @property
     def tick_interval_s(self) -> float:  # type: ignore[override]
@@ -290,18 +289,6 @@
         )
         self._register(departure, origin)
 
-    def _restore_quarantine(self, restored: RestoredQuarantine) -> None:
-        """Put a record from this hub's disk into the feed.
-
-        Other hubs have most of the records on their own disks. Only those of
-        quarantined requests are few enough to be sent to them too.
-        """
-        origin = None
-        if not is_quarantined(restored.record):
-            origin = FeedMark(self.host, _DISK, FEED_START)
-        stored_at = Seconds(self._now() - restored.age_s)
-        self._table.put(restored.record, self.host, stored_at, origin)
-
     def _is_restored(self, record: FeedRecord) -> bool:
         """Return whether nothing but this hub's disk has shown a record."""
         return record.position <= self._restored_position
@@ -372,7 +359,11 @@
         """Write the new items among records that must outlive a restart."""
         self._store_departures(records)
         items = (record.item for record in records if record is not None)
-        quarantines = select_by_kind(items, Quarantine)
+        quarantines = tuple(
+            item
+            for item in items
+            if isinstance(item, Quarantine) and must_be_stored(item)
+        )
         if quarantines:
             request = StoreQuarantines(quarantines)
             self._outbox.tell(ControllerName.TRIALS, request)
