Show that a gray target used by one entry alone isn't ejected

The step kept nothing that tells missing evidence, a widespread failure and a permit that isn't granted apart. It now prints the evaluator's scores and the pending claims. With them: the gray target has the highest score (40), no widespread failure is noted and no claim is pending, so the ejection is held back as the failure of a path. Entries prefer their own region, which has one entry here; unless its targets' slots are full, only that entry meets the gray target. The product is unchanged: in the failed run a sound target of the region had the same score through that entry's slow attempts, so one entry's word must not eject. A second entry's opinion is needed, which is new.

Change: the step prints the state; a scenario with one caller for each entry shows the fault without chance.

--- a/tests/features/steps/target_steps.py
+++ b/tests/features/steps/target_steps.py
@@ -46,7 +46,7 @@
 
 
 @when("callers send requests to all entries")
-def send_continuously(context):
+def send_continuously(context, callers_per_entry=4):
     for job in context.load_jobs:
         job.kill()
 
@@ -61,10 +61,15 @@
     context.load_jobs = [
         gevent.spawn(run, entry)
         for entry in context.fleet.entry_names
-        for _ in range(4)
+        for _ in range(callers_per_entry)
     ]
 
 
+@when("one caller sends requests to each entry")
+def send_one_at_a_time(context):
+    send_continuously(context, callers_per_entry=1)
+
+
 @when("the callers stop, which leaves idle connections")
 def stop_sending(context):
     gevent.killall(context.load_jobs)
@@ -83,11 +88,21 @@
 @then("it is ejected within {seconds:d} s and no other target is")
 def is_ejected(context, seconds):
     gray_address = f"{context.fleet.ip(context.gray_target)}:9000"
-    wait_for(
-        lambda: gray_address in find_ejected_targets(context),
-        seconds,
-        "the ejection",
-    )
+    try:
+        wait_for(
+            lambda: gray_address in find_ejected_targets(context),
+            seconds,
+            f"the ejection of {gray_address}",
+        )
+    except AssertionError as error:
+        # Tells missing evidence, a widespread failure and a permit that is
+        # not granted apart.
+        health = {
+            entry: (status["health"], status["claims"])
+            for entry in context.fleet.entry_names
+            if (status := context.fleet.get_status(entry))
+        }
+        raise AssertionError(f"{error}: {health}") from error
     assert find_ejected_targets(context) == {gray_address}
 
 
--- a/tests/features/targets.feature
+++ b/tests/features/targets.feature
@@ -20,6 +20,14 @@
     And callers send requests to all entries
     Then it is readmitted within 40 s
 
+  Scenario: A gray target that only the entry of its region uses is ejected
+    Given a fleet of 3 control hosts and 3 entries
+    And 6 targets of service rota
+    And every entry has applied the example declarations
+    When one rota target fails 40 percent of its requests
+    And one caller sends requests to each entry
+    Then it is ejected within 20 s and no other target is
+
   Scenario: A failure of most targets at once ejects none
     Given a fleet of 3 control hosts and 3 entries
     And 6 targets of service rota
