Read the health of all entries in a function of its own

Cause: a newcomer has to decode an assignment inside a comprehension. Change: the step calls read_health, which says what it tells apart.

--- a/tests/features/steps/target_steps.py
+++ b/tests/features/steps/target_steps.py
@@ -85,6 +85,19 @@
     }
 
 
+def read_health(context):
+    """Return what each entry knows of failing targets.
+
+    It tells missing evidence, a widespread failure and a permit that is not
+    granted apart.
+    """
+    statuses = {
+        entry: context.fleet.get_status(entry)
+        for entry in context.fleet.entry_names
+    }
+    return {e: (s["health"], s["claims"]) for e, s in statuses.items()}
+
+
 @then("it is ejected within {seconds:d} s and no other target is")
 def is_ejected(context, seconds):
     gray_address = f"{context.fleet.ip(context.gray_target)}:9000"
@@ -95,14 +108,7 @@
             f"the ejection of {gray_address}",
         )
     except AssertionError as error:
-        # Tells missing evidence, a widespread failure and a permit that is
-        # not granted apart.
-        health = {
-            entry: (status["health"], status["claims"])
-            for entry in context.fleet.entry_names
-            if (status := context.fleet.get_status(entry))
-        }
-        raise AssertionError(f"{error}: {health}") from error
+        raise AssertionError(f"{error}: {read_health(context)}") from error
     assert find_ejected_targets(context) == {gray_address}
 
 
