Wait for the endless attempts without a lambda

Cause: the measuring program passed a lambda, against the linter's rule, only to ask whether its jobs are done. Change: send_sound takes the jobs. Measured: the 20 tests that run the program pass, ten kinds with one target and with 300; nothing they measure or compare changed.

--- a/tests/support/endless_targets.py
+++ b/tests/support/endless_targets.py
@@ -83,9 +83,9 @@
         except TruncatedAnswerError:
             return
 
-    def send_sound(self, target, is_over):
-        """Make sound attempts until the others are over."""
-        while not is_over():
+    def send_sound(self, target, jobs):
+        """Make sound attempts until the jobs are done."""
+        while not all(job.ready() for job in jobs):
             started = time.monotonic()
             result = self.attempt(target)
             self.sound += 1
@@ -130,8 +130,7 @@
     meter.attempt(sound)
     before = get_peak_bytes()
     jobs = [gevent.spawn(meter.read_endless, endless) for _ in range(count)]
-    is_over = lambda: all(job.ready() for job in jobs)  # noqa: E731
-    meter.send_sound(sound, is_over)
+    meter.send_sound(sound, jobs)
     return {
         "grown_bytes": get_peak_bytes() - before,
         "sound": meter.sound,
