Log refused heads and the steps of an operator's change

Callers saw 4xx and operators no answer, and the logs could not tell why. A request that the listener refuses for its head was logged as free text or, with 414, not at all, and counted as an event kind of its own each time.

--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -201,7 +201,8 @@
         if not self._state.is_leader:
             self._reply(origin, Err(self._make_not_leader_error()))
             return
-        self._proposals.add(Proposal(message.change, origin))
+        proposal = Proposal(message.change, origin, self._now())
+        self._proposals.add(proposal)
         self._process_queued_proposals()
 
     @receive.register
@@ -223,7 +224,8 @@
                 version=message.source.version,
             )
             table = message.source.documents()
-            self._proposals.add(Proposal(change, origin, table))
+            proposal = Proposal(change, origin, self._now(), table)
+            self._proposals.add(proposal)
             self._process_queued_proposals()
 
     @receive.register
@@ -516,7 +518,7 @@
         if proposal.table is not None:
             edits = diff_documents(self._machine.documents, proposal.table)
             change = replace(proposal.change, edits=edits)
-            proposal = Proposal(change, proposal.origin)
+            proposal = replace(proposal, change=change, table=None)
         previous_result = self._machine.find_previous_result(proposal.change)
         if isinstance(previous_result, Ok):
             self._proposals.await_acceptance(
@@ -530,7 +532,7 @@
         if isinstance(checked, Err):
             self._reply(proposal.origin, checked)
             return
-        self._proposals.mark_appended(proposal)
+        self._proposals.mark_appended(proposal, self._now())
         self._append(proposal.change)
 
     def _reply_to_completed_changes(self) -> None:
@@ -644,16 +646,23 @@
             self._take_snapshot()
 
     def _apply_change(self, change: Change) -> list:
+        now = self._now()
         committed = self._machine.apply(change)
-        origin = self._proposals.mark_applied(change.change)
+        applied = self._proposals.mark_applied(change.change, now)
         if committed is None:
             return []
-        now = self._now()
         if any(edit.key == FLEET_KEY for edit in change.edits):
             self._proposals.record_fleet_change(committed.revision, now)
-        if origin is not None:
-            revision = committed.revision
-            self._proposals.await_acceptance(revision, origin, now)
+        if applied is not None:
+            origin, times = applied
+            self._outbox.log_event(
+                "change committed",
+                revision=committed.revision,
+                version=change.version or None,
+                queued_ms=round(times.queued * 1_000, 1),
+                commit_ms=round(times.commit * 1_000, 1),
+            )
+            self._proposals.await_acceptance(committed.revision, origin, now)
         return [committed]
 
     def _take_snapshot(self) -> None:
--- a/packages/core/src/wasabitray_core/controllers/consensus/proposals.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/proposals.py
@@ -28,15 +28,29 @@
     """A proposed change and the origin to reply to.
 
     Attributes:
+        queued_at: when the leader received the change.
         table: documents of a whole route table; the change's edits are
             computed from them when the change leaves the queue.
     """
 
     change: Change
     origin: Origin
+    queued_at: Seconds
     table: dict[str, str] | None = None
 
 
+class CommitTimes(Struct, frozen=True):
+    """How long the steps of a committed change took.
+
+    Attributes:
+        queued: seconds until the change was appended to the log.
+        commit: seconds from then until a majority had synced it.
+    """
+
+    queued: Seconds
+    commit: Seconds
+
+
 class _PendingAcceptance(Struct, frozen=True):
     revision: Revision
     origin: Origin
@@ -55,6 +69,7 @@
         self._machine = machine
         self._queue: deque[Proposal] = deque()
         self._uncommitted: Proposal | None = None
+        self._appended_at = Seconds(0.0)
         self._pending_acceptances: list[_PendingAcceptance] = []
         self._view = FleetView(())
         self._fleet_changed_at = Seconds(0.0)
@@ -73,22 +88,29 @@
         """Remove and return the next queued change, None if there is none."""
         return self._queue.popleft() if self._queue else None
 
-    def mark_appended(self, proposal: Proposal) -> None:
+    def mark_appended(self, proposal: Proposal, now: Seconds) -> None:
         """Record that a change was appended to the log."""
         self._uncommitted = proposal
+        self._appended_at = now
 
-    def mark_applied(self, change: ChangeId) -> Origin | None:
+    def mark_applied(
+        self, change: ChangeId, now: Seconds
+    ) -> tuple[Origin, CommitTimes] | None:
         """Record that a change was applied.
 
         Returns:
-            The origin to reply to, or None if the change was not proposed
-            on this leader.
+            The origin to reply to and how long the change took, or None if
+            it was not proposed on this leader.
         """
         proposal = self._uncommitted
         if proposal is None or proposal.change.change != change:
             return None
         self._uncommitted = None
-        return proposal.origin
+        times = CommitTimes(
+            Seconds(self._appended_at - proposal.queued_at),
+            Seconds(now - self._appended_at),
+        )
+        return proposal.origin, times
 
     def cancel_all(self) -> list[Origin]:
         """Remove all changes; return the origins that wait for a reply."""
--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -14,6 +14,7 @@
 from gevent.pywsgi import LoggingLogAdapter, WSGIHandler, WSGIServer
 from result import Err, Ok, Result
 
+from wasabitray_node.logs import log_event
 from wasabitray_node.settings import split_address
 from wasabitray_node.sockets import has_input
 
@@ -27,6 +28,7 @@
 # A connection whose sent bytes stay unacknowledged for this long is closed.
 USER_TIMEOUT_MS = 10_000
 DEFAULT_IDLE_TIMEOUT_S = 75.0
+MAX_LOGGED_ERROR = 200
 
 
 # The token of RFC 9110 section 5.6.2, without the underscore: in the WSGI
@@ -89,6 +91,22 @@
                 raise ValueError("a folded header line")
         return headers
 
+    def handle_one_request(self) -> Any:
+        """Serve one request; log one that is refused for its head."""
+        result = super().handle_one_request()
+        if isinstance(result, tuple):
+            log_event(
+                "request head refused",
+                status=int(result[0]),
+                caller=str(self.client_address),
+            )
+        return result
+
+    def log_error(self, msg: str, *args: Any) -> None:
+        """Log an error of the listener as one kind of event."""
+        detail = msg % args if args else msg
+        log_event("listener error", detail=detail[:MAX_LOGGED_ERROR])
+
     _waiting_greenlet: Any = None
 
     def read_requestline(self) -> Any:
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -1,5 +1,6 @@
 """HTTP listeners: ambiguous requests, headers, the secret and stops."""
 
+import logging
 import socket
 import time
 
@@ -185,3 +186,13 @@
     assert not server.wait_closed(0)
     theirs.close()
     assert server.wait_closed(2)
+
+
+def test_refused_head_is_logged_as_one_kind_of_event(address, caplog):
+    caplog.set_level(logging.INFO, "wasabitray")
+    for target in (b"/a b", b"/c d"):
+        answer = exchange(address, b"GET %b HTTP/1.1\r\n\r\n" % target)
+        assert answer.startswith(b"HTTP/1.1 400")
+    kinds = [record.getMessage() for record in caplog.records]
+    assert kinds.count("request head refused") == 2
+    assert kinds.count("listener error") == 2
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -1,7 +1,10 @@
 """The HTTP resource with which operators send configurations."""
 
+import logging
+
 import falcon
 import falcon.testing
+import gevent
 import pytest
 
 from wasabitray_platform.operators import CONFIG_PATH, ConfigResource
@@ -32,3 +35,21 @@
     client = falcon.testing.TestClient(app)
     response = client.simulate_put(CONFIG_PATH, body=body)
     assert response.status_code == 400
+
+
+class SilentRouter:
+    """Never replies."""
+
+    def ask(self, controller, message, timeout):
+        raise gevent.Timeout(timeout)
+
+
+def test_order_without_a_reply_is_logged(caplog):
+    caplog.set_level(logging.INFO, "wasabitray")
+    app = falcon.App()
+    app.add_route(CONFIG_PATH, ConfigResource(SilentRouter(), 8382))
+    client = falcon.testing.TestClient(app)
+    assert client.simulate_get(CONFIG_PATH).status_code == 503
+    (record,) = caplog.records
+    assert record.getMessage() == "order not served"
+    assert record.kind == "ReadDocuments"
