Track a new member's progress as soon as it is in the log

The leader tracked its members at each timer only. A read of the configuration between the joining of a member and the next timer failed with a KeyError after the members before it had got their messages; the read was answered by their replies, the members after it waited for the timer.

Members are now tracked when they enter the log. The new test failed before with that KeyError.

--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -341,11 +341,7 @@
 
     def _run_as_leader(self) -> None:
         now = self._now()
-        start = Progress(LogIndex(0), self._log.last_index, now)
-        self._progress = {
-            m.member: self._progress.get(m.member) or replace(start)
-            for m in self._state.peers
-        }
+        self._track_peers()
         reachable = {
             m
             for m, progress in self._progress.items()
@@ -363,6 +359,14 @@
         self._reply_to_completed_changes()
         self._process_queued_proposals()
 
+    def _track_peers(self) -> None:
+        """Track the progress of all current members and of no others."""
+        start = Progress(LogIndex(0), self._log.last_index, self._now())
+        self._progress = {
+            m.member: self._progress.get(m.member) or replace(start)
+            for m in self._state.peers
+        }
+
     def _send_append(self, member: Member) -> None:
         progress = self._progress[member.member]
         previous = LogIndex(progress.next_index - 1)
@@ -497,9 +501,9 @@
         record = LogRecord(index, self.term, command)
         self._log.append(record)
         self._outbox.persist(record)
+        self._track_peers()
         for member in self._state.peers:
-            if member.member in self._progress:
-                self._send_append(member)
+            self._send_append(member)
 
     def _process_queued_proposals(self) -> None:
         """Append the next valid change, unless one is still uncommitted."""
--- a/tests/core/controllers/consensus/test_tables.py
+++ b/tests/core/controllers/consensus/test_tables.py
@@ -6,8 +6,9 @@
 
 from wasabitray_core.controllers.controller import Origin, ReplyToken
 from wasabitray_core.errors import DocumentError, NotLeaderError
+from wasabitray_core.ids import HostId, MemberId
 from wasabitray_core.local_messages import ReadDocuments, ReplaceTable
-from wasabitray_core.messages import Members
+from wasabitray_core.messages import JoinRequest, Member, Members
 from wasabitray_core.route_table import read_table_source
 
 
@@ -145,3 +146,21 @@
     network.run(5.0)
     group = network.leader().controller._log.members
     assert away in {m.host for m in (*group.voters, *group.learners)}
+
+
+def deliver_all(network):
+    """Deliver all messages, also those sent meanwhile; no timer runs."""
+    for _ in range(200):
+        network.deliver_one()
+    assert not network.queue
+
+
+def test_read_is_answered_right_after_a_member_joined():
+    network = make_settled_network()
+    deliver_all(network)
+    leader = network.leader()
+    joined = Member(MemberId("c4.0"), HostId("c4"))
+    leader.receive(JoinRequest(joined), Origin(peer=joined.host), False)
+    token = send_request(network, ReadDocuments())
+    deliver_all(network)
+    assert isinstance(network.replies.get(token), Ok)
