Acknowledge a change when it is committed, not at the next timer

After the commit the leader replied to an operator only at its next timer or view of the fleet, up to 0.2 s later and more on a busy host. It replies in the same step now. The new test, in which no timer runs, failed before.

--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -439,6 +439,7 @@
             and self._log.find_term(index) == self.term
         ):
             self._commit_up_to(index)
+            self._reply_to_completed_changes()
             self._process_queued_proposals()
 
     def _advance_members(self) -> None:
--- a/tests/core/controllers/consensus/test_tables.py
+++ b/tests/core/controllers/consensus/test_tables.py
@@ -155,6 +155,14 @@
     assert not network.queue
 
 
+def test_committed_change_is_acknowledged_before_the_next_timer():
+    network = make_settled_network()
+    deliver_all(network)
+    token = send_request(network, make_replacement(7))
+    deliver_all(network)
+    assert isinstance(network.replies.get(token), Ok)
+
+
 def test_read_is_answered_right_after_a_member_joined():
     network = make_settled_network()
     deliver_all(network)
