Send a long feed in parts that the entry acknowledges

What callers saw: an entry that starts while a large fleet runs had no configuration for 5 s and more, then an old one, and refused an acknowledged route with 404 (CONFIG, and DENIED once there are many).

Cause: a hub sent the whole feed at once and, every 0.4 s without an acknowledgement, once more. A feed keeps a record for each broken connection for two minutes: 2,200 after 24 s, about 200 KB, nearly a second on a link of 2 Mbit/s. So copies of the feed filled the link, the configuration waited behind them, the entry took the hub for silent and asked the next one, which sent the whole feed again. Each copy costs the hub processor time as well. Congestion collapse by retransmission: the resend time ignored what was in transit.

Change: a hub has at most 512 items in transit to an entry, which acknowledges each 256 at once; a reader without progress gets them again after 0.4 s, then after twice as long each time. An entry asks once in 0.5 s for the same revision, not with each message.

--- a/packages/core/src/wasabitray_core/controllers/feed_readers.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_readers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from msgspec import Struct
+from collections import deque
+
+from msgspec import Struct, field
 
 from wasabitray_core.controllers.controller import Origin
 from wasabitray_core.ids import FeedPosition, Seconds
@@ -11,6 +13,11 @@
 # Exceeds the delay of two links between regions, so that items still in
 # transit are not sent again.
 RESEND_AFTER_S = 0.4
+# A link that is too slow for the feed would otherwise carry copies only.
+MAX_RESEND_AFTER_S = 3.2
+# Items that may be in transit to a reader. They take a slow link of 2 Mbit/s
+# well below the resend time, and other messages don't wait behind a long feed.
+WINDOW_ITEMS = 512
 # A target asks another hub after one second without a response.
 CONFIRM_TIMEOUT_S = 2.0
 
@@ -23,30 +30,50 @@
         acked: position up to which it acknowledged the feed.
         progress_at: when it last acknowledged a newer position, or was sent
             items while it had acknowledged all earlier ones.
+        resend_after: seconds without progress after which items in transit
+            are sent again.
+        in_transit: end position and number of items of each message that it
+            has not acknowledged.
     """
 
     sent: FeedPosition
     acked: FeedPosition
     progress_at: Seconds
+    resend_after: float = RESEND_AFTER_S
+    in_transit: deque[tuple[FeedPosition, int]] = field(default_factory=deque)
+
+    @property
+    def window(self) -> int:
+        """The number of items that may be sent to it now."""
+        return max(0, WINDOW_ITEMS - sum(n for _, n in self.in_transit))
 
-    def record_sent(self, position: FeedPosition, now: Seconds) -> None:
-        """Record that the feed was sent up to a position."""
+    def record_sent(
+        self, position: FeedPosition, item_count: int, now: Seconds
+    ) -> None:
+        """Record that items up to a position of the feed were sent."""
         if self.acked >= self.sent:
             self.progress_at = now  # nothing was in transit before
         self.sent = position
+        if item_count:
+            self.in_transit.append((position, item_count))
 
     def record_read(self, position: FeedPosition, now: Seconds) -> None:
         """Record an acknowledged position.
 
-        If no newer one came for RESEND_AFTER_S, the feed is sent again from
-        this position.
+        If no newer one came for some time, the feed is sent again from this
+        position, and each further time after twice as long.
         """
         if position > self.acked:
             self.acked, self.progress_at = position, now
             self.sent = max(position, self.sent)
-        elif now - self.progress_at > RESEND_AFTER_S:
+            self.resend_after = RESEND_AFTER_S
+        elif now - self.progress_at > self.resend_after:
             self.sent = min(position, self.sent)
             self.acked, self.progress_at = position, now
+            self.resend_after = min(2 * self.resend_after, MAX_RESEND_AFTER_S)
+            self.in_transit.clear()
+        while self.in_transit and self.in_transit[0][0] <= self.acked:
+            self.in_transit.popleft()
 
 
 class _PendingReply(Struct, frozen=True):
--- a/packages/core/src/wasabitray_core/controllers/feed_table.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_table.py
@@ -283,14 +283,39 @@
         return record.position
 
     def get_items_after(
-        self, position: FeedPosition, reader: HostId, now: Seconds
-    ) -> list[FeedItem]:
-        """Return the items after a position, except those from the reader."""
-        return [
-            record.with_remaining_duration(now)
+        self,
+        position: FeedPosition,
+        reader: HostId,
+        now: Seconds,
+        limit: int,
+    ) -> tuple[list[FeedItem], FeedPosition]:
+        """Return the first items after a position, oldest first.
+
+        Those that came from the reader are left out.
+
+        Args:
+            position: the reader's position in this feed.
+            reader: the host that reads it.
+            now: the time.
+            limit: largest number of items.
+
+        Returns:
+            The items and the position that they reach.
+        """
+        newest_first = [
+            record
             for record in self._iterate_newest_first(position)
             if record.sender != reader and not record.is_expired(now)
         ]
+        reached = self._position
+        if len(newest_first) > limit:
+            newest_first = newest_first[len(newest_first) - limit :]
+            reached = newest_first[0].position if newest_first else position
+        items = [
+            record.with_remaining_duration(now)
+            for record in reversed(newest_first)
+        ]
+        return items, reached
 
     def get_items_after_mark(
         self, mark: FeedMark, now: Seconds
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -449,8 +449,9 @@
         self, host: HostId, subscriber: _Subscriber, heartbeat: bool = False
     ) -> None:
         now = self._now()
-        items = list(
-            self._table.get_items_after(subscriber.reader.sent, host, now)
+        reader = subscriber.reader
+        items, reached = self._table.get_items_after(
+            reader.sent, host, now, reader.window
         )
         if not items and not heartbeat and subscriber.has_hub_list:
             return
@@ -458,12 +459,11 @@
             not subscriber.has_hub_list
             or not self._ticks % HUB_LIST_INTERVAL_TICKS
         )
-        sent = subscriber.reader.sent
-        mark = FeedMark(self.host, self._table.incarnation, sent)
-        feed = self._build_feed(mark, self._table.position, items, with_hubs)
+        mark = FeedMark(self.host, self._table.incarnation, reader.sent)
+        feed = self._build_feed(mark, reached, items, with_hubs)
         self._outbox.send(host, feed)
         subscriber.has_hub_list = True
-        subscriber.reader.record_sent(self._table.position, now)
+        reader.record_sent(reached, len(items), now)
 
     def _send_to_hub(self, host: HostId, hub: PeerHub) -> None:
         """Send another hub the new items that entered the fleet here."""
@@ -478,7 +478,7 @@
         self._outbox.send(
             host, self._build_feed(mark, self._table.position, items, False)
         )
-        hub.reader.record_sent(self._table.position, now)
+        hub.reader.record_sent(self._table.position, len(items), now)
 
     def _renew_hub_lists(self, now: Seconds) -> None:
         """Send the changed list of hubs to the entries soon.
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -13,6 +13,7 @@
     Controller,
     Origin,
 )
+from wasabitray_core.controllers.feed_readers import WINDOW_ITEMS
 from wasabitray_core.controllers.feed_table import (
     FeedItem,
     Subject,
@@ -63,6 +64,11 @@
 from wasabitray_core.states import HostFlag
 
 PRESENCE_INTERVAL_S = 0.5
+# Items of a feed that are acknowledged at once; the hub waits for that before
+# it sends the next part of a long feed.
+MAX_UNACKED_ITEMS = WINDOW_ITEMS // 2
+# How often an entry asks for a configuration that is on its way already.
+PULL_INTERVAL_S = 0.5
 # A hub sends a heartbeat every half second; two may be late.
 HUB_TIMEOUT_S = 1.5
 # A hub without contact to the leader may be the isolated one.
@@ -121,6 +127,9 @@
         self._has_found_leader = False
         self._leader = HostId("")
         self._marks: dict[HostId, FeedMark] = {}
+        self._unacked_items = 0
+        self._pulled_revision = Revision(0)
+        self._next_pull_at = context.clock()
         self._last_hub_contact = context.clock()
         self._last_leader_contact = context.clock()
         self._next_review_at = context.clock()
@@ -136,6 +145,11 @@
         """The hub that this entry subscribes to."""
         return self._hub
 
+    @property
+    def read_position(self) -> FeedPosition:
+        """The read position in the hub's feed."""
+        return self._mark.position
+
     @property
     def _mark(self) -> FeedMark:
         """The read position in the hub's feed."""
@@ -224,8 +238,9 @@
         isolation = Isolation(not message.in_contact, self._newest_revision)
         self._outbox.tell(ControllerName.CONFIGURATION, isolation)
         if message.revision > self._revision:
-            assert self._hub is not None
-            self._outbox.send(self._hub, ConfigPull(self._revision))
+            self._pull_configuration(message.revision, now)
+        if self._unacked_items >= MAX_UNACKED_ITEMS:
+            self._send_presence()
 
     @receive.register
     def _(self, message: GetStatus, origin: Origin) -> None:
@@ -245,8 +260,18 @@
             },
         )
 
+    def _pull_configuration(self, newest: Revision, now: Seconds) -> None:
+        """Ask the hub for a newer configuration, unless that was just done."""
+        is_pulled = newest <= self._pulled_revision
+        if self._hub is None or (is_pulled and now < self._next_pull_at):
+            return
+        self._pulled_revision = newest
+        self._next_pull_at = Seconds(now + PULL_INTERVAL_S)
+        self._outbox.send(self._hub, ConfigPull(self._revision))
+
     def _apply_items(self, feed: Feed) -> None:
         """Pass the items of a feed to their controllers."""
+        self._unacked_items += sum(1 for _ in iterate_items(feed))
         if feed.announcements:
             announcements = Announcements(feed.announcements)
             self._outbox.tell(ControllerName.TARGETS, announcements)
@@ -316,6 +341,7 @@
         if self._hub is None:
             return
         self._counter += 1
+        self._unacked_items = 0
         flags = self._flags
         if self._hubs.has_addresses:
             flags |= HostFlag.KNOWS_HUBS
@@ -416,6 +442,7 @@
         self._are_entries_published = False
         self._last_hub_contact = self._last_leader_contact = self._now()
         self._next_review_at = Seconds(self._now() + HUB_REVIEW_INTERVAL_S)
+        self._next_pull_at = self._now()
         self._send_presence()
 
 
--- a/tests/core/controllers/test_crashes.py
+++ b/tests/core/controllers/test_crashes.py
@@ -45,5 +45,6 @@
     table.put(Quarantine("f", ("t1", "t2")), "e1", 0.0)
     record = table.put(Quarantine("f", ("t3",)), "e2", 0.1)
     assert record.item.targets == ("t1", "t2", "t3")
-    assert record.item in table.get_items_after(0, "e2", 0.2)
+    items, _ = table.get_items_after(0, "e2", 0.2, 10)
+    assert record.item in items
     assert table.put(Quarantine("f", ("t2",)), "e3", 0.3) is None
--- a/tests/support/feed_fleet.py
+++ b/tests/support/feed_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 from collections import Counter
@@ -19,6 +20,8 @@
     SubscriberController,
 )
 from wasabitray_core.local_messages import (
+    Broadcast,
+    ConfigurationApplied,
     DeparturesStored,
     EntriesView,
     GroupContact,
@@ -28,7 +31,14 @@
     StoreDepartures,
     Tick,
 )
-from wasabitray_core.messages import Announcement, HostAddress, TargetReport
+from wasabitray_core.messages import (
+    Announcement,
+    ConfigPull,
+    ConfigState,
+    HostAddress,
+    Quarantine,
+    TargetReport,
+)
 from wasabitray_core.states import HostFlag, TargetPhase
 from wasabitray_wire import encoded_size
 
@@ -39,6 +49,9 @@
 SAME_REGION_DELAY_S, OTHER_REGION_DELAY_S = 0.0005, 0.03
 START_SPREAD_S = 0.3
 TICK_STEP_S = 0.02
+REVISION = 7
+# A configuration of some thirty routes.
+DOCUMENTS = {f"route/r{n}": "x" * 300 for n in range(30)}
 # Entries serve once they have the configuration.
 SERVING_AFTER_S = (1.0, 2.0)
 
@@ -69,6 +82,8 @@
         self.reports: set[str] = set()
         self.view: EntriesView | None = None
         self.view_count = 0
+        self.link_free_at = 0.0
+        self.configured_at: float | None = None
         context = Context(name, fleet.clock, fleet.random, self)
         domain = f"d{self.domain}"
         if role == "hub":
@@ -79,6 +94,12 @@
             self.controller = SubscriberController(context, profile, 1)
 
     def receive(self, message, origin=NO_ORIGIN):
+        if isinstance(message, ConfigPull):
+            self.send(origin.peer, ConfigState(REVISION, DOCUMENTS))
+            return
+        if isinstance(message, ConfigState):
+            self.configured_at = self.configured_at or self.fleet.clock.now
+            message = ConfigurationApplied(message.revision, None, None)
         started = time.perf_counter()
         self.controller.receive(message, origin)
         self.fleet.traffic[self.role].seconds += time.perf_counter() - started
@@ -116,7 +137,24 @@
 class FeedFleet:
     """A fleet that starts, as the platform starts it."""
 
-    def __init__(self, entries: int, hubs: int = 9, targets: int = 0, seed=1):
+    def __init__(
+        self,
+        entries: int,
+        hubs: int = 9,
+        targets: int = 0,
+        seed=1,
+        link_bytes_per_s: float = math.inf,
+    ):
+        """Create the hosts; none runs yet.
+
+        Args:
+            entries: number of entries.
+            hubs: number of hubs.
+            targets: number of targets that register after the start.
+            seed: seed of all random choices.
+            link_bytes_per_s: what the link of an entry receives.
+        """
+        self.link_bytes_per_s = link_bytes_per_s
         self.clock = Clock(0.0)
         self.random = random.Random(seed)
         self.traffic = {"hub": Traffic(), "entry": Traffic()}
@@ -126,18 +164,25 @@
         ]
         self.hosts = {h.name: h for h in (*self.hubs, *self.entries)}
         self.target_count = targets
+        self.crash_count = 0
 
     def deliver(self, sender, host, message):
         traffic = self.traffic[sender.role]
         receiver = self.hosts[host]
         kind = f"{type(message).__name__} to {receiver.role}"
         traffic.messages[kind] += 1
-        traffic.bytes[kind] += encoded_size(message)
+        size = encoded_size(message)
+        traffic.bytes[kind] += size
         delay = (
             SAME_REGION_DELAY_S
             if receiver.region == sender.region
             else OTHER_REGION_DELAY_S
         )
+        if receiver.role == "entry":
+            now = self.clock.now
+            begins_at = max(now + delay, receiver.link_free_at)
+            receiver.link_free_at = begins_at + size / self.link_bytes_per_s
+            delay = receiver.link_free_at - now
         origin = Origin(peer=sender.name)
         self.clock.call_later(delay, receiver.receive, message, origin)
 
@@ -178,6 +223,30 @@
         hub = self.random.choice(self.hubs)
         hub.receive(Register(announcement), Origin(reply_token=bool))
 
+    def configure(self) -> None:
+        """Give all hubs a configuration."""
+        for hub in self.hubs:
+            hub.receive(ConfigurationApplied(REVISION, None, None))
+
+    def report_crashes(self, count: int) -> None:
+        """Let entries report requests that broke a connection each."""
+        for _ in range(count):
+            self.crash_count += 1
+            fingerprint = f"{self.crash_count:032x}"
+            record = Quarantine(fingerprint, (f"i-{self.crash_count % 300}",))
+            entry = self.random.choice(self.entries)
+            entry.receive(Broadcast(record))
+
+    def add_entry(self, name: str, number: int = 0) -> Host:
+        """Start one more entry while the fleet runs."""
+        entry = Host(self, name, number, "entry")
+        self.entries.append(entry)
+        self.hosts[name] = entry
+        entry.receive(SeedsChanged(("c0", "c1", "c2")))
+        entry.next_tick = self.clock.now
+        entry.tick()
+        return entry
+
     def run(self, seconds: float) -> None:
         self.clock.run_until(self.clock.now + seconds)
 
