Find the next part of a long feed without reading all of it

Each part of a feed was looked for from the feed's end back to the reader's position, and the lifetime of each item was worked out again, so a feed of n items cost a hub n * n / 512 steps for each entry that starts.

The position is found by bisection in a feed that is long, and records keep the time at which they expire.

--- a/packages/core/src/wasabitray_core/controllers/feed_table.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_table.py
@@ -7,8 +7,11 @@
 
 from __future__ import annotations
 
+import math
+from bisect import bisect_right
 from collections.abc import Iterable, Iterator
 from functools import singledispatch
+from itertools import islice
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -151,23 +154,23 @@
 
 
 @singledispatch
-def get_lifetime(item: FeedItem) -> float | None:
-    """Return the seconds after which an item expires, None if never."""
-    return None
+def get_lifetime(item: FeedItem) -> float:
+    """Return the seconds after which an item expires, infinite if never."""
+    return math.inf
 
 
 @get_lifetime.register
-def _(item: TargetReport) -> float | None:
+def _(item: TargetReport) -> float:
     return max(item.duration_s, RECOVERY_TTL_S)
 
 
 @get_lifetime.register
-def _(item: Ejection) -> float | None:
+def _(item: Ejection) -> float:
     return item.duration_s
 
 
 @get_lifetime.register
-def _(item: Quarantine) -> float | None:
+def _(item: Quarantine) -> float:
     return get_time_to_live(item)
 
 
@@ -179,6 +182,7 @@
         origin: the hub that first put it into a feed, and its position
             there.
         sender: the host that sent it here, which need not get it again.
+        expires_at: when the item's lifetime is over.
     """
 
     item: FeedItem
@@ -186,11 +190,11 @@
     origin: FeedMark
     sender: HostId
     received_at: Seconds
+    expires_at: Seconds
 
     def is_expired(self, now: Seconds) -> bool:
         """Return whether the item's lifetime is over."""
-        lifetime = get_lifetime(self.item)
-        return lifetime is not None and now - self.received_at > lifetime
+        return now > self.expires_at
 
     def with_remaining_duration(self, now: Seconds) -> FeedItem:
         """Return the item with the rest of its duration."""
@@ -200,6 +204,10 @@
         return self.item
 
 
+def _get_position(record: FeedRecord) -> FeedPosition:
+    return record.position
+
+
 class FeedTable:
     """The newest item about each subject, in the order of arrival."""
 
@@ -266,7 +274,10 @@
         self._position = FeedPosition(self._position + 1)
         if origin is None:
             origin = FeedMark(self._host, self._incarnation, self._position)
-        record = FeedRecord(item, self._position, origin, sender, now)
+        expires_at = Seconds(now + get_lifetime(item))
+        record = FeedRecord(
+            item, self._position, origin, sender, now, expires_at
+        )
         self._records[subject] = record
         return record
 
@@ -302,20 +313,29 @@
         Returns:
             The items and the position that they reach.
         """
-        newest_first = [
-            record
-            for record in self._iterate_newest_first(position)
-            if record.sender != reader and not record.is_expired(now)
-        ]
-        reached = self._position
-        if len(newest_first) > limit:
-            newest_first = newest_first[len(newest_first) - limit :]
-            reached = newest_first[0].position if newest_first else position
-        items = [
-            record.with_remaining_duration(now)
-            for record in reversed(newest_first)
-        ]
-        return items, reached
+        items: list[FeedItem] = []
+        for record in self._list_records_after(position, limit):
+            if record.sender == reader or record.is_expired(now):
+                continue
+            if len(items) >= limit:
+                return items, FeedPosition(record.position - 1)
+            items.append(record.with_remaining_duration(now))
+        return items, self._position
+
+    def _list_records_after(
+        self, position: FeedPosition, limit: int
+    ) -> list[FeedRecord]:
+        """Return the records after a position, oldest first.
+
+        Most readers lack few records, so these are looked for at the end.
+        """
+        newest = list(islice(reversed(self._records.values()), limit + 1))
+        newest.reverse()
+        records = newest
+        if newest and newest[0].position > position:
+            records = list(self._records.values())
+        first = bisect_right(records, position, key=_get_position)
+        return records[first:]
 
     def get_items_after_mark(
         self, mark: FeedMark, now: Seconds
@@ -330,14 +350,6 @@
             and not record.is_expired(now)
         ]
 
-    def _iterate_newest_first(
-        self, position: FeedPosition
-    ) -> Iterator[FeedRecord]:
-        for record in reversed(self._records.values()):
-            if record.position <= position:
-                return
-            yield record
-
     def expire(self, now: Seconds) -> None:
         """Drop the items whose lifetime is over."""
         self._records = {
--- /dev/null
+++ b/tests/core/controllers/test_feed_table.py
@@ -0,0 +1,60 @@
+"""Reading a feed in parts."""
+
+import pytest
+
+from wasabitray_core.controllers.feed_table import FeedTable
+from wasabitray_core.messages import Quarantine, TargetReport
+from wasabitray_core.states import ReportKind
+
+
+@pytest.fixture
+def table():
+    """Return a feed of 20 items; every third one came from e1."""
+    table = FeedTable("c1", "run-1")
+    for number in range(20):
+        sender = "e1" if number % 3 == 0 else "e2"
+        table.put(Quarantine(f"r-{number}", ("i-1",)), sender, 0.0)
+    return table
+
+
+def read_in_parts(table, reader, now, limit):
+    """Return the subjects in the order in which they are read."""
+    position, subjects = 0, []
+    while position < table.position:
+        items, reached = table.get_items_after(position, reader, now, limit)
+        assert len(items) <= limit
+        assert reached > position
+        subjects += [item.fingerprint for item in items]
+        position = reached
+    return subjects
+
+
+@pytest.mark.parametrize("limit", [1, 3, 7, 100])
+def test_parts_have_every_item_of_other_senders_once_and_in_order(
+    table, limit
+):
+    expected = [f"r-{n}" for n in range(20) if n % 3]
+    assert read_in_parts(table, "e1", 1.0, limit) == expected
+
+
+def test_item_that_changes_meanwhile_is_read_again(table):
+    items, reached = table.get_items_after(0, "e9", 1.0, 5)
+    table.put(Quarantine("r-0", ("i-1", "i-2")), "e1", 1.0)
+    rest, reached = table.get_items_after(reached, "e9", 1.0, 100)
+    assert len(items) + len(rest) == 21
+    assert rest[-1].targets == ("i-1", "i-2")
+    assert reached == table.position
+
+
+def test_reader_without_a_window_gets_nothing_and_stays(table):
+    assert table.get_items_after(4, "e9", 1.0, 0) == ([], 4)
+    assert table.get_items_after(20, "e9", 1.0, 0) == ([], 20)
+
+
+def test_expired_items_are_passed_over():
+    table = FeedTable("c1", "run-1")
+    table.put(TargetReport("i-1", 1, 12.0, ReportKind.BROKEN), "e1", 0.0)
+    table.put(Quarantine("r", ("i-1",)), "e1", 0.0)
+    items, reached = table.get_items_after(0, "e9", 13.0, 1)
+    assert [type(item) for item in items] == [Quarantine]
+    assert reached == 2
