Look for a leader beyond the cut first

What callers saw: while nine control hosts are cut into five and four, entries refused acknowledged routes with 404 (CONFIG, DENIED).

Cause: an entry notices an isolated hub at its next heartbeat, up to 0.5 s late, and then tries hubs in the order of their nearness. On the isolated side are up to five, each costs two connections between regions. Copies of long feeds delayed what came after.

Change: an isolated hub lists the hubs that it heard within a second, in each message. If more than a quarter are missing, a cut separates them, and the entry tries those first; fewer may be hosts that were lost together. The entry looks at its hub when it can have failed, not at heartbeats only.

--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -90,6 +90,9 @@
 ENTRY_TIMEOUT_S = 2.0
 # The list of hubs changes rarely, so most feed messages leave it out.
 HUB_LIST_INTERVAL_TICKS = 8
+# Hubs send heartbeats every half second. An isolated hub lists only those that
+# it heard since, so that entries can tell which side of a cut it is on.
+ISOLATED_LIST_WITHIN_S = 1.0
 # News that can wait is gathered for this long. When a fleet starts, each entry
 # and each target is news for all entries.
 GATHER_INTERVAL_S = 0.2
@@ -458,6 +461,7 @@
         with_hubs = (
             not subscriber.has_hub_list
             or not self._ticks % HUB_LIST_INTERVAL_TICKS
+            or not self._group_contact.in_contact
         )
         mark = FeedMark(self.host, self._table.incarnation, reader.sent)
         feed = self._build_feed(mark, reached, items, with_hubs)
@@ -570,7 +574,11 @@
         return sorted(hosts - {self.host})
 
     def _get_hub_addresses(self) -> tuple[HostAddress, ...]:
-        return (self._address, *self._hubs.get_addresses(self._now()))
+        now = self._now()
+        if self._group_contact.in_contact:
+            return (self._address, *self._hubs.get_addresses(now))
+        recent = self._hubs.get_addresses(now, ISOLATED_LIST_WITHIN_S)
+        return (self._address, *recent)
 
     def _build_presence(self) -> Presence:
         return Presence(
--- a/packages/core/src/wasabitray_core/controllers/hub_choice.py
+++ b/packages/core/src/wasabitray_core/controllers/hub_choice.py
@@ -22,6 +22,9 @@
 ISOLATED_RETRY_DELAY_S = 2.0
 # A region with this many isolated hubs is likely cut off as a whole.
 MIN_ISOLATED_OF_REGION = 2
+# An isolated hub that doesn't hear more than this share of the hubs is on one
+# side of a cut. Fewer may be hosts that were lost together.
+MIN_CUT_OFF_SHARE = 0.25
 
 
 class _Failure(Struct, frozen=True):
@@ -63,6 +66,8 @@
         self._seeds: tuple[HostId, ...] = ()
         self._addresses: dict[HostId, HostAddress] = {}
         self._failures: dict[HostId, _Failure] = {}
+        self._isolated_side: frozenset[HostId] = frozenset()
+        self._isolated_side_until = Seconds(0.0)
 
     @property
     def has_addresses(self) -> bool:
@@ -105,6 +110,19 @@
             return Nearness.ELSEWHERE
         return get_nearness(address, self._region, self._domain)
 
+    def record_isolated_side(
+        self, addresses: tuple[HostAddress, ...], now: Seconds
+    ) -> None:
+        """Record the hubs that an isolated hub hears.
+
+        If a cut separates them from the others, they are isolated as well.
+        """
+        heard = frozenset(a.host for a in addresses)
+        cut_off = set(self._addresses) - heard
+        is_cut = len(cut_off) > MIN_CUT_OFF_SHARE * len(self._addresses)
+        self._isolated_side = heard if is_cut else frozenset()
+        self._isolated_side_until = Seconds(now + ISOLATED_RETRY_DELAY_S)
+
     def record_failure(
         self, host: HostId, now: Seconds, is_isolated: bool
     ) -> None:
@@ -128,19 +146,26 @@
     def choose(self, now: Seconds) -> HostId | None:
         """Choose one of the nearest hubs without a recent failure.
 
-        Regions with several isolated hubs come last. Rendezvous hashing
-        distributes entries over hubs that are equally good. If all hubs
-        failed recently, an isolated one comes before silent ones, and the
-        one whose failure is the oldest before others.
+        Hubs on the same side of a cut as an isolated one, and regions with
+        several isolated hubs come last. Rendezvous hashing distributes
+        entries over hubs that are equally good. If all hubs failed recently,
+        an isolated one comes before silent ones, and the one whose failure is
+        the oldest before others.
         """
         usable = self._find_usable(now)
         if not usable:
             return min(self._get_hosts(), key=self._rank_failed, default=None)
         isolated = self._count_isolated(now)
+        is_side_known = now < self._isolated_side_until
+        isolated_side = self._isolated_side if is_side_known else frozenset()
 
-        def rank(host: HostId) -> tuple[bool, Nearness]:
+        def rank(host: HostId) -> tuple[bool, bool, Nearness]:
             count = isolated[self._get_region(host)]
-            return count < MIN_ISOLATED_OF_REGION, self.get_nearness(host)
+            return (
+                host not in isolated_side,
+                count < MIN_ISOLATED_OF_REGION,
+                self.get_nearness(host),
+            )
 
         best = max(map(rank, usable))
         return choose_owner(self._host, [h for h in usable if rank(h) == best])
--- a/packages/core/src/wasabitray_core/controllers/hub_peers.py
+++ b/packages/core/src/wasabitray_core/controllers/hub_peers.py
@@ -86,12 +86,14 @@
         hub = self._hubs.get(host)
         return hub is None or hub.is_unresponsive(now)
 
-    def get_addresses(self, now: Seconds) -> tuple[HostAddress, ...]:
-        """Return the addresses of the hubs with recent contact."""
+    def get_addresses(
+        self, now: Seconds, within_s: float = HUB_TIMEOUT_S
+    ) -> tuple[HostAddress, ...]:
+        """Return the addresses of the hubs with contact within a time."""
         return tuple(
-            h.address
-            for h in self._hubs.values()
-            if not h.is_unresponsive(now)
+            hub.address
+            for hub in self._hubs.values()
+            if now - hub.last_contact <= within_s
         )
 
     def add_hubs(
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -75,6 +75,7 @@
 LEADER_TIMEOUT_S = 1.0
 # How long a hub may take to answer an entry that looks for the leader.
 SEARCH_TIMEOUT_S = 1.0
+MIN_TICK_INTERVAL_S = 0.01
 # How often the entry looks for a nearer hub.
 HUB_REVIEW_INTERVAL_S = 4.0
 
@@ -101,7 +102,6 @@
     """
 
     name: ClassVar[ControllerName] = ControllerName.MEMBERSHIP
-    tick_interval_s = PRESENCE_INTERVAL_S
 
     def __init__(
         self, context: Context, profile: EntryProfile, first_counter: int
@@ -130,6 +130,7 @@
         self._unacked_items = 0
         self._pulled_revision = Revision(0)
         self._next_pull_at = context.clock()
+        self._next_presence_at = context.clock()
         self._last_hub_contact = context.clock()
         self._last_leader_contact = context.clock()
         self._next_review_at = context.clock()
@@ -140,6 +141,12 @@
         self._serving_by_region: tuple[tuple[RegionName, int], ...] = ()
         self._sent_fleet_size: FleetSize | None = None
 
+    @property
+    def tick_interval_s(self) -> float:  # type: ignore[override]
+        """Seconds until the next heartbeat, or until the hub has failed."""
+        due = min(self._next_presence_at, self._get_hub_deadline())
+        return max(MIN_TICK_INTERVAL_S, due - self._now())
+
     @property
     def hub(self) -> HostId | None:
         """The hub that this entry subscribes to."""
@@ -156,6 +163,10 @@
         start = FeedMark(HostId(""), _NO_INCARNATION, _FEED_START)
         return self._marks.get(self._hub, start) if self._hub else start
 
+    @property
+    def _hub_timeout_s(self) -> float:
+        return SEARCH_TIMEOUT_S if self._is_searching else HUB_TIMEOUT_S
+
     @singledispatchmethod
     def receive(self, message: Any, origin: Origin) -> None:
         """Handle one message."""
@@ -164,7 +175,8 @@
     @receive.register
     def _(self, message: Tick, origin: Origin) -> None:
         self._review_hub()
-        self._send_presence()
+        if self._now() >= self._next_presence_at:
+            self._send_presence()
         if not self._are_entries_published:
             self._publish_entries()
 
@@ -338,6 +350,7 @@
         self._marks[feed.origin] = mark
 
     def _send_presence(self) -> None:
+        self._next_presence_at = Seconds(self._now() + PRESENCE_INTERVAL_S)
         if self._hub is None:
             return
         self._counter += 1
@@ -364,6 +377,8 @@
         if not feed.hubs:
             return
         changed = self._hubs.update_addresses(feed.hubs, feed.in_contact)
+        if not feed.in_contact:
+            self._hubs.record_isolated_side(feed.hubs, self._now())
         self._marks = {
             h: m for h, m in self._marks.items() if self._hubs.is_known(h)
         }
@@ -418,14 +433,22 @@
     def _find_hub_problem(self, now: Seconds) -> str | None:
         if self._hub is None:
             return "start"
-        timeout = SEARCH_TIMEOUT_S if self._is_searching else HUB_TIMEOUT_S
-        if now - self._last_hub_contact > timeout:
+        if now - self._last_hub_contact > self._hub_timeout_s:
             return _SILENT
         if now - self._last_leader_contact <= LEADER_TIMEOUT_S:
             return None
         has_answered = self._last_hub_contact > self._last_leader_contact
         return _NO_LEADER if has_answered else _SILENT
 
+    def _get_hub_deadline(self) -> Seconds:
+        """Return when the hub has failed unless it sends a message."""
+        return Seconds(
+            min(
+                self._last_hub_contact + self._hub_timeout_s,
+                self._last_leader_contact + LEADER_TIMEOUT_S,
+            )
+        )
+
     def _is_in_region(self, host: HostId) -> bool:
         return self._hubs.get_nearness(host) >= Nearness.REGION
 
--- a/tests/support/feed_fleet.py
+++ b/tests/support/feed_fleet.py
@@ -47,11 +47,15 @@
 DOMAINS_PER_REGION = 3
 DOMAINS = len(REGIONS) * DOMAINS_PER_REGION
 SAME_REGION_DELAY_S, OTHER_REGION_DELAY_S = 0.0005, 0.03
+# A connection, and the hello on it.
+LINK_SETUP_ROUND_TRIPS = 2
 START_SPREAD_S = 0.3
 TICK_STEP_S = 0.02
 REVISION = 7
 # A configuration of some thirty routes.
 DOCUMENTS = {f"route/r{n}": "x" * 300 for n in range(30)}
+# A control host without messages of the leader for this long has lost it.
+LEADER_LOSS_S = 1.0
 # Entries serve once they have the configuration.
 SERVING_AFTER_S = (1.0, 2.0)
 
@@ -165,6 +169,8 @@
         self.hosts = {h.name: h for h in (*self.hubs, *self.entries)}
         self.target_count = targets
         self.crash_count = 0
+        self.cut: set[tuple[str, str]] = set()
+        self.open_links: set[tuple[str, str]] = set()
 
     def deliver(self, sender, host, message):
         traffic = self.traffic[sender.role]
@@ -178,6 +184,11 @@
             if receiver.region == sender.region
             else OTHER_REGION_DELAY_S
         )
+        if (sender.name, host) in self.cut:
+            return
+        if (sender.name, host) not in self.open_links:
+            self.open_links.add((sender.name, host))
+            delay += LINK_SETUP_ROUND_TRIPS * 2 * delay
         if receiver.role == "entry":
             now = self.clock.now
             begins_at = max(now + delay, receiver.link_free_at)
@@ -223,11 +234,26 @@
         hub = self.random.choice(self.hubs)
         hub.receive(Register(announcement), Origin(reply_token=bool))
 
-    def configure(self) -> None:
-        """Give all hubs a configuration."""
-        for hub in self.hubs:
+    def configure(self, hubs=None) -> None:
+        """Give some hubs, by default all, a configuration."""
+        for hub in hubs or self.hubs:
             hub.receive(ConfigurationApplied(REVISION, None, None))
 
+    def split(self, isolated: int, leader: int) -> None:
+        """Cut the first hubs off from the others, among them the leader.
+
+        Args:
+            isolated: number of hubs that are cut off.
+            leader: number of the hub that leads the others.
+        """
+        sides = self.hubs[:isolated], self.hubs[isolated:]
+        pairs = [(a.name, b.name) for a in sides[0] for b in sides[1]]
+        self.cut.update(pairs, [(b, a) for a, b in pairs])
+        voters = tuple(h.name for h in self.hubs[:5])
+        for hub in sides[0]:
+            lost = GroupContact(False, f"c{leader}", voters)
+            self.clock.call_later(LEADER_LOSS_S, hub.receive, lost)
+
     def report_crashes(self, count: int) -> None:
         """Let entries report requests that broke a connection each."""
         for _ in range(count):
