Close a connection whose request's body was not read to its end

Cause: the greenlet that sends the upload is killed in the middle of a read. BufferedReader.read drops what it had taken from the socket, and gevent's Input doesn't count it. The server then discards the rest of the body by that count and parses the next request at the wrong place. A timeout in the middle of a read does the same.

Change: RequestInput knows whether a body was read to its end. If it was not when the response begins, the response says `Connection: close`, nothing more is parsed on the connection, and what the caller still sends is dropped for a bounded time, so that a reset doesn't destroy the response. This holds for all listeners, and for uploads that are refused before they are sent, whose rest was read without a bound before.

Tests: test_callers.py, on real sockets.

--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import logging
 import re
@@ -15,6 +16,7 @@
 from result import Err, Ok, Result
 
 from wasabitray_node.logs import log_event
+from wasabitray_node.request_input import RequestInput
 from wasabitray_node.settings import split_address
 from wasabitray_node.sockets import has_input
 
@@ -29,6 +31,11 @@
 USER_TIMEOUT_MS = 10_000
 DEFAULT_IDLE_TIMEOUT_S = 75.0
 MAX_LOGGED_ERROR = 200
+# What a caller still sends is read for this long after the last response on
+# its connection, and until nothing has come for the shorter time.
+LINGER_TIMEOUT_S = 30.0
+LINGER_IDLE_S = 5.0
+LINGER_READ_BYTES = 65_536
 
 
 # The token of RFC 9110 section 5.6.2, without the underscore: in the WSGI
@@ -91,9 +98,15 @@
                 raise ValueError("a folded header line")
         return headers
 
+    wsgi_input: RequestInput | None = None
+
     def handle_one_request(self) -> Any:
         """Serve one request; log one that is refused for its head."""
+        self.wsgi_input = None
         result = super().handle_one_request()
+        if self.wsgi_input is not None and not self.wsgi_input.is_complete:
+            self._linger()
+            return None
         if isinstance(result, tuple):
             log_event(
                 "request head refused",
@@ -137,14 +150,48 @@
         if self._waiting_greenlet is not None and not has_input(self.socket):
             self._waiting_greenlet.throw(_IdleConnectionEndedError())
 
+    def start_response(
+        self, status: str, headers: list[tuple[str, str]], exc_info: Any = None
+    ) -> Any:
+        """Begin the response; it is the last one if the body wasn't read."""
+        if self.wsgi_input is not None and not self.wsgi_input.is_complete:
+            others = [h for h in headers if h[0].lower() != "connection"]
+            headers = [*others, ("Connection", "close")]
+        return super().start_response(status, headers, exc_info)
+
+    def _linger(self) -> None:
+        """End the response's side, and drop what the caller still sends.
+
+        Closing a socket with unread input resets the connection, and the
+        caller could lose the response (RFC 9112 section 9.6).
+        """
+        with (
+            contextlib.suppress(OSError),
+            gevent.Timeout(LINGER_TIMEOUT_S, False),
+        ):
+            self.socket.shutdown(socket.SHUT_WR)
+            self.socket.settimeout(LINGER_IDLE_S)
+            while self.socket.recv(LINGER_READ_BYTES):
+                pass
+
     def get_environ(self) -> dict[str, Any]:
         """Return the environment, with the request target as it was sent.
 
         The path in the environment is percent-decoded, so line breaks in it
         could get into a request to a target.
         """
+        environ = super().get_environ()
+        awaits_continue = environ.get("HTTP_EXPECT") == "100-continue"
+        self.wsgi_input = RequestInput(
+            self.rfile,
+            self.content_length,
+            self.socket if awaits_continue else None,
+            "HTTP_TRANSFER_ENCODING" in environ,
+        )
+        if environ["wsgi.input_terminated"]:
+            environ["wsgi.input"] = self.wsgi_input
         return {
-            **super().get_environ(),
+            **environ,
             REQUEST_TARGET: self.path,
             CALLER_SOCKET: self.socket,
         }
--- /dev/null
+++ b/tests/node/test_callers.py
@@ -0,0 +1,229 @@
+"""Callers' requests on real sockets, from a caller to a target."""
+
+import contextlib
+import socket
+import time
+from collections import deque
+
+import gevent
+import gevent.socket
+import pytest
+from gevent.server import StreamServer
+
+from wasabitray_core.filters.chain import Attempt, Filter, FilterChain
+from wasabitray_core.requests import Target
+from wasabitray_core.states import AttemptStatus, RefusalReason
+from wasabitray_node.callers import (
+    CallersApp,
+    InFlightRequests,
+    build_callers_app,
+)
+from wasabitray_node.connections import ConnectionPool
+from wasabitray_node.http import build_server
+from wasabitray_node.logs import LineWriter
+from wasabitray_node.metrics import Metrics
+from wasabitray_node.settings import Limits
+from wasabitray_node.upstream import Upstream
+from wasabitray_platform.callers import PlatformCallerDialect
+from wasabitray_platform.targets import PlatformTargetDialect
+
+LIMITS = Limits(hold_bytes=2_048, body_timeout_s=0.3)
+BODY_BYTES = 100_000
+FIRST_BYTES = 70_000
+HIDDEN = b"GET /hidden HTTP/1.1\r\nHost: x\r\nRequest-Id: hidden\r\n\r\n"
+# Closes a socket with a reset instead of an end.
+LINGER_RESET = b"\1\0\0\0\0\0\0\0"
+MAX_PAUSE_S = 1.0
+
+
+class LastFilter(Filter):
+    """Makes one attempt, or refuses the request at once."""
+
+    def __init__(self, target):
+        self.target = target
+        self.requests = []
+        self.refuses = False
+
+    def handle(self, exchange, call_next):
+        self.requests.append(exchange.request)
+        if self.refuses:
+            return exchange.refuse(RefusalReason.OVERLOAD, 503)
+        result = yield Attempt(self.target, exchange.request, 5.0, True)
+        if result.status is AttemptStatus.ANSWERED:
+            return result.response
+        exchange.may_have_run = result.may_have_run
+        return exchange.refuse(RefusalReason.TARGET_FAILED, 502)
+
+
+class UploadTarget:
+    """Answers requests after the body, or does something else earlier."""
+
+    def __init__(self):
+        self.early = deque()
+        self.targets = []
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+        address = f"127.0.0.1:{self.server.server_port}"
+        self.target = Target("t1", "rota", "south", "south-a", 2, address)
+
+    def serve(self, sock, _address):
+        file = sock.makefile("rb")
+        while line := file.readline():
+            self.targets.append(line.split()[1].decode())
+            headers = {}
+            while (line := file.readline()) != b"\r\n":
+                name, _, value = line.decode().partition(":")
+                headers[name.lower()] = value.strip()
+            action = self.early.popleft() if self.early else ""
+            if action == "reset":
+                file.read(1_000)
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
+                )
+                file.close()
+                sock.close()
+                return
+            request_id = headers.get("request-id", "")
+            if action == "answer":
+                sock.sendall(build_response(413, request_id))
+            count = read_body(file, headers)
+            if action != "answer":
+                sock.sendall(build_response(200, request_id, b"%d" % count))
+
+
+def read_body(file, headers):
+    if headers.get("transfer-encoding") != "chunked":
+        return len(file.read(int(headers.get("content-length", 0))))
+    count = 0
+    while size := int(file.readline(), 16):
+        count += len(file.read(size))
+        file.readline()
+    file.readline()
+    return count
+
+
+def build_response(status, request_id, body=b""):
+    head = (
+        f"HTTP/1.1 {status} Status\r\nContent-Length: {len(body)}\r\n"
+        f"Request-Id: {request_id}\r\nServer-Stamp: s\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+class Entry:
+    """The listener for callers, with one filter before one target."""
+
+    def __init__(self):
+        self.upload_target = UploadTarget()
+        self.filter = LastFilter(self.upload_target.target)
+        pool = ConnectionPool(LIMITS, time.monotonic)
+        app = CallersApp(
+            FilterChain([self.filter]),
+            None,
+            Upstream(pool, LIMITS, time.monotonic, PlatformTargetDialect()),
+            Metrics(LineWriter()),
+            LIMITS,
+            time.monotonic,
+            InFlightRequests(),
+            PlatformCallerDialect(),
+        )
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.address = probe.getsockname()
+        address = f"127.0.0.1:{self.address[1]}"
+        self.server = build_server(address, build_callers_app(app, None))
+        self.server.start()
+
+    @property
+    def served(self):
+        """The paths of the requests that were read."""
+        return [r.path for r in self.filter.requests]
+
+    def stop(self):
+        self.server.stop(timeout=0)
+        self.upload_target.server.stop(timeout=0)
+
+
+@pytest.fixture
+def entry():
+    entry = Entry()
+    yield entry
+    entry.stop()
+
+
+def encode_head(path, *headers, method="POST"):
+    lines = [f"{method} {path} HTTP/1.1", "Host: rota.example"]
+    lines += [f"Request-Id: id{path.replace('/', '-')}", *headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def encode_chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def exchange(entry, *parts, pause_s=0.2):
+    """Send parts with pauses, then read until the end or a long pause."""
+    received = b""
+    with gevent.socket.create_connection(entry.address) as sock:
+        sock.settimeout(MAX_PAUSE_S)
+        for number, part in enumerate(parts):
+            if number:
+                gevent.sleep(pause_s)
+            sock.sendall(part)
+        with contextlib.suppress(TimeoutError):
+            while piece := sock.recv(65_536):
+                received += piece
+    return received
+
+
+def encode_upload(is_chunked):
+    """Return the two parts of a long upload."""
+    first, rest = b"f" * FIRST_BYTES, b"r" * (BODY_BYTES - FIRST_BYTES)
+    if is_chunked:
+        head = encode_head("/a", "Transfer-Encoding: chunked")
+        first = b"%x\r\n" % BODY_BYTES + first
+        return head + first, rest + b"\r\n0\r\n\r\n"
+    return encode_head("/a", f"Content-Length: {BODY_BYTES}") + first, rest
+
+
+# The text in the file is where a reader that is off by a part looks for the
+# next request.
+FILE = (HIDDEN + b"." * 1_000) * 40
+FILE_UPLOAD = encode_head("/b", f"Content-Length: {len(FILE)}") + FILE
+STATUSES = {"answer": 413, "reset": 502, "refused": 503}
+
+
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["sized", "chunks"])
+@pytest.mark.parametrize("kind", STATUSES)
+def test_rest_of_an_upload_that_ended_early_is_not_read_as_a_request(
+    entry, kind, is_chunked
+):
+    entry.upload_target.early.append(kind)
+    entry.filter.refuses = kind == "refused"
+    received = exchange(entry, *encode_upload(is_chunked), FILE_UPLOAD)
+    assert entry.served == ["/a"]
+    assert received.startswith(b"HTTP/1.1 %d" % STATUSES[kind])
+    assert b"\r\nConnection: close\r\n" in received
+    assert received.count(b"HTTP/1.1 ") == 1
+
+
+# Guards against a reset that destroys an early response.
+def test_caller_that_reads_after_its_whole_upload_gets_an_early_response(
+    entry,
+):
+    entry.upload_target.early.append("answer")
+    count = 20
+    piece = b"p" * 200_000
+    head = encode_head("/a", f"Content-Length: {len(piece) * count}")
+    received = exchange(entry, head, *[piece] * count, pause_s=0.05)
+    assert received.startswith(b"HTTP/1.1 413")
+
+
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["sized", "chunks"])
+def test_connection_is_kept_after_an_upload_that_was_read(entry, is_chunked):
+    upload = b"".join(encode_upload(is_chunked))
+    last = encode_head("/c", "Connection: close", method="GET")
+    received = exchange(entry, upload, upload, last)
+    assert received.count(b"HTTP/1.1 200") == 3
+    assert received.count(b"\r\n\r\n%d" % BODY_BYTES) == 2
+    assert entry.served == ["/a", "/a", "/c"]
