Read the body of a request to upgrade as that of any other

A caller that offers another protocol (`Connection: Upgrade`) with a body got 400 for the body in chunks, and the next request on its connection was cut off or got 400.

Cause: gevent hands the application the raw connection for such requests, for websockets. A body in chunks was read with its framing until the timeout, and one with a length was not counted, so the server read as many bytes of the next request in its place. The proxy never upgrades a connection.

Change: the application always gets the RequestInput.

Test: body of a request to upgrade is read as others, on real sockets. Before: 400 "the body could not be read" with chunks, one response in place of two with a length.

--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -188,10 +188,10 @@
             self.socket if awaits_continue else None,
             "HTTP_TRANSFER_ENCODING" in environ,
         )
-        if environ["wsgi.input_terminated"]:
-            environ["wsgi.input"] = self.wsgi_input
         return {
             **environ,
+            "wsgi.input": self.wsgi_input,
+            "wsgi.input_terminated": True,
             REQUEST_TARGET: self.path,
             CALLER_SOCKET: self.socket,
         }
--- a/tests/node/test_callers.py
+++ b/tests/node/test_callers.py
@@ -227,3 +227,16 @@
     assert received.count(b"HTTP/1.1 200") == 3
     assert received.count(b"\r\n\r\n%d" % BODY_BYTES) == 2
     assert entry.served == ["/a", "/a", "/c"]
+
+
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["sized", "chunks"])
+def test_body_of_a_request_to_upgrade_is_read_as_others(entry, is_chunked):
+    framing = (
+        "Transfer-Encoding: chunked" if is_chunked else "Content-Length: 4"
+    )
+    head = encode_head("/a", "Connection: Upgrade", "Upgrade: x", framing)
+    body = encode_chunk(b"body") + b"0\r\n\r\n" if is_chunked else b"body"
+    last = encode_head("/c", "Connection: close", method="GET")
+    received = exchange(entry, head + body, last)
+    assert received.count(b"HTTP/1.1 200") == 2
+    assert entry.served == ["/a", "/c"]
