Test that nothing is read after a malformed chunk

Callers, or whoever shares their connection, had the rest of a body read as the next request after a chunk that can't be parsed: the response was a 400, but the connection was kept. A chunk without a size got 500.

Cause: gevent doesn't discard a body after an error in its chunks.

--- a/tests/node/test_callers.py
+++ b/tests/node/test_callers.py
@@ -161,8 +161,15 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
-def exchange(entry, *parts, pause_s=0.2):
-    """Send parts with pauses, then read until the end or a long pause."""
+def exchange(entry, *parts, pause_s=0.2, ends=False):
+    """Send parts with pauses, then read until the end or a long pause.
+
+    Args:
+        entry: the entry to send them to.
+        parts: bytes to send.
+        pause_s: seconds between the parts.
+        ends: whether the sending side of the connection is closed then.
+    """
     received = b""
     with gevent.socket.create_connection(entry.address) as sock:
         sock.settimeout(MAX_PAUSE_S)
@@ -170,6 +177,8 @@
             if number:
                 gevent.sleep(pause_s)
             sock.sendall(part)
+        if ends:
+            sock.shutdown(socket.SHUT_WR)
         with contextlib.suppress(TimeoutError):
             while piece := sock.recv(65_536):
                 received += piece
@@ -240,3 +249,21 @@
     received = exchange(entry, head + body, last)
     assert received.count(b"HTTP/1.1 200") == 2
     assert entry.served == ["/a", "/c"]
+
+
+MALFORMED_CHUNKS = {
+    "size": b"x\r\n",
+    "no size": b"\r\n",
+    "end of data": b"4\r\nbodyX",
+    "trailer": b"0\r\n@: 1\r\n",
+}
+
+
+@pytest.mark.parametrize("kind", MALFORMED_CHUNKS)
+def test_nothing_is_read_after_a_malformed_chunk(entry, kind):
+    head = encode_head("/a", "Transfer-Encoding: chunked")
+    received = exchange(entry, head + MALFORMED_CHUNKS[kind] + HIDDEN)
+    assert received.startswith(b"HTTP/1.1 400")
+    assert b"\r\nConnection: close\r\n" in received
+    assert received.count(b"HTTP/1.1 ") == 1
+    assert entry.served == []
