Answer 408 for a body that takes too long or is cut off

A caller whose body came too slowly, or whose connection broke, got 400, and with it the word that its request is invalid; callers don't retry after 400. The request had not run.

Change: 408, which promises that the request has not run, and the connection is closed, since the rest of the body is due on it. A malformed chunk stays a 400.

Tests: body that takes too long, and body that is cut off, is not reported as invalid, on real sockets; four bodies each.

--- a/packages/node/src/wasabitray_node/bodies.py
+++ b/packages/node/src/wasabitray_node/bodies.py
@@ -9,6 +9,7 @@
 from gevent import Timeout
 from msgspec import Struct
 
+from wasabitray_node.request_input import MalformedBodyError
 from wasabitray_node.settings import Limits
 from wasabitray_node.watch import CallerGoneError
 
@@ -70,7 +71,7 @@
         content = self._buffer(stream, length)
         if isinstance(content, bytes) and len(content) < length:
             return RequestRejection(
-                400, "the body ended before its Content-Length"
+                408, "the body ended before its Content-Length"
             )
         return (
             content
@@ -109,9 +110,12 @@
         try:
             with Timeout(self._limits.body_timeout_s):
                 return _read_fully(stream, size)
+        except MalformedBodyError as error:
+            return RequestRejection(400, f"the body is malformed: {error}")
         except (Timeout, OSError) as error:
+            # The request may be valid, and it has not run.
             return RequestRejection(
-                400, f"the body could not be read: {error}"
+                408, f"the body could not be read: {error}"
             )
 
 
--- a/tests/node/test_callers.py
+++ b/tests/node/test_callers.py
@@ -251,6 +251,32 @@
     assert entry.served == ["/a", "/c"]
 
 
+PARTIAL_BODIES = {
+    "sized": encode_head("/a", "Content-Length: 1000") + b"b" * 900,
+    "long": encode_head("/a", f"Content-Length: {BODY_BYTES}") + b"b" * 900,
+    "in a chunk": encode_head("/a", "Transfer-Encoding: chunked")
+    + encode_chunk(b"b" * 900)[:-200],
+    "between chunks": encode_head("/a", "Transfer-Encoding: chunked")
+    + encode_chunk(b"b" * 900),
+}
+
+
+@pytest.mark.parametrize("kind", PARTIAL_BODIES)
+def test_body_that_takes_too_long_is_not_reported_as_invalid(entry, kind):
+    received = exchange(entry, PARTIAL_BODIES[kind], HIDDEN * 40, pause_s=0.5)
+    assert received.startswith(b"HTTP/1.1 408")
+    assert b"\r\nConnection: close\r\n" in received
+    assert received.count(b"HTTP/1.1 ") == 1
+    assert entry.served == []
+
+
+@pytest.mark.parametrize("kind", PARTIAL_BODIES)
+def test_body_that_is_cut_off_is_not_reported_as_invalid(entry, kind):
+    received = exchange(entry, PARTIAL_BODIES[kind], ends=True)
+    assert received.startswith(b"HTTP/1.1 408")
+    assert entry.served == []
+
+
 MALFORMED_CHUNKS = {
     "size": b"x\r\n",
     "no size": b"\r\n",
