Read JSON bodies that are sent in chunks

An operator or target that sends its body in chunks had a valid configuration or registration refused as invalid: read_json found an empty body, which is not JSON, and both interfaces answer 400 to that.

Cause: falcon's bounded_stream is bounded by the Content-Length, of which a body in chunks has none.

Change: read the stream itself, which ends with the body. A malformed chunk is an invalid body, and no internal error.

Test: JSON in chunks is read, on real sockets. Before, read_json returned its error (the test's resource turns it into 500).

--- a/packages/node/src/wasabitray_node/announcements.py
+++ b/packages/node/src/wasabitray_node/announcements.py
@@ -57,7 +57,7 @@
         """Handle one announcement."""
         try:
             body = AnnouncementBody.model_validate_json(
-                req.bounded_stream.read(MAX_BODY_BYTES)
+                req.stream.read(MAX_BODY_BYTES)
             )
         except ValidationError as error:
             raise build_bad_request(
--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -16,7 +16,7 @@
 from result import Err, Ok, Result
 
 from wasabitray_node.logs import log_event
-from wasabitray_node.request_input import RequestInput
+from wasabitray_node.request_input import MalformedBodyError, RequestInput
 from wasabitray_node.settings import split_address
 from wasabitray_node.sockets import has_input
 
@@ -50,7 +50,10 @@
         req: the request.
         max_bytes: largest size of the body.
     """
-    body = req.bounded_stream.read(max_bytes + 1)
+    try:
+        body = req.stream.read(max_bytes + 1)
+    except MalformedBodyError as error:
+        return Err(f"the body is malformed: {error}")
     if len(body) > max_bytes:
         return Err(f"the body is longer than {max_bytes} bytes")
     try:
--- a/packages/node/src/wasabitray_node/operators.py
+++ b/packages/node/src/wasabitray_node/operators.py
@@ -112,7 +112,7 @@
         if ControllerName.CONSENSUS not in self._router.get_controllers():
             raise falcon.HTTPError(421, title="not a control host")
         try:
-            body = ChangeBody.model_validate_json(req.bounded_stream.read())
+            body = ChangeBody.model_validate_json(req.stream.read())
         except ValidationError as error:
             raise build_bad_request(
                 describe_problems(error, "change")
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -11,7 +11,12 @@
 import pytest
 
 from wasabitray_node.headers import strip_hop_by_hop
-from wasabitray_node.http import CALLER_SOCKET, REQUEST_TARGET, build_server
+from wasabitray_node.http import (
+    CALLER_SOCKET,
+    REQUEST_TARGET,
+    build_server,
+    read_json,
+)
 from wasabitray_node.operators import SecretCheck
 from wasabitray_node.watch import CallerWatch
 
@@ -24,10 +29,16 @@
         resp.text = req.env[REQUEST_TARGET]
 
 
+class EchoJson:
+    def on_put(self, req, resp):
+        resp.media = read_json(req, 1_000).unwrap()
+
+
 @pytest.fixture
 def address():
     app = falcon.App()
     app.add_route("/", Echo())
+    app.add_route("/json", EchoJson())
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         port = probe.getsockname()[1]
@@ -196,3 +207,15 @@
     kinds = [record.getMessage() for record in caplog.records]
     assert kinds.count("request head refused") == 2
     assert kinds.count("listener error") == 2
+
+
+# Guards against valid configurations that are refused for their framing.
+def test_json_in_chunks_is_read(address):
+    head = (
+        b"PUT /json HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+    body = b'5\r\n{"a":\r\n2\r\n1}\r\n0\r\n\r\n'
+    response = exchange(address, head + body)
+    assert response.startswith(b"HTTP/1.1 200")
+    assert response.endswith(b'{"a": 1}')
