Serve every head within the configuration's limit

A request with a target above about 8,170 bytes got 414, and one with 100 header fields got 400 with a traceback in the log, although max_header_bytes is 16,384 in the platform's configurations and 65,536 by default.

Cause: the bounds of gevent (8,192 bytes of request line) and of http.client (100 lines), which no setting changes. A head of up to 6 MB in 99 fields, on the other hand, was read.

Change: the listener reads the head itself, up to 262,144 bytes in all, and answers 414 or 431 beyond that. A head that is refused is answered before the connection is closed with unread bytes, so that the response arrives. A configuration with a max_header_bytes above that is not followed.

Tests: head within the limit is served (a target, a field and 10,000 fields), on real sockets; target and fields failed before, the long field passed. Head without end is refused: all three cases ended with a reset in place of a response before.

--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -7,12 +7,18 @@
 import logging
 import re
 import socket
+from email.parser import Parser
 from typing import Any
 
 import falcon
 import gevent
 from gevent.event import Event
-from gevent.pywsgi import LoggingLogAdapter, WSGIHandler, WSGIServer
+from gevent.pywsgi import (
+    LoggingLogAdapter,
+    OldMessage,
+    WSGIHandler,
+    WSGIServer,
+)
 from result import Err, Ok, Result
 
 from wasabitray_node.logs import log_event
@@ -31,6 +37,9 @@
 USER_TIMEOUT_MS = 10_000
 DEFAULT_IDLE_TIMEOUT_S = 75.0
 MAX_LOGGED_ERROR = 200
+# Bounds what a connection keeps in memory. What callers may send is stated by
+# the configuration, by default a quarter of this.
+MAX_HEAD_BYTES = 262_144
 # What a caller still sends is read for this long after the last response on
 # its connection, and until nothing has come for the shorter time.
 LINGER_TIMEOUT_S = 30.0
@@ -64,6 +73,10 @@
         return Err(f"the body is not JSON: {error}")
 
 
+class _HeadTooLongError(ValueError):
+    """The request line and the header fields have too many bytes."""
+
+
 class _IdleConnectionEndedError(Exception):
     """The server is stopping, and the connection carries no request."""
 
@@ -76,14 +89,15 @@
     one of the processes on its path (RFC 9112 section 11.2).
     """
 
-    def MessageClass(self, *args: Any) -> Any:  # noqa: N802
-        """Parse the head.
+    def MessageClass(self, file: Any, *_: Any) -> Any:  # noqa: N802
+        """Read and parse the header fields.
 
         Raises:
-            ValueError: the head is ambiguous; the server responds with 400
-                and closes the connection.
+            ValueError: the head is ambiguous or too long; the server refuses
+                it and closes the connection.
         """
-        headers = super().MessageClass(*args)
+        text = self._read_fields(file).decode("latin-1")
+        headers = Parser(_class=OldMessage).parsestr(text)
         lengths = headers.get_all("content-length", [])
         codings = headers.get_all("transfer-encoding", [])
         if lengths and codings:
@@ -101,22 +115,71 @@
                 raise ValueError("a folded header line")
         return headers
 
+    def _read_fields(self, file: Any) -> bytes:
+        """Return the lines after the request line, up to an empty one."""
+        lines = []
+        left = MAX_HEAD_BYTES - len(self.requestline)
+        while True:
+            line = file.readline(left + 1)
+            left -= len(line)
+            if left < 0:
+                raise _HeadTooLongError("the header fields are too long")
+            lines.append(line)
+            if line in (b"\r\n", b"\n", b""):
+                return b"".join(lines)
+
     wsgi_input: RequestInput | None = None
 
     def handle_one_request(self) -> Any:
-        """Serve one request; log one that is refused for its head."""
+        """Serve one request.
+
+        Returns:
+            True if another request may follow on the connection, else None.
+        """
         self.wsgi_input = None
-        result = super().handle_one_request()
+        if self.rfile.closed:
+            return None
+        self.response_length = 0
+        try:
+            line = self.read_requestline()
+            if not line:
+                return None
+            refusal = self._parse_head(line)
+        except OSError:
+            return None
+        if refusal is not None:
+            self._refuse_head(*refusal)
+            return None
+        self.environ = self.get_environ()
+        self.application = self.server.application
+        self.handle_one_response()
         if self.wsgi_input is not None and not self.wsgi_input.is_complete:
             self._linger()
             return None
-        if isinstance(result, tuple):
-            log_event(
-                "request head refused",
-                status=int(result[0]),
-                caller=str(self.client_address),
-            )
-        return result
+        return None if self.close_connection or self.rfile.closed else True
+
+    def _parse_head(self, line: str) -> tuple[int, bytes] | None:
+        """Read the rest of a head; return the response that refuses it."""
+        if len(line) > MAX_HEAD_BYTES:
+            return 414, _build_refusal("414 URI Too Long")
+        try:
+            self.read_request(line)
+        except _HeadTooLongError:
+            return 431, _build_refusal("431 Request Header Fields Too Large")
+        except ValueError as error:
+            status, response = self._handle_client_error(error)
+            return int(status), response
+        return None
+
+    def _refuse_head(self, status: int, response: bytes) -> None:
+        log_event(
+            "request head refused",
+            status=status,
+            caller=str(self.client_address),
+        )
+        with contextlib.suppress(OSError):
+            self.socket.sendall(response)
+            self._linger()
 
     def log_error(self, msg: str, *args: Any) -> None:
         """Log an error of the listener as one kind of event."""
@@ -131,7 +194,8 @@
         self.server.record_idle(self)
         try:
             with gevent.Timeout(self.server.idle_timeout_s, False):
-                return super().read_requestline()
+                line = self.rfile.readline(MAX_HEAD_BYTES + 1)
+                return line.decode("latin-1")
         except _IdleConnectionEndedError:
             pass  # the connection is closed as after the idle timeout
         finally:
@@ -200,6 +264,13 @@
         }
 
 
+def _build_refusal(status: str) -> bytes:
+    """Return the response to a head that can't be parsed."""
+    return (
+        f"HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
 class NoDelayServer(WSGIServer):
     """Disables Nagle's algorithm and detects callers that disappeared.
 
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -219,3 +219,38 @@
     response = exchange(address, head + body)
     assert response.startswith(b"HTTP/1.1 200")
     assert response.endswith(b'{"a": 1}')
+
+
+# A configuration's max_header_bytes is 65,536 unless it states another.
+HEAD_BYTES = 65_000
+LONG_HEADS = {
+    "target": b"GET /?" + b"q" * HEAD_BYTES + b" HTTP/1.1\r\nHost: x\r\n",
+    "field": b"GET / HTTP/1.1\r\nHost: x\r\nX: " + b"v" * HEAD_BYTES + b"\r\n",
+    "fields": b"GET / HTTP/1.1\r\nHost: x\r\n" + b"X: v\r\n" * 10_000,
+}
+
+
+@pytest.mark.parametrize("kind", LONG_HEADS)
+def test_head_within_the_limit_is_served(address, kind):
+    head = LONG_HEADS[kind]
+    response = exchange(address, head + b"Connection: close\r\n\r\n")
+    assert response.startswith(b"HTTP/1.1 200")
+    assert response.endswith(b"\r\n\r\n" + head.split()[1])
+
+
+LONGER = b"b" * 1_000_000
+
+
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (b"GET /" + LONGER + b" HTTP/1.1\r\n\r\n", 414),
+        (b"GET / HTTP/1.1\r\nX: " + LONGER + b"\r\n\r\n", 431),
+        (b"GET / HTTP/1.1\r\n" + b"X: v\r\n" * 200_000 + b"\r\n", 431),
+    ],
+    ids=["target", "field", "fields"],
+)
+def test_head_without_end_is_refused(address, head, status):
+    response = exchange(address, head)
+    assert response.startswith(b"HTTP/1.1 %d" % status)
+    assert b"\r\nConnection: close\r\n" in response
