Serve no request whose head was cut off

When a caller's connection ended in the middle of a head, the part that had arrived was served as a request: with a shorter target, a shorter id or without some of its fields. A target could run a request that nobody sent.

Cause: the server took the end of the connection for the end of the head, as http.client and HTTP/0.9 do.

Change: a line without its end closes the connection.

Test: head that is cut off is no request, on real sockets, at four places.

--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -77,6 +77,10 @@
     """The request line and the header fields have too many bytes."""
 
 
+class _HeadCutOffError(OSError):
+    """The connection ended before the end of a head."""
+
+
 class _IdleConnectionEndedError(Exception):
     """The server is stopping, and the connection carries no request."""
 
@@ -124,8 +128,10 @@
             left -= len(line)
             if left < 0:
                 raise _HeadTooLongError("the header fields are too long")
+            if not line.endswith(b"\n"):
+                raise _HeadCutOffError("in the header fields")
             lines.append(line)
-            if line in (b"\r\n", b"\n", b""):
+            if line in (b"\r\n", b"\n"):
                 return b"".join(lines)
 
     wsgi_input: RequestInput | None = None
@@ -159,9 +165,15 @@
         return None if self.close_connection or self.rfile.closed else True
 
     def _parse_head(self, line: str) -> tuple[int, bytes] | None:
-        """Read the rest of a head; return the response that refuses it."""
+        """Read the rest of a head; return the response that refuses it.
+
+        Raises:
+            OSError: the connection ended before the head.
+        """
         if len(line) > MAX_HEAD_BYTES:
             return 414, _build_refusal("414 URI Too Long")
+        if not line.endswith("\n"):
+            raise _HeadCutOffError("in the request line")
         try:
             self.read_request(line)
         except _HeadTooLongError:
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -48,11 +48,13 @@
     server.stop(timeout=0)
 
 
-def exchange(address, data):
+def exchange(address, data, ends=False):
     """Send bytes and return all that is received until the end."""
     with gevent.Timeout(5):
         sock = gevent.socket.create_connection(address)
         sock.sendall(data)
+        if ends:
+            sock.shutdown(socket.SHUT_WR)
         received = b""
         while piece := sock.recv(65_536):
             received += piece
@@ -254,3 +256,16 @@
     response = exchange(address, head)
     assert response.startswith(b"HTTP/1.1 %d" % status)
     assert b"\r\nConnection: close\r\n" in response
+
+
+CUT_HEADS = {
+    "request line": b"GET /?whole",
+    "version": b"GET / HTTP/1.1",
+    "field": b"GET / HTTP/1.1\r\nHost: x\r\nX: whole",
+    "fields": b"GET / HTTP/1.1\r\nHost: x\r\n",
+}
+
+
+@pytest.mark.parametrize("kind", CUT_HEADS)
+def test_head_that_is_cut_off_is_no_request(address, kind):
+    assert exchange(address, CUT_HEADS[kind], ends=True) == b""
