Ignore an empty line before a request

A caller that sends a line break after a body, which its length doesn't count, got 400 for its next request. RFC 9112 section 2.2 asks a server to ignore at least one such line.

Test: empty line before a request is ignored, on real sockets; 400 before.

--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -148,6 +148,8 @@
         self.response_length = 0
         try:
             line = self.read_requestline()
+            if line == "\r\n":  # ignored as RFC 9112 section 2.2 asks
+                line = self.read_requestline()
             if not line:
                 return None
             refusal = self._parse_head(line)
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -269,3 +269,9 @@
 @pytest.mark.parametrize("kind", CUT_HEADS)
 def test_head_that_is_cut_off_is_no_request(address, kind):
     assert exchange(address, CUT_HEADS[kind], ends=True) == b""
+
+
+# Some clients end a body with a line break that it doesn't count.
+def test_empty_line_before_a_request_is_ignored(address):
+    data = b"\r\nGET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    assert exchange(address, data).startswith(b"HTTP/1.1 200")
