Forward a request target with an empty query unchanged

A target got `/x` for a caller's `/x?`: the question mark was written only before a query that isn't empty.

Change: the query of a request is None if its target has no question mark.

Test: request target is forwarded unchanged, on real sockets, six targets. `/x?` failed before.

--- a/packages/core/src/wasabitray_core/filters/quarantine.py
+++ b/packages/core/src/wasabitray_core/filters/quarantine.py
@@ -41,7 +41,7 @@
             request.caller,
             request.method,
             request.path,
-            request.query,
+            request.query or "",
         )
     )
     for part in identity:
--- a/packages/core/src/wasabitray_core/requests.py
+++ b/packages/core/src/wasabitray_core/requests.py
@@ -35,7 +35,7 @@
     """A caller's request.
 
     Attributes:
-        query: text after the question mark, without it.
+        query: text after the question mark; None if there is no mark.
         body: the body, if it was small enough to be read whole.
         stream: a larger body in chunks; it can be read only once.
         length: size of the body in bytes, None if it is not known before the
@@ -53,7 +53,7 @@
     organisation: OrganisationName
     method: str
     path: str
-    query: str = ""
+    query: str | None = None
     headers: Headers = ()
     body: bytes = b""
     stream: Iterator[bytes] | None = None
--- a/packages/node/src/wasabitray_node/callers.py
+++ b/packages/node/src/wasabitray_node/callers.py
@@ -255,7 +255,7 @@
         watch: CallerWatch,
     ) -> tuple[Request, RequestRejection | None]:
         """Return the request, and why it is rejected if it is."""
-        path, _, query = req.env[REQUEST_TARGET].partition("?")
+        path, mark, query = req.env[REQUEST_TARGET].partition("?")
         body = Body()
         rejection: RequestRejection | None = None
         if not path.startswith("/"):
@@ -275,7 +275,7 @@
             metadata.organisation,
             req.method,
             path,
-            query,
+            query if mark else None,
             h.strip_hop_by_hop(_list_headers(req)),
             body.content,
             body.stream,
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -348,8 +348,8 @@
 
     def _build_head(self) -> bytes:
         request = self._attempt.request
-        path = request.path + (f"?{request.query}" if request.query else "")
-        lines = [f"{request.method} {path} HTTP/1.1"]
+        query = "" if request.query is None else f"?{request.query}"
+        lines = [f"{request.method} {request.path}{query} HTTP/1.1"]
         headers = self._dialect.build_headers(self._attempt)
         lines += [f"{name}: {value}" for name, value in headers]
         if request.length is None:
--- a/tests/node/test_callers.py
+++ b/tests/node/test_callers.py
@@ -293,3 +293,12 @@
     assert b"\r\nConnection: close\r\n" in received
     assert received.count(b"HTTP/1.1 ") == 1
     assert entry.served == []
+
+
+TARGETS = ["/x?", "/x", "/x?a=1", "/x??", "/%2e/x?%3f", "/x?a=/b?c"]
+
+
+@pytest.mark.parametrize("target", TARGETS)
+def test_request_target_is_forwarded_unchanged(entry, target):
+    exchange(entry, encode_head(target, "Connection: close", method="GET"))
+    assert entry.upload_target.targets == [target]
