Serve requests whose target is in absolute form

A caller that sends `GET http://host/path HTTP/1.1` got 404. A server must accept this form and take the host from it (RFC 9112 section 3.2.2).

Change: the listener turns it into the origin form and replaces the Host field. Other targets that don't begin with a slash are refused as before.

Tests: absolute target names the host and the path, on real sockets; all five targets failed before, the one that was looked at got 404. Invalid targets are refused, before and after.

--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -50,6 +50,8 @@
 # The token of RFC 9110 section 5.6.2, without the underscore: in the WSGI
 # environment it can't be distinguished from a hyphen.
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^`|~0-9A-Za-z-]+")
+# The absolute form of a request target: authority, path and query.
+_ABSOLUTE_TARGET = re.compile(r"https?://([^/?#@]+)([/?].*)?", re.IGNORECASE)
 
 
 def read_json(req: falcon.Request, max_bytes: int) -> Result[Any, str]:
@@ -93,6 +95,9 @@
     one of the processes on its path (RFC 9112 section 11.2).
     """
 
+    path: str
+    wsgi_input: RequestInput | None = None
+
     def MessageClass(self, file: Any, *_: Any) -> Any:  # noqa: N802
         """Read and parse the header fields.
 
@@ -119,6 +124,23 @@
                 raise ValueError("a folded header line")
         return headers
 
+    def read_request(self, raw_requestline: str) -> bool:
+        """Parse the head; take the host from a target that states it.
+
+        It goes before the `Host` field (RFC 9112 section 3.2.2).
+
+        Raises:
+            ValueError: the head can't be parsed.
+        """
+        is_valid = super().read_request(raw_requestline)
+        match = _ABSOLUTE_TARGET.fullmatch(self.path)
+        if match is not None:
+            authority, target = match[1], match[2] or "/"
+            self.path = target if target.startswith("/") else f"/{target}"
+            del self.headers["Host"]
+            self.headers["Host"] = authority
+        return is_valid
+
     def _read_fields(self, file: Any) -> bytes:
         """Return the lines after the request line, up to an empty one."""
         lines = []
@@ -134,8 +156,6 @@
             if line in (b"\r\n", b"\n"):
                 return b"".join(lines)
 
-    wsgi_input: RequestInput | None = None
-
     def handle_one_request(self) -> Any:
         """Serve one request.
 
--- a/tests/node/test_callers.py
+++ b/tests/node/test_callers.py
@@ -302,3 +302,29 @@
 def test_request_target_is_forwarded_unchanged(entry, target):
     exchange(entry, encode_head(target, "Connection: close", method="GET"))
     assert entry.upload_target.targets == [target]
+
+
+ABSOLUTE_TARGETS = {
+    "http://other.example/x?a=1": "/x?a=1",
+    "http://other.example:80/x?": "/x?",
+    "HTTPS://other.example/x": "/x",
+    "http://other.example": "/",
+    "http://other.example?a=/b": "/?a=/b",
+}
+
+
+@pytest.mark.parametrize("target", ABSOLUTE_TARGETS)
+def test_absolute_target_names_the_host_and_the_path(entry, target):
+    head = encode_head(target, "Connection: close", method="GET")
+    assert exchange(entry, head).startswith(b"HTTP/1.1 200")
+    assert entry.upload_target.targets == [ABSOLUTE_TARGETS[target]]
+    [request] = entry.filter.requests
+    assert request.authority.startswith("other.example")
+    assert "other.example" not in request.path
+
+
+@pytest.mark.parametrize("target", ["http:///x", "http://a@b/x", "x", "*"])
+def test_invalid_target_is_refused(entry, target):
+    head = encode_head(target, "Connection: close", method="GET")
+    assert exchange(entry, head).startswith(b"HTTP/1.1 4")
+    assert entry.served == []
