Pass on no 3xx or 4xx that doesn't bear the instance's stamp

A caller got a 404, 413 or redirect of whatever answered at an instance's address as if the instance had sent it, as long as it repeated the request's id. A caller takes that as the final word on a valid request; nothing shows that an instance sent it, so it counts as the entry's own.

Change: only server errors are still accepted without a stamp, since the platform's page doesn't say that they bear one. Any other response without it is invalid: the request may have run, so it is retried if it is idempotent, and else answered 502. Refusals as not executed, and 421, are told from it before and need no stamp.

Tests: refusal without a stamp is no response (eight statuses), refusal that is not the target's doesn't reach the caller (real sockets).

--- a/tests/node/test_callers.py
+++ b/tests/node/test_callers.py
@@ -87,7 +87,9 @@
             if action == "answer":
                 sock.sendall(build_response(413, request_id))
             count = read_body(file, headers)
-            if action != "answer":
+            if action == "unstamped":
+                sock.sendall(build_response(404, request_id, stamp=""))
+            elif action != "answer":
                 sock.sendall(build_response(200, request_id, b"%d" % count))
 
 
@@ -102,10 +104,10 @@
     return count
 
 
-def build_response(status, request_id, body=b""):
+def build_response(status, request_id, body=b"", stamp="s"):
     head = (
         f"HTTP/1.1 {status} Status\r\nContent-Length: {len(body)}\r\n"
-        f"Request-Id: {request_id}\r\nServer-Stamp: s\r\n\r\n"
+        f"Request-Id: {request_id}\r\nServer-Stamp: {stamp}\r\n\r\n"
     )
     return head.encode() + body
 
@@ -328,3 +330,9 @@
     head = encode_head(target, "Connection: close", method="GET")
     assert exchange(entry, head).startswith(b"HTTP/1.1 4")
     assert entry.served == []
+
+
+def test_refusal_that_is_not_the_targets_does_not_reach_the_caller(entry):
+    entry.upload_target.early.append("unstamped")
+    received = exchange(entry, encode_head("/a", "Connection: close"))
+    assert received.startswith(b"HTTP/1.1 502")
--- a/tests/platform/test_dialects.py
+++ b/tests/platform/test_dialects.py
@@ -103,6 +103,16 @@
     assert metadata.detail
 
 
+# Guards against a 4xx of something else than the instance, which the caller
+# would take for the instance's or the entry's word on the request.
+@pytest.mark.parametrize("status", [301, 400, 401, 403, 404, 413, 422, 431])
+def test_refusal_without_a_stamp_is_no_response(status):
+    metadata = parse(status, (("Request-Id", "id-1"),))
+    assert metadata.status is AttemptStatus.INVALID
+    assert metadata.detail
+    assert parse(status).status is AttemptStatus.ANSWERED
+
+
 @pytest.mark.parametrize(
     ("value", "load"),
     [
