--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -2,19 +2,27 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import logging
 import re
 import socket
+from email.parser import Parser
 from typing import Any
 
 import falcon
 import gevent
 from gevent.event import Event
-from gevent.pywsgi import LoggingLogAdapter, WSGIHandler, WSGIServer
+from gevent.pywsgi import (
+    LoggingLogAdapter,
+    OldMessage,
+    WSGIHandler,
+    WSGIServer,
+)
 from result import Err, Ok, Result
 
 from wasabitray_node.logs import log_event
+from wasabitray_node.request_input import MalformedBodyError, RequestInput
 from wasabitray_node.settings import split_address
 from wasabitray_node.sockets import has_input
 
@@ -29,11 +37,21 @@
 USER_TIMEOUT_MS = 10_000
 DEFAULT_IDLE_TIMEOUT_S = 75.0
 MAX_LOGGED_ERROR = 200
+# Bounds what a connection keeps in memory. What callers may send is stated by
+# the configuration, by default a quarter of this.
+MAX_HEAD_BYTES = 262_144
+# What a caller still sends is read for this long after the last response on
+# its connection, and until nothing has come for the shorter time.
+LINGER_TIMEOUT_S = 30.0
+LINGER_IDLE_S = 5.0
+LINGER_READ_BYTES = 65_536
 
 
 # The token of RFC 9110 section 5.6.2, without the underscore: in the WSGI
 # environment it can't be distinguished from a hyphen.
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^`|~0-9A-Za-z-]+")
+# The absolute form of a request target: authority, path and query.
+_ABSOLUTE_TARGET = re.compile(r"https?://([^/?#@]+)([/?].*)?", re.IGNORECASE)
 
 
 def read_json(req: falcon.Request, max_bytes: int) -> Result[Any, str]:
@@ -43,7 +61,10 @@
         req: the request.
         max_bytes: largest size of the body.
     """
-    body = req.bounded_stream.read(max_bytes + 1)
+    try:
+        body = req.stream.read(max_bytes + 1)
+    except MalformedBodyError as error:
+        return Err(f"the body is malformed: {error}")
     if len(body) > max_bytes:
         return Err(f"the body is longer than {max_bytes} bytes")
     try:
@@ -54,6 +75,14 @@
         return Err(f"the body is not JSON: {error}")
 
 
+class _HeadTooLongError(ValueError):
+    """The request line and the header fields have too many bytes."""
+
+
+class _HeadCutOffError(OSError):
+    """The connection ended before the end of a head."""
+
+
 class _IdleConnectionEndedError(Exception):
     """The server is stopping, and the connection carries no request."""
 
@@ -66,14 +95,18 @@
     one of the processes on its path (RFC 9112 section 11.2).
     """
 
-    def MessageClass(self, *args: Any) -> Any:  # noqa: N802
-        """Parse the head.
+    path: str
+    wsgi_input: RequestInput | None = None
+
+    def MessageClass(self, file: Any, *_: Any) -> Any:  # noqa: N802
+        """Read and parse the header fields.
 
         Raises:
-            ValueError: the head is ambiguous; the server responds with 400
-                and closes the connection.
+            ValueError: the head is ambiguous or too long; the server refuses
+                it and closes the connection.
         """
-        headers = super().MessageClass(*args)
+        text = self._read_fields(file).decode("latin-1")
+        headers = Parser(_class=OldMessage).parsestr(text)
         lengths = headers.get_all("content-length", [])
         codings = headers.get_all("transfer-encoding", [])
         if lengths and codings:
@@ -91,16 +124,96 @@
                 raise ValueError("a folded header line")
         return headers
 
+    def read_request(self, raw_requestline: str) -> bool:
+        """Parse the head; take the host from a target that states it.
+
+        It goes before the `Host` field (RFC 9112 section 3.2.2).
+
+        Raises:
+            ValueError: the head can't be parsed.
+        """
+        is_valid = super().read_request(raw_requestline)
+        match = _ABSOLUTE_TARGET.fullmatch(self.path)
+        if match is not None:
+            authority, target = match[1], match[2] or "/"
+            self.path = target if target.startswith("/") else f"/{target}"
+            del self.headers["Host"]
+            self.headers["Host"] = authority
+        return is_valid
+
+    def _read_fields(self, file: Any) -> bytes:
+        """Return the lines after the request line, up to an empty one."""
+        lines = []
+        left = MAX_HEAD_BYTES - len(self.requestline)
+        while True:
+            line = file.readline(left + 1)
+            left -= len(line)
+            if left < 0:
+                raise _HeadTooLongError("the header fields are too long")
+            if not line.endswith(b"\n"):
+                raise _HeadCutOffError("in the header fields")
+            lines.append(line)
+            if line in (b"\r\n", b"\n"):
+                return b"".join(lines)
+
     def handle_one_request(self) -> Any:
-        """Serve one request; log one that is refused for its head."""
-        result = super().handle_one_request()
-        if isinstance(result, tuple):
-            log_event(
-                "request head refused",
-                status=int(result[0]),
-                caller=str(self.client_address),
-            )
-        return result
+        """Serve one request.
+
+        Returns:
+            True if another request may follow on the connection, else None.
+        """
+        self.wsgi_input = None
+        if self.rfile.closed:
+            return None
+        self.response_length = 0
+        try:
+            line = self.read_requestline()
+            if line == "\r\n":  # ignored as RFC 9112 section 2.2 asks
+                line = self.read_requestline()
+            if not line:
+                return None
+            refusal = self._parse_head(line)
+        except OSError:
+            return None
+        if refusal is not None:
+            self._refuse_head(*refusal)
+            return None
+        self.environ = self.get_environ()
+        self.application = self.server.application
+        self.handle_one_response()
+        if self.wsgi_input is not None and not self.wsgi_input.is_complete:
+            self._linger()
+            return None
+        return None if self.close_connection or self.rfile.closed else True
+
+    def _parse_head(self, line: str) -> tuple[int, bytes] | None:
+        """Read the rest of a head; return the response that refuses it.
+
+        Raises:
+            OSError: the connection ended before the head.
+        """
+        if len(line) > MAX_HEAD_BYTES:
+            return 414, _build_refusal("414 URI Too Long")
+        if not line.endswith("\n"):
+            raise _HeadCutOffError("in the request line")
+        try:
+            self.read_request(line)
+        except _HeadTooLongError:
+            return 431, _build_refusal("431 Request Header Fields Too Large")
+        except ValueError as error:
+            status, response = self._handle_client_error(error)
+            return int(status), response
+        return None
+
+    def _refuse_head(self, status: int, response: bytes) -> None:
+        log_event(
+            "request head refused",
+            status=status,
+            caller=str(self.client_address),
+        )
+        with contextlib.suppress(OSError):
+            self.socket.sendall(response)
+            self._linger()
 
     def log_error(self, msg: str, *args: Any) -> None:
         """Log an error of the listener as one kind of event."""
@@ -115,7 +228,8 @@
         self.server.record_idle(self)
         try:
             with gevent.Timeout(self.server.idle_timeout_s, False):
-                return super().read_requestline()
+                line = self.rfile.readline(MAX_HEAD_BYTES + 1)
+                return line.decode("latin-1")
         except _IdleConnectionEndedError:
             pass  # the connection is closed as after the idle timeout
         finally:
@@ -137,19 +251,60 @@
         if self._waiting_greenlet is not None and not has_input(self.socket):
             self._waiting_greenlet.throw(_IdleConnectionEndedError())
 
+    def start_response(
+        self, status: str, headers: list[tuple[str, str]], exc_info: Any = None
+    ) -> Any:
+        """Begin the response; it is the last one if the body wasn't read."""
+        if self.wsgi_input is not None and not self.wsgi_input.is_complete:
+            others = [h for h in headers if h[0].lower() != "connection"]
+            headers = [*others, ("Connection", "close")]
+        return super().start_response(status, headers, exc_info)
+
+    def _linger(self) -> None:
+        """End the response's side, and drop what the caller still sends.
+
+        Closing a socket with unread input resets the connection, and the
+        caller could lose the response (RFC 9112 section 9.6).
+        """
+        with (
+            contextlib.suppress(OSError),
+            gevent.Timeout(LINGER_TIMEOUT_S, False),
+        ):
+            self.socket.shutdown(socket.SHUT_WR)
+            self.socket.settimeout(LINGER_IDLE_S)
+            while self.socket.recv(LINGER_READ_BYTES):
+                pass
+
     def get_environ(self) -> dict[str, Any]:
         """Return the environment, with the request target as it was sent.
 
         The path in the environment is percent-decoded, so line breaks in it
         could get into a request to a target.
         """
+        environ = super().get_environ()
+        awaits_continue = environ.get("HTTP_EXPECT") == "100-continue"
+        self.wsgi_input = RequestInput(
+            self.rfile,
+            self.content_length,
+            self.socket if awaits_continue else None,
+            "HTTP_TRANSFER_ENCODING" in environ,
+        )
         return {
-            **super().get_environ(),
+            **environ,
+            "wsgi.input": self.wsgi_input,
+            "wsgi.input_terminated": True,
             REQUEST_TARGET: self.path,
             CALLER_SOCKET: self.socket,
         }
 
 
+def _build_refusal(status: str) -> bytes:
+    """Return the response to a head that can't be parsed."""
+    return (
+        f"HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
 class NoDelayServer(WSGIServer):
     """Disables Nagle's algorithm and detects callers that disappeared.
 
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -11,7 +11,12 @@
 import pytest
 
 from wasabitray_node.headers import strip_hop_by_hop
-from wasabitray_node.http import CALLER_SOCKET, REQUEST_TARGET, build_server
+from wasabitray_node.http import (
+    CALLER_SOCKET,
+    REQUEST_TARGET,
+    build_server,
+    read_json,
+)
 from wasabitray_node.operators import SecretCheck
 from wasabitray_node.watch import CallerWatch
 
@@ -24,10 +29,16 @@
         resp.text = req.env[REQUEST_TARGET]
 
 
+class EchoJson:
+    def on_put(self, req, resp):
+        resp.media = read_json(req, 1_000).unwrap()
+
+
 @pytest.fixture
 def address():
     app = falcon.App()
     app.add_route("/", Echo())
+    app.add_route("/json", EchoJson())
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         port = probe.getsockname()[1]
@@ -37,11 +48,13 @@
     server.stop(timeout=0)
 
 
-def exchange(address, data):
+def exchange(address, data, ends=False):
     """Send bytes and return all that is received until the end."""
     with gevent.Timeout(5):
         sock = gevent.socket.create_connection(address)
         sock.sendall(data)
+        if ends:
+            sock.shutdown(socket.SHUT_WR)
         received = b""
         while piece := sock.recv(65_536):
             received += piece
@@ -196,3 +209,69 @@
     kinds = [record.getMessage() for record in caplog.records]
     assert kinds.count("request head refused") == 2
     assert kinds.count("listener error") == 2
+
+
+# Guards against valid configurations that are refused for their framing.
+def test_json_in_chunks_is_read(address):
+    head = (
+        b"PUT /json HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+    body = b'5\r\n{"a":\r\n2\r\n1}\r\n0\r\n\r\n'
+    response = exchange(address, head + body)
+    assert response.startswith(b"HTTP/1.1 200")
+    assert response.endswith(b'{"a": 1}')
+
+
+# A configuration's max_header_bytes is 65,536 unless it states another.
+HEAD_BYTES = 65_000
+LONG_HEADS = {
+    "target": b"GET /?" + b"q" * HEAD_BYTES + b" HTTP/1.1\r\nHost: x\r\n",
+    "field": b"GET / HTTP/1.1\r\nHost: x\r\nX: " + b"v" * HEAD_BYTES + b"\r\n",
+    "fields": b"GET / HTTP/1.1\r\nHost: x\r\n" + b"X: v\r\n" * 10_000,
+}
+
+
+@pytest.mark.parametrize("kind", LONG_HEADS)
+def test_head_within_the_limit_is_served(address, kind):
+    head = LONG_HEADS[kind]
+    response = exchange(address, head + b"Connection: close\r\n\r\n")
+    assert response.startswith(b"HTTP/1.1 200")
+    assert response.endswith(b"\r\n\r\n" + head.split()[1])
+
+
+LONGER = b"b" * 1_000_000
+
+
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (b"GET /" + LONGER + b" HTTP/1.1\r\n\r\n", 414),
+        (b"GET / HTTP/1.1\r\nX: " + LONGER + b"\r\n\r\n", 431),
+        (b"GET / HTTP/1.1\r\n" + b"X: v\r\n" * 200_000 + b"\r\n", 431),
+    ],
+    ids=["target", "field", "fields"],
+)
+def test_head_without_end_is_refused(address, head, status):
+    response = exchange(address, head)
+    assert response.startswith(b"HTTP/1.1 %d" % status)
+    assert b"\r\nConnection: close\r\n" in response
+
+
+CUT_HEADS = {
+    "request line": b"GET /?whole",
+    "version": b"GET / HTTP/1.1",
+    "field": b"GET / HTTP/1.1\r\nHost: x\r\nX: whole",
+    "fields": b"GET / HTTP/1.1\r\nHost: x\r\n",
+}
+
+
+@pytest.mark.parametrize("kind", CUT_HEADS)
+def test_head_that_is_cut_off_is_no_request(address, kind):
+    assert exchange(address, CUT_HEADS[kind], ends=True) == b""
+
+
+# Some clients end a body with a line break that it doesn't count.
+def test_empty_line_before_a_request_is_ignored(address):
+    data = b"\r\nGET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    assert exchange(address, data).startswith(b"HTTP/1.1 200")
