Test orders through faults of nine control hosts in simulated time

The simulated group had neither latencies nor operators, so how long an order goes without an acknowledgement was untested. Nine hosts in three regions (30 ms between them, 5 ms a sync, links with one batch in flight and the back-off of PeerLink) now go through kills, lost disks, freezes, cuts, slow disks, splits and a kill of all, while an operator sends an order every 0.4 s as the platform's protocol says: one second a call, two redirects, a growing back-off (up to 2 s), any host. The bound is the stated one: 5 s and 3 ms a route in one stretch that starts 4 s after the last fault.

--- /dev/null
+++ b/tests/core/controllers/consensus/test_orders.py
@@ -0,0 +1,156 @@
+"""Orders of operators through faults of nine control hosts.
+
+Processes are killed or frozen, links cut, disks lost or slow, one or two at a
+time, and sometimes the group is split or killed as a whole.
+
+Set WASABITRAY_SEEDS to run other seeds, for example 100-200.
+"""
+
+import os
+import random
+
+import pytest
+from core.controllers.consensus.operators import Order
+from core.controllers.consensus.timed_network import TimedNetwork
+
+SIZE = 9
+SETTLE_S = 12.0
+# A calm group is stable this long after the last fault ended.
+CONTACT_S = 4.0
+ACK_S = 5.0
+ACK_PER_ROUTE_S = 0.003
+# Longer than the bound on an acknowledgement.
+CALM_S = 7.0
+# Within this time of an episode's start, its last fault has begun.
+FAULT_WINDOW_S = 2.5
+ORDER_GAP_S = 0.4
+SLOW_SYNC_S = 0.125
+
+
+def seeds():
+    first, _, last = os.environ.get("WASABITRAY_SEEDS", "1-10").partition("-")
+    return range(int(first), int(last or first) + 1)
+
+
+class Day:
+    """Random faults of a group while an operator sends orders."""
+
+    def __init__(self, seed: int) -> None:
+        self.network = TimedNetwork(SIZE, seed)
+        self.random = random.Random(f"day {seed}")
+        self.seed = seed
+        self.orders: list[Order] = []
+        self.faults: list[tuple[float, str]] = []
+        self.disturbed_until = 0.0
+        self.network.run(SETTLE_S)
+
+    def send_orders(self) -> None:
+        """Send an order, and the next one soon."""
+        version = len(self.orders) + 1
+        seed = self.seed * 10_000 + version
+        self.orders.append(Order(self.network, version, seed))
+        self.network.after(
+            2 * ORDER_GAP_S * self.random.random(), self.send_orders
+        )
+
+    def disturb(self) -> None:
+        """Begin one or two faults at nearly the same time."""
+        for host in self.pick_hosts(self.random.choice((1, 1, 2))):
+            wait = self.random.choice((0.0, 2.0)) * self.random.random()
+            fault = self.random.choice(
+                (self.kill, self.wipe, self.freeze, self.cut, self.slow_disk)
+            )
+            self.network.after(wait, lambda f=fault, h=host: f(h))
+        if self.random.random() < 0.3:
+            self.network.after(0.0, self.split)
+        if self.random.random() < 0.1:
+            self.network.after(0.0, self.kill_all)
+
+    def pick_hosts(self, count):
+        hosts = self.random.sample(self.network.names, count)
+        leader = self.network.find_leader()
+        if leader is not None and self.random.random() < 0.5:
+            hosts[0] = leader.name
+        return set(hosts)
+
+    def begin(self, fault: str, seconds: float, end) -> None:
+        now = self.network.clock.now
+        self.faults.append((round(now, 2), f"{fault} for {seconds:.2f}"))
+        self.disturbed_until = max(self.disturbed_until, now + seconds)
+        self.network.after(seconds, end)
+
+    def kill(self, host) -> None:
+        self.network.kill(host)
+        seconds = self.random.uniform(0.3, 4.0)
+        self.begin(f"kill {host}", seconds, lambda: self.network.start(host))
+
+    def wipe(self, host) -> None:
+        self.network.lose_disk(host)
+        self.begin(f"wipe {host}", 3.0, lambda: self.network.start(host))
+
+    def freeze(self, host) -> None:
+        self.network.freeze(host)
+        self.begin(f"freeze {host}", 4.0, lambda: self.network.thaw(host))
+
+    def cut(self, host) -> None:
+        self.network.split([host])
+        self.begin(f"cut {host}", 5.5, self.network.heal)
+
+    def slow_disk(self, host) -> None:
+        self.network.slow_disks[host] = SLOW_SYNC_S
+        self.begin(f"slow disk {host}", 5.5, self.network.slow_disks.clear)
+
+    def split(self) -> None:
+        half = self.random.sample(self.network.names, SIZE // 2)
+        self.network.split(half)
+        seconds = self.random.uniform(3.0, 12.0)
+        self.begin(f"split {sorted(half)}", seconds, self.network.heal)
+
+    def kill_all(self) -> None:
+        for host in self.network.names:
+            self.network.kill(host)
+
+        def start_all() -> None:
+            for host in self.network.names:
+                self.network.start(host)
+
+        self.begin("kill all", self.random.uniform(0.2, 1.0), start_all)
+
+    def run(self, episodes: int) -> list[tuple[float, Order]]:
+        """Run faults with calm between them.
+
+        Returns:
+            How long each order had no acknowledgement within one stretch of
+            calm, with the order.
+        """
+        self.network.after(0.0, self.send_orders)
+        stretches = []
+        for _ in range(episodes):
+            self.disturb()
+            self.network.run(FAULT_WINDOW_S)
+            while self.network.clock.now < self.disturbed_until:
+                self.network.run(self.disturbed_until - self.network.clock.now)
+            calm_since = self.disturbed_until + CONTACT_S
+            calm_until = calm_since + CALM_S
+            self.network.run(calm_until - self.network.clock.now)
+            stretches.append((calm_since, calm_until))
+        return [
+            (order.get_wait(since, until), order)
+            for order in self.orders
+            for since, until in stretches
+        ]
+
+
+def report(day: Day, waits: list[tuple[float, Order]]) -> float:
+    """Print the slowest order and return its wait."""
+    wait, order = max(waits, key=lambda w: w[0])
+    print(f"seed {day.seed}: slowest {wait:.2f} s, {len(day.orders)} orders")
+    print(f"order sent at {order.sent_at:.2f}: {order.steps}")
+    print(f"faults: {day.faults}")
+    return wait
+
+
+@pytest.mark.parametrize("seed", seeds())
+def test_orders_are_acknowledged_in_calm_after_faults(seed):
+    day = Day(seed)
+    assert report(day, day.run(episodes=4)) <= ACK_S + ACK_PER_ROUTE_S
