Let a removed voter rejoin that doesn't know the leader

A voter that is removed while it is away has the old group in its log. When it came back it asked only the voters of that group for votes, and only a leader among them added it again. If the leader was a voter admitted since, the host stayed out of the group for good: it knew no leader, answered each order and each read with 503, and the group had one host less for the next loss.

A voter without a leader now also asks all known control hosts for admission, as a new member does; a leader ignores that of a current member.

The test failed before.

--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -183,6 +183,7 @@
             self._ask_to_join()
         elif self._now() >= self._election.timeout:
             self._voting.start_pre_vote()
+            self._ask_to_join()
         self._send_group_contact()
 
     @receive.register
@@ -608,6 +609,11 @@
         self._outbox.send(host, reply)
 
     def _ask_to_join(self) -> None:
+        """Ask all known control hosts for admission, unless it is a learner.
+
+        A voter without a leader asks as well: it may have been removed while
+        it was away, and the leader may be none of the voters that it knows.
+        """
         if self._state.own_member in self._log.members.learners:
             return
         request = JoinRequest(self._state.own_member)
--- a/tests/core/controllers/consensus/test_tables.py
+++ b/tests/core/controllers/consensus/test_tables.py
@@ -1,6 +1,10 @@
 """Replacing route tables and confirmed reads in the replicated log."""
 
-from core.controllers.consensus.network import Network, make_change
+from core.controllers.consensus.network import (
+    Network,
+    empty_snapshot,
+    make_change,
+)
 from result import Err, Ok
 from support.tables import make_route, make_table
 
@@ -152,6 +156,26 @@
     assert away in {m.host for m in (*group.voters, *group.learners)}
 
 
+def test_removed_member_that_does_not_know_the_leader_rejoins():
+    network = Network(6, 1)
+    network.run(4.0)
+    node = network.leader()
+    members = node.controller._log.members
+    away = next(m for m in members.voters if m.host != node.host)
+    stale = tuple(m for m in members.voters if m.host != node.host)
+    rest = tuple(m for m in members.voters if m != away)
+    node.controller._append(Members(rest, members.learners))
+    network.run(1.0)
+    network.crash(away.host)
+    disk = network.disks[away.host]
+    disk.snapshot = empty_snapshot(Members(stale))
+    disk.records.clear()
+    network.start(away.host)
+    network.run(5.0)
+    group = network.leader().controller._log.members
+    assert away in (*group.voters, *group.learners)
+
+
 def deliver_all(network):
     """Deliver all messages, also those sent meanwhile; no timer runs."""
     for _ in range(200):
