Read orders and check-ins whose body comes in chunks

A configuration or a check-in whose body was sent in chunks was refused with 400, 'the body is not JSON', which ends an operator's call at once: a body without a Content-Length was taken for an empty one. Chunked bodies are read now, within the same limit of size.

No report shows that an operator sends chunks.

--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -43,7 +43,10 @@
         req: the request.
         max_bytes: largest size of the body.
     """
-    body = req.bounded_stream.read(max_bytes + 1)
+    # Falcon takes a body without a length for an empty one.
+    is_chunked = req.get_header("Transfer-Encoding") is not None
+    stream = req.stream if is_chunked else req.bounded_stream
+    body = stream.read(max_bytes + 1)
     if len(body) > max_bytes:
         return Err(f"the body is longer than {max_bytes} bytes")
     try:
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -11,11 +11,21 @@
 import pytest
 
 from wasabitray_node.headers import strip_hop_by_hop
-from wasabitray_node.http import CALLER_SOCKET, REQUEST_TARGET, build_server
+from wasabitray_node.http import (
+    CALLER_SOCKET,
+    REQUEST_TARGET,
+    build_server,
+    read_json,
+)
 from wasabitray_node.operators import SecretCheck
 from wasabitray_node.watch import CallerWatch
 
 
+class JsonEcho:
+    def on_put(self, req, resp):
+        resp.media = read_json(req, 100).unwrap_or_else(str)
+
+
 class Echo:
     def on_post(self, req, resp):
         resp.text = req.bounded_stream.read().decode()
@@ -28,6 +38,7 @@
 def address():
     app = falcon.App()
     app.add_route("/", Echo())
+    app.add_route("/json", JsonEcho())
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         port = probe.getsockname()[1]
@@ -49,6 +60,27 @@
     return received
 
 
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 8\r\n\r\n[12, 34]",
+        b"Transfer-Encoding: chunked\r\n\r\n"
+        b"5\r\n[12, \r\n3\r\n34]\r\n0\r\n\r\n",
+    ],
+    ids=["length", "chunks"],
+)
+def test_json_body_is_read_with_a_length_or_in_chunks(address, framing):
+    head = b"PUT /json HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+    assert exchange(address, head + framing).endswith(b"[12, 34]")
+
+
+def test_json_body_in_chunks_is_limited(address):
+    head = b"PUT /json HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+    chunk = b"65\r\n" + b"1" * 0x65 + b"\r\n0\r\n\r\n"
+    body = b"Transfer-Encoding: chunked\r\n\r\n" + chunk
+    assert b"longer than 100 bytes" in exchange(address, head + body)
+
+
 SMUGGLED = [
     b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
     b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
