Accept a route table of version r0

An order of version r0 was refused with 400, as the first one and as one that a newer version has overtaken: version 0 stood for a change without a table, so its documents were checked as single ones. The platform's protocol knows no such error, and an overtaken version has to be acknowledged.

Whether a proposal is a table is now told by its documents, not by its version. The new test failed before.

--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -42,7 +42,7 @@
     UnavailableError,
     WasabitrayError,
 )
-from wasabitray_core.ids import HostId, LogIndex, MemberId, Term
+from wasabitray_core.ids import HostId, LogIndex, MemberId, Revision, Term
 from wasabitray_core.local_messages import (
     Committed,
     ControllerName,
@@ -522,18 +522,20 @@
 
     def _process_proposal(self, proposal: Proposal) -> None:
         if proposal.table is not None:
+            if self._machine.has_overtaken(proposal.change.version):
+                self._acknowledge(proposal, self._machine.revision)
+                return
             edits = diff_documents(self._machine.documents, proposal.table)
-            change = replace(proposal.change, edits=edits)
-            proposal = replace(proposal, change=change, table=None)
+            change = replace(
+                proposal.change, expected=self._machine.revision, edits=edits
+            )
+            proposal = replace(proposal, change=change)
         previous_result = self._machine.find_previous_result(proposal.change)
         if isinstance(previous_result, Ok):
-            self._proposals.await_acceptance(
-                previous_result.ok_value, proposal.origin, self._now()
-            )
-            self._reply_to_completed_changes()
+            self._acknowledge(proposal, previous_result.ok_value)
             return
         checked = previous_result or self._proposals.validate(
-            proposal.change, self._now()
+            proposal, self._now()
         )
         if isinstance(checked, Err):
             self._reply(proposal.origin, checked)
@@ -541,6 +543,12 @@
         self._proposals.mark_appended(proposal, self._now())
         self._append(proposal.change)
 
+    def _acknowledge(self, proposal: Proposal, revision: Revision) -> None:
+        self._proposals.await_acceptance(
+            revision, proposal.origin, self._now()
+        )
+        self._reply_to_completed_changes()
+
     def _reply_to_completed_changes(self) -> None:
         for origin, reply in self._proposals.pop_completed(self._now()):
             self._reply(origin, reply)
--- a/packages/core/src/wasabitray_core/controllers/consensus/proposals.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/proposals.py
@@ -95,7 +95,7 @@
             return None
         tables = [p for p in self._queue if p.table is not None]
         overtaken = [
-            p for p in tables if p.change.version <= self._machine.version
+            p for p in tables if self._machine.has_overtaken(p.change.version)
         ]
         proposal = self._queue[0]
         if overtaken:
@@ -185,15 +185,21 @@
         return replies
 
     def validate(
-        self, change: Change, now: Seconds
+        self, proposal: Proposal, now: Seconds
     ) -> Result[None, WasabitrayError]:
-        """Check a change against the state and the contact with entries."""
+        """Check a change against the state and the contact with entries.
+
+        A table was checked as a whole before its edits were computed.
+        """
+        change = proposal.change
         if not change.forced and not self._has_majority_contact():
             return Err(
                 UnavailableError(
                     "no contact with a majority of the entries", step="propose"
                 )
             )
+        if proposal.table is not None:
+            return Ok(None)
         checked = self._machine.validate(change)
         if isinstance(checked, Err):
             return checked
--- a/packages/core/src/wasabitray_core/controllers/consensus/state_machine.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/state_machine.py
@@ -33,7 +33,7 @@
     Members,
     Snapshot,
 )
-from wasabitray_core.route_table import get_table_version
+from wasabitray_core.route_table import VERSION_KEY, get_table_version
 
 MAX_KEPT_RESULTS = 10_000
 MAX_RECENT_CHANGES = 512
@@ -93,17 +93,17 @@
         raw = self._documents.get(FLEET_KEY)
         return Fleet.model_validate_json(raw) if raw else None
 
+    def has_overtaken(self, version: ConfigVersion) -> bool:
+        """Return whether a route table of this version changes nothing."""
+        return VERSION_KEY in self._documents and version <= self._version
+
     def find_previous_result(
         self, change: Change
     ) -> Result[Revision, WasabitrayError] | None:
         """Return the result of an earlier change with the same id, if any.
 
-        Reusing the id with different edits is a conflict. A route table
-        whose version is not above the newest one can't change anything, so
-        its result is the newest revision.
+        Reusing the id with different edits is a conflict.
         """
-        if change.version and change.version <= self._version:
-            return Ok(self._revision)
         previous = self._results_by_change.get(change.change)
         if previous is None:
             return None
@@ -116,13 +116,7 @@
         return Err(ConflictError(detail, step="propose"))
 
     def validate(self, change: Change) -> Result[None, WasabitrayError]:
-        """Check a new change against the newest state.
-
-        A change from a route table needs no check here: the whole table was
-        checked before its edits were computed.
-        """
-        if change.version:
-            return Ok(None)
+        """Check a new change of single documents against the newest state."""
         if change.expected != self._revision:
             detail = (
                 f"change expects revision {change.expected}, "
--- a/tests/core/controllers/consensus/test_tables.py
+++ b/tests/core/controllers/consensus/test_tables.py
@@ -63,6 +63,19 @@
     assert read_table(network).version == 7
 
 
+def test_table_of_version_0_is_applied_first_and_overtaken_later():
+    network = make_settled_network()
+    first = make_route("first")
+    assert isinstance(ask(network, make_replacement(0, first)), Ok)
+    assert [r.name for r in read_table(network).routes] == ["first"]
+    other = make_replacement(0, make_route("other"), number=1)
+    assert isinstance(ask(network, other), Ok)
+    assert isinstance(ask(network, make_replacement(7)), Ok)
+    late = make_replacement(0, make_route("late"), number=2)
+    assert isinstance(ask(network, late), Ok)
+    assert [r.name for r in read_table(network).routes] == ["r"]
+
+
 def test_different_content_with_the_same_version_changes_nothing():
     network = make_settled_network()
     ask(network, make_replacement(7))
