--- a/packages/core/src/wasabitray_core/controllers/consensus/proposals.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/proposals.py
@@ -85,8 +85,25 @@
         self._queue.append(proposal)
 
     def pop_next(self) -> Proposal | None:
-        """Remove and return the next queued change, None if there is none."""
-        return self._queue.popleft() if self._queue else None
+        """Remove and return the next queued change, None if there is none.
+
+        Tables that the newest one has overtaken come first, then the oldest
+        change. If that is a table, the queued table with the highest version
+        replaces it, since it overtakes all others.
+        """
+        if not self._queue:
+            return None
+        tables = [p for p in self._queue if p.table is not None]
+        overtaken = [
+            p for p in tables if self._machine.has_overtaken(p.change.version)
+        ]
+        proposal = self._queue[0]
+        if overtaken:
+            proposal = overtaken[0]
+        elif proposal.table is not None:
+            proposal = max(tables, key=lambda p: p.change.version)
+        self._queue.remove(proposal)
+        return proposal
 
     def mark_appended(self, proposal: Proposal, now: Seconds) -> None:
         """Record that a change was appended to the log."""
@@ -168,15 +185,21 @@
         return replies
 
     def validate(
-        self, change: Change, now: Seconds
+        self, proposal: Proposal, now: Seconds
     ) -> Result[None, WasabitrayError]:
-        """Check a change against the state and the contact with entries."""
+        """Check a change against the state and the contact with entries.
+
+        A table was checked as a whole before its edits were computed.
+        """
+        change = proposal.change
         if not change.forced and not self._has_majority_contact():
             return Err(
                 UnavailableError(
                     "no contact with a majority of the entries", step="propose"
                 )
             )
+        if proposal.table is not None:
+            return Ok(None)
         checked = self._machine.validate(change)
         if isinstance(checked, Err):
             return checked
--- a/tests/core/controllers/consensus/test_tables.py
+++ b/tests/core/controllers/consensus/test_tables.py
@@ -1,13 +1,21 @@
 """Replacing route tables and confirmed reads in the replicated log."""
 
-from core.controllers.consensus.network import Network
+from core.controllers.consensus.network import (
+    Network,
+    empty_snapshot,
+    make_change,
+)
 from result import Err, Ok
 from support.tables import make_route, make_table
 
 from wasabitray_core.controllers.controller import Origin, ReplyToken
 from wasabitray_core.errors import DocumentError, NotLeaderError
 from wasabitray_core.ids import HostId, MemberId
-from wasabitray_core.local_messages import ReadDocuments, ReplaceTable
+from wasabitray_core.local_messages import (
+    Propose,
+    ReadDocuments,
+    ReplaceTable,
+)
 from wasabitray_core.messages import JoinRequest, Member, Members
 from wasabitray_core.route_table import read_table_source
 
@@ -55,6 +63,19 @@
     assert read_table(network).version == 7
 
 
+def test_table_of_version_0_is_applied_first_and_overtaken_later():
+    network = make_settled_network()
+    first = make_route("first")
+    assert isinstance(ask(network, make_replacement(0, first)), Ok)
+    assert [r.name for r in read_table(network).routes] == ["first"]
+    other = make_replacement(0, make_route("other"), number=1)
+    assert isinstance(ask(network, other), Ok)
+    assert isinstance(ask(network, make_replacement(7)), Ok)
+    late = make_replacement(0, make_route("late"), number=2)
+    assert isinstance(ask(network, late), Ok)
+    assert [r.name for r in read_table(network).routes] == ["r"]
+
+
 def test_different_content_with_the_same_version_changes_nothing():
     network = make_settled_network()
     ask(network, make_replacement(7))
@@ -148,6 +169,26 @@
     assert away in {m.host for m in (*group.voters, *group.learners)}
 
 
+def test_removed_member_that_does_not_know_the_leader_rejoins():
+    network = Network(6, 1)
+    network.run(4.0)
+    node = network.leader()
+    members = node.controller._log.members
+    away = next(m for m in members.voters if m.host != node.host)
+    stale = tuple(m for m in members.voters if m.host != node.host)
+    rest = tuple(m for m in members.voters if m != away)
+    node.controller._append(Members(rest, members.learners))
+    network.run(1.0)
+    network.crash(away.host)
+    disk = network.disks[away.host]
+    disk.snapshot = empty_snapshot(Members(stale))
+    disk.records.clear()
+    network.start(away.host)
+    network.run(5.0)
+    group = network.leader().controller._log.members
+    assert away in (*group.voters, *group.learners)
+
+
 def deliver_all(network):
     """Deliver all messages, also those sent meanwhile; no timer runs."""
     for _ in range(200):
@@ -172,3 +213,24 @@
     token = send_request(network, ReadDocuments())
     deliver_all(network)
     assert isinstance(network.replies.get(token), Ok)
+
+
+def test_queued_tables_are_acknowledged_with_the_highest_of_them():
+    network = make_settled_network()
+    deliver_all(network)
+    tables = [make_replacement(v) for v in (1, 2, 4, 3)]
+    tokens = [send_request(network, table) for table in tables]
+    deliver_all(network)
+    assert all(isinstance(network.replies.get(t), Ok) for t in tokens)
+    assert network.leader().controller.machine.revision == 2
+
+
+def test_change_behind_a_table_keeps_its_place():
+    network = make_settled_network()
+    deliver_all(network)
+    send_request(network, make_replacement(1))
+    first = send_request(network, Propose(make_change(1, 1)))
+    second = send_request(network, make_replacement(2))
+    deliver_all(network)
+    assert network.replies[first].ok_value.revision == 2
+    assert network.replies[second].ok_value.revision == 3
