--- a/packages/core/src/wasabitray_core/controllers/hub_choice.py
+++ b/packages/core/src/wasabitray_core/controllers/hub_choice.py
@@ -119,7 +119,8 @@
         """
         heard = frozenset(a.host for a in addresses)
         cut_off = set(self._addresses) - heard
-        is_cut = len(cut_off) > MIN_CUT_OFF_SHARE * len(self._addresses)
+        min_count = max(1.0, MIN_CUT_OFF_SHARE * len(self._addresses))
+        is_cut = len(cut_off) > min_count
         self._isolated_side = heard if is_cut else frozenset()
         self._isolated_side_until = Seconds(now + ISOLATED_RETRY_DELAY_S)
 
--- a/tests/core/controllers/test_hub_choice.py
+++ b/tests/core/controllers/test_hub_choice.py
@@ -41,6 +41,14 @@
     assert choice.choose(10.0) in {"c1", "c2"}
 
 
+def test_the_loss_of_one_host_of_three_is_no_cut():
+    choice = HubChoice("e1", "region-0", "c0")
+    choice.update_addresses(make_addresses(["c0", "c1", "c6"]), True)
+    choice.record_isolated_side(make_addresses(["c0", "c1"]), 10.0)
+    choice.record_failure("c0", 10.0, is_isolated=True)
+    assert choice.choose(10.0) == "c1"
+
+
 def test_near_hub_is_tried_again_later(choice):
     hear_isolated(choice, ["c0", "c1", "c2", "c3", "c4"], now=10.0)
     assert choice.choose(13.0) == "c0"
