Interrupt no later wait of a request whose caller left

The slot that such a request is granted later is never released.

Cause: the caller left in the moment in which the attempt failed. The error of the attempt ended the wait that may be interrupted, and the interruption that was already scheduled hit the next one.

It is now taken out before the wait is left, and the retry is refused since the caller is gone. The new test failed before.

--- a/packages/node/src/wasabitray_node/watch.py
+++ b/packages/node/src/wasabitray_node/watch.py
@@ -72,10 +72,20 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        """Forbid interruption; one that is already scheduled is raised."""
+        """Forbid interruption.
+
+        One that is already scheduled is raised here, unless another error
+        ended the wait first. Later it could interrupt any other wait.
+        """
         self._is_interruptible = False
-        if self._is_gone and not exc_info[0]:
+        if not self._is_gone:
+            return
+        is_failing = exc_info[0] is not None
+        try:
             gevent.sleep(0)
+        except CallerGoneError:
+            if not is_failing:
+                raise
 
     def _run(self) -> None:
         while not self._is_closed():
--- a/tests/node/test_watch.py
+++ b/tests/node/test_watch.py
@@ -50,3 +50,16 @@
     gevent.spawn_later(0.2, callers.close)
     with pytest.raises(CallerGoneError), gevent.Timeout(DETECTION_S):
         wait_for_target(ours, 5.0)
+
+
+def test_caller_that_leaves_as_its_attempt_fails_interrupts_no_later_wait(
+    pair,
+):
+    ours, callers = pair
+    callers.close()
+    watch = CallerWatch(ours)
+    with pytest.raises(ConnectionResetError), watch:
+        watch._run()
+        raise ConnectionResetError
+    assert watch.is_gone
+    gevent.sleep(0.01)
