Send a lost item again soon after a quiet time

What callers saw: nothing so far, found by review. After 2.8 s without news a hub waited 3.2 s instead of 0.4 s before it sent a lost item again, so a departure, a cool-down or a quarantine reached the reader that much later, and a departure's acknowledgement, which waits for the hubs, as well.

Cause: each heartbeat of a reader that lacks nothing counted as one without progress and doubled the resend time. A reader that restarted under its name within the hub's timeout inherited that time.

Change: only a reader with items in transit is sent them again. One that acknowledges an earlier position has restarted and starts with the shortest time.

Measured: both new tests failed before.

--- a/packages/core/src/wasabitray_core/controllers/feed_readers.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_readers.py
@@ -60,21 +60,26 @@
     def record_read(self, position: FeedPosition, now: Seconds) -> None:
         """Record an acknowledged position.
 
-        If no newer one came for some time, the feed is sent again from this
-        position, and each further time after twice as long.
+        If items are in transit and no newer position came for some time, the
+        feed is sent again from this position, and each further time after
+        twice as long. An earlier position is that of a reader that restarted.
         """
+        if position != self.acked:
+            self.resend_after = RESEND_AFTER_S
         if position > self.acked:
             self.acked, self.progress_at = position, now
             self.sent = max(position, self.sent)
-            self.resend_after = RESEND_AFTER_S
-        elif now - self.progress_at > self.resend_after:
-            self.sent = min(position, self.sent)
-            self.acked, self.progress_at = position, now
+        elif position < self.sent and self._is_resend_due(now):
+            self.sent = self.acked = position
+            self.progress_at = now
             self.resend_after = min(2 * self.resend_after, MAX_RESEND_AFTER_S)
             self.in_transit.clear()
         while self.in_transit and self.in_transit[0][0] <= self.acked:
             self.in_transit.popleft()
 
+    def _is_resend_due(self, now: Seconds) -> bool:
+        return now - self.progress_at > self.resend_after
+
 
 class _PendingReply(Struct, frozen=True):
     position: FeedPosition
--- a/tests/core/controllers/test_feed_readers.py
+++ b/tests/core/controllers/test_feed_readers.py
@@ -47,3 +47,24 @@
     reader.record_read(10, 2.0 + RESEND_AFTER_S + 0.01)
     assert reader.sent == 10
     assert reader.window == WINDOW_ITEMS
+
+
+def test_item_lost_after_a_quiet_time_is_sent_again_soon():
+    reader = make_reader((10, 10))
+    for half_second in range(1, 40):
+        reader.record_read(10, half_second * 0.5)
+    reader.record_sent(11, 1, 20.0)
+    reader.record_read(10, 20.0 + RESEND_AFTER_S + 0.01)
+    assert reader.sent == 10
+
+
+def test_restarted_reader_does_not_wait_for_the_longest_resend_time():
+    reader = make_reader((10, 10))
+    reader.record_read(10, 0.1)
+    reader.record_sent(20, 10, 1.0)
+    for step in range(1, 40):
+        reader.record_read(10, 1.0 + step * 0.1)
+        if reader.sent == 10:
+            reader.record_sent(20, 10, 1.0 + step * 0.1)
+    reader.record_read(FEED_START, 5.0 + RESEND_AFTER_S)
+    assert reader.sent == FEED_START
