Forward a feed to a hub without progress ever more rarely

What callers saw: nothing that could be told apart, found by review. After a split of the control hosts each hub sent all others' feeds to each hub of the other side at once, beside each hub's own, and again every 0.5 s until they were read. This costs processor time while a leader has the most to do.

Cause: the time since which a hub lags behind wasn't renewed when a feed was forwarded, and was kept, or taken from before the split, for a hub that came back.

Change: a hub that comes back has a second to read the feeds from the hubs that they belong to. Further copies follow after 1 s, 2 s, then each 4 s.

Both new tests failed before.

--- a/packages/core/src/wasabitray_core/controllers/hub_peers.py
+++ b/packages/core/src/wasabitray_core/controllers/hub_peers.py
@@ -14,6 +14,9 @@
 # A third hub's feed is forwarded to a hub that made no progress in it for
 # this long.
 FORWARD_AFTER_S = 1.0
+# All hubs forward a feed to one that lags behind. If it doesn't advance, more
+# copies would not help it.
+MAX_FORWARD_PAUSE_S = 4.0
 HUB_EXPIRY_S = 60.0
 
 _NEVER = Seconds(float("-inf"))
@@ -27,23 +30,38 @@
         marks: its read positions in the feeds of all hubs.
         last_contact: when it last sent a message or was added from another
             hub's list; minus infinity if never.
+        returned_at: when it was last heard after it had been unresponsive.
     """
 
     address: HostAddress
     reader: FeedReader
     marks: dict[HostId, FeedMark] = field(default_factory=dict)
     last_contact: Seconds = _NEVER
+    returned_at: Seconds = _NEVER
 
     def is_unresponsive(self, now: Seconds) -> bool:
         """Return whether it had no contact within HUB_TIMEOUT_S."""
         return now - self.last_contact > HUB_TIMEOUT_S
 
+    def record_contact(self, now: Seconds) -> None:
+        """Record that it sent a message."""
+        if self.is_unresponsive(now):
+            self.returned_at = now
+        self.last_contact = now
+
 
 class _FeedLag(Struct, frozen=True):
-    """A hub's mark in a third hub's feed, and since when it lags behind."""
+    """A hub that lags behind in a third hub's feed.
+
+    Attributes:
+        mark: its mark in the feed.
+        forward_at: when the feed is forwarded unless the mark has advanced.
+        pause: seconds from then until it is forwarded again.
+    """
 
     mark: FeedMark
-    since: Seconds
+    forward_at: Seconds
+    pause: float = FORWARD_AFTER_S
 
 
 class HubPeers:
@@ -128,7 +146,7 @@
                 presence.failure_domain,
             )
             hub = self._hubs[host] = _new_hub(address)
-        hub.last_contact = now
+        hub.record_contact(now)
         hub.marks = {m.hub: m for m in presence.marks}
         hub.reader.record_read(self.get_read_position(host), now)
         return hub
@@ -158,7 +176,7 @@
         """
         hub = self._hubs.get(sender)
         if hub is not None:
-            hub.last_contact = now
+            hub.record_contact(now)
         read_position = self.get_mark(feed.origin, feed.incarnation).position
         reached = FeedMark(feed.origin, feed.incarnation, feed.position)
         if feed.after <= read_position < feed.position:
@@ -176,6 +194,7 @@
         """
         hub = self._hubs.get(host)
         if hub is None or hub.is_unresponsive(now):
+            self._forget_lags(host)
             return
         for origin, own_mark in self._marks.items():
             if origin == host:
@@ -186,19 +205,24 @@
                 or peer_mark.incarnation != own_mark.incarnation
             ):
                 peer_mark = FeedMark(origin, own_mark.incarnation, FEED_START)
-            if self._is_stuck(host, peer_mark, own_mark, now):
+            if self._is_stuck(host, hub, peer_mark, own_mark, now):
                 yield peer_mark, own_mark.position
 
+    def _forget_lags(self, host: HostId) -> None:
+        self._lags = {k: v for k, v in self._lags.items() if k[0] != host}
+
     def _is_stuck(
         self,
         host: HostId,
+        hub: PeerHub,
         peer_mark: FeedMark,
         own_mark: FeedMark,
         now: Seconds,
     ) -> bool:
-        """Return whether a hub made no progress in a feed for FORWARD_AFTER_S.
+        """Return whether a feed is to be forwarded to a hub now.
 
-        The feed itself may have advanced in the meantime.
+        That is so if the hub made no progress in it for FORWARD_AFTER_S. The
+        feed itself may have advanced in the meantime.
         """
         key = (host, peer_mark.hub)
         if peer_mark.position >= own_mark.position:
@@ -206,10 +230,15 @@
             return False
         lag = self._lags.get(key)
         if lag is None or lag.mark != peer_mark:
-            lag = self._lags[key] = _FeedLag(
-                peer_mark, self._advanced_at[peer_mark.hub]
-            )
-        return now - lag.since >= FORWARD_AFTER_S
+            since = max(self._advanced_at[peer_mark.hub], hub.returned_at)
+            lag = _FeedLag(peer_mark, Seconds(since + FORWARD_AFTER_S))
+            self._lags[key] = lag
+        if now < lag.forward_at:
+            return False
+        next_pause = min(2 * lag.pause, MAX_FORWARD_PAUSE_S)
+        forward_at = Seconds(now + lag.pause)
+        self._lags[key] = _FeedLag(peer_mark, forward_at, next_pause)
+        return True
 
 
 def _new_hub(address: HostAddress, last_contact: Seconds = _NEVER) -> PeerHub:
--- a/tests/core/controllers/test_hub.py
+++ b/tests/core/controllers/test_hub.py
@@ -1,5 +1,7 @@
 """A hub's feed, its entries and the departures that it confirms."""
 
+from itertools import pairwise
+
 import pytest
 from msgspec.structs import replace
 from support.fakes import ControllerBed
@@ -476,3 +478,38 @@
     bed.tick(GATHER_INTERVAL_S)
     hubs = get_feeds_sent_to(bed, "e1")[-1].hubs
     assert {a.host for a in hubs} == {"c1", "c2"}
+
+
+def test_feed_is_forwarded_ever_more_rarely_to_a_hub_without_progress():
+    bed = hub_bed("c1", "c2", "c3")
+    for host in ("c2", "c3"):
+        bed.receive(host, hub_presence())
+    feed = Feed("c2", "run-2", 0, 1, 0, True, 0, announcements=(ANNOUNCEMENT,))
+    bed.receive("c2", feed)
+    forwarded_at = []
+    for step in range(1, 25):
+        bed.receive("c3", hub_presence(1 + step))
+        before = len(get_feeds_sent_to(bed, "c3"))
+        bed.tick(0.5)
+        new = get_feeds_sent_to(bed, "c3")[before:]
+        forwarded_at += [step * 0.5 for f in new if f.origin == "c2"]
+    gaps = [b - a for a, b in pairwise(forwarded_at)]
+    assert gaps[:3] == [1.0, 2.0, 4.0]
+
+
+def test_hub_that_comes_back_is_not_sent_third_hubs_feeds_at_once():
+    bed = hub_bed("c1", "c2", "c3")
+    for host in ("c2", "c3"):
+        bed.receive(host, hub_presence())
+    feed = Feed("c2", "run-2", 0, 1, 0, True, 0, announcements=(ANNOUNCEMENT,))
+    bed.receive("c2", feed)
+    bed.tick(HUB_TIMEOUT_S + 0.5)
+    bed.receive("c3", hub_presence(2))
+    before = len(get_feeds_sent_to(bed, "c3"))
+    bed.tick(0.5)
+    feeds = get_feeds_sent_to(bed, "c3")[before:]
+    assert not any(f.origin == "c2" for f in feeds)
+    bed.receive("c3", hub_presence(3))
+    bed.tick(0.5)
+    feeds = get_feeds_sent_to(bed, "c3")[before:]
+    assert any(f.origin == "c2" for f in feeds)
