Send a restarted entry the feed at once

What callers saw: nothing so far, found by review. An entry that was killed and started again within the two seconds after which its hub misses it had no targets for up to a second.

Cause: the hub took the earlier read position for a late acknowledgement and waited for the resend time, which each heartbeat began anew while nothing was in transit.

Change: a reader that acknowledges an earlier position has restarted; the feed is sent from there at once.

--- a/packages/core/src/wasabitray_core/controllers/feed_readers.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_readers.py
@@ -62,23 +62,29 @@
 
         If items are in transit and no newer position came for some time, the
         feed is sent again from this position, and each further time after
-        twice as long. An earlier position is that of a reader that restarted.
+        twice as long. A reader that acknowledges an earlier position has
+        restarted, and is sent the feed from there at once.
         """
+        has_restarted = position < self.acked
         if position != self.acked:
             self.resend_after = RESEND_AFTER_S
         if position > self.acked:
             self.acked, self.progress_at = position, now
             self.sent = max(position, self.sent)
-        elif position < self.sent and self._is_resend_due(now):
+        elif has_restarted or self._is_resend_due(now):
+            if not has_restarted:
+                self.resend_after = min(
+                    2 * self.resend_after, MAX_RESEND_AFTER_S
+                )
             self.sent = self.acked = position
             self.progress_at = now
-            self.resend_after = min(2 * self.resend_after, MAX_RESEND_AFTER_S)
             self.in_transit.clear()
         while self.in_transit and self.in_transit[0][0] <= self.acked:
             self.in_transit.popleft()
 
     def _is_resend_due(self, now: Seconds) -> bool:
-        return now - self.progress_at > self.resend_after
+        is_late = now - self.progress_at > self.resend_after
+        return self.sent > self.acked and is_late
 
 
 class _PendingReply(Struct, frozen=True):
--- a/tests/core/controllers/test_feed_readers.py
+++ b/tests/core/controllers/test_feed_readers.py
@@ -58,13 +58,10 @@
     assert reader.sent == 10
 
 
-def test_restarted_reader_does_not_wait_for_the_longest_resend_time():
+def test_restarted_reader_gets_the_feed_at_once():
     reader = make_reader((10, 10))
     reader.record_read(10, 0.1)
-    reader.record_sent(20, 10, 1.0)
-    for step in range(1, 40):
-        reader.record_read(10, 1.0 + step * 0.1)
-        if reader.sent == 10:
-            reader.record_sent(20, 10, 1.0 + step * 0.1)
-    reader.record_read(FEED_START, 5.0 + RESEND_AFTER_S)
+    reader.record_sent(20, 10, 0.1)
+    reader.record_read(FEED_START, 0.2)
     assert reader.sent == FEED_START
+    assert reader.window == WINDOW_ITEMS
--- a/tests/support/feed_fleet.py
+++ b/tests/support/feed_fleet.py
@@ -56,6 +56,8 @@
 DOCUMENTS = {f"route/r{n}": "x" * 300 for n in range(30)}
 # A control host without messages of the leader for this long has lost it.
 LEADER_LOSS_S = 1.0
+# Exceeds the counters of the first incarnation of an entry.
+RESTART_COUNTER = 1_000_000
 # Entries serve once they have the configuration.
 SERVING_AFTER_S = (1.0, 2.0)
 
@@ -78,8 +80,16 @@
 class Host:
     """A host of the fleet with its membership controller."""
 
-    def __init__(self, fleet: FeedFleet, name: str, number: int, role: str):
+    def __init__(
+        self,
+        fleet: FeedFleet,
+        name: str,
+        number: int,
+        role: str,
+        first_counter: int = 1,
+    ):
         self.fleet, self.name, self.role = fleet, name, role
+        self.is_running = True
         self.domain = number % DOMAINS
         self.region = REGIONS[self.domain % len(REGIONS)]
         self.next_tick = 0.0
@@ -95,7 +105,9 @@
             self.controller = HubController(context, address, f"run-{name}", 1)
         else:
             profile = EntryProfile(self.region, domain, f"{name}:80")
-            self.controller = SubscriberController(context, profile, 1)
+            self.controller = SubscriberController(
+                context, profile, first_counter
+            )
 
     def receive(self, message, origin=NO_ORIGIN):
         if isinstance(message, ConfigPull):
@@ -112,6 +124,8 @@
 
     def tick(self):
         """Deliver a tick if one is due, as the host's task does."""
+        if not self.is_running:
+            return
         now = self.fleet.clock.now
         if now >= self.next_tick:
             self.next_tick = now + HUB_TICK_INTERVAL_S
@@ -263,9 +277,19 @@
             entry = self.random.choice(self.entries)
             entry.receive(Broadcast(record))
 
-    def add_entry(self, name: str, number: int = 0) -> Host:
+    def restart_entry(self, number: int, after_s: float) -> Host:
+        """Kill an entry and start it again under its name."""
+        old = self.entries.pop(number)
+        old.is_running = False
+        self.hosts[old.name] = Host(self, "stopped", number, "entry")
+        self.run(after_s)
+        return self.add_entry(old.name, number, RESTART_COUNTER)
+
+    def add_entry(
+        self, name: str, number: int = 0, first_counter: int = 1
+    ) -> Host:
         """Start one more entry while the fleet runs."""
-        entry = Host(self, name, number, "entry")
+        entry = Host(self, name, number, "entry", first_counter)
         self.entries.append(entry)
         self.hosts[name] = entry
         entry.receive(SeedsChanged(("c0", "c1", "c2")))
