Send a restarted entry the items that it had sent itself

What callers saw: nothing so far, found by review. An entry that was restarted didn't know the cool-downs, quarantines and ejections that it had reported before, unless another entry had added to them, so it sent requests to such targets, and requests that crash targets, once more.

Cause: a hub never sends an item back to the host that it came from.

Change: it does if the entry has begun to read the feed from its start since.

Measured: the new test failed before, within the hub's timeout and after it.

--- a/packages/core/src/wasabitray_core/controllers/feed_table.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_table.py
@@ -20,6 +20,7 @@
     get_time_to_live,
     merge_records,
 )
+from wasabitray_core.controllers.feed_readers import FEED_START
 from wasabitray_core.ids import FeedPosition, HostId, Incarnation, Seconds
 from wasabitray_core.messages import (
     Announcement,
@@ -299,23 +300,26 @@
         reader: HostId,
         now: Seconds,
         limit: int,
+        started_at: FeedPosition = FEED_START,
     ) -> tuple[list[FeedItem], FeedPosition]:
         """Return the first items after a position, oldest first.
 
-        Those that came from the reader are left out.
+        Those that came from the reader since it started are left out.
 
         Args:
             position: the reader's position in this feed.
             reader: the host that reads it.
             now: the time.
             limit: largest number of items.
+            started_at: the feed's position when the reader started.
 
         Returns:
             The items and the position that they reach.
         """
         items: list[FeedItem] = []
         for record in self._list_records_after(position, limit):
-            if record.sender == reader or record.is_expired(now):
+            is_own = record.sender == reader and record.position > started_at
+            if is_own or record.is_expired(now):
                 continue
             if len(items) >= limit:
                 return items, FeedPosition(record.position - 1)
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -110,12 +110,15 @@
     Attributes:
         reader: its read position in this hub's feed.
         last_contact: when its last heartbeat arrived.
+        started_at: position in the feed when it began to read from the
+            start. It has lost what it sent before, if it had restarted.
         has_hub_list: whether the current list of hubs was sent to it.
     """
 
     reader: FeedReader
     last_contact: Seconds
     region: RegionName
+    started_at: FeedPosition = FEED_START
     has_hub_list: bool = False
 
 
@@ -454,7 +457,7 @@
         now = self._now()
         reader = subscriber.reader
         items, reached = self._table.get_items_after(
-            reader.sent, host, now, reader.window
+            reader.sent, host, now, reader.window, subscriber.started_at
         )
         if not items and not heartbeat and subscriber.has_hub_list:
             return
@@ -616,6 +619,11 @@
             self._outbox.log_event(
                 "entry subscribed", peer=host, position=read_position
             )
+            has_started = read_position == FEED_START
+        else:
+            has_started = read_position < subscriber.reader.acked
+        if has_started:
+            subscriber.started_at = self._table.position
         subscriber.reader.record_read(read_position, now)
         subscriber.last_contact = now
         state = EntryState(
--- a/tests/core/controllers/test_hub.py
+++ b/tests/core/controllers/test_hub.py
@@ -513,3 +513,19 @@
     bed.tick(0.5)
     feeds = get_feeds_sent_to(bed, "c3")[before:]
     assert any(f.origin == "c2" for f in feeds)
+
+
+@pytest.mark.parametrize("pause", [0.5, ENTRY_TIMEOUT_S + 1.0])
+def test_restarted_entry_gets_the_items_that_it_had_sent_itself(pause):
+    bed = hub_bed()
+    bed.receive("e1", presence())
+    bed.receive("e1", News(reports=(COOL_DOWN,)))
+    position = bed.controller.table.position
+    mark = FeedMark("c1", "run-1", position)
+    bed.receive("e1", presence(2, (mark,)))
+    bed.tick(pause)
+    before = len(get_feeds_sent_to(bed, "e1"))
+    bed.receive("e1", presence(3))
+    bed.tick(0.5)
+    feeds = get_feeds_sent_to(bed, "e1")[before:]
+    assert [r.target for f in feeds for r in f.reports] == [COOL_DOWN.target]
