Refuse header fields with a bare carriage return or a null byte

What callers saw: nothing so far, found by review. "X: a\r\rContent-Length: 4" ended the head at the second carriage return, so the body was read as the next request; with one carriage return the rest of a value was a field of its own. Another parser on the path reads both as one value, which allows request smuggling. A length or a coding beside a vertical tab or a no-break space was accepted as well.

Cause: the parser of the fields ends lines at a carriage return, and text is stripped of all that Unicode calls white space.

Change: such heads are refused with 400 (RFC 9112 section 2.2, RFC 9110 section 5.5). Only spaces and tabs may surround a value.

Measured: six new cases of the test failed before.

--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -50,6 +50,12 @@
 # The token of RFC 9110 section 5.6.2, without the underscore: in the WSGI
 # environment it can't be distinguished from a hyphen.
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^`|~0-9A-Za-z-]+")
+_LENGTH = re.compile(r"[0-9]+")
+# What may surround a field's value (RFC 9110 section 5.6.3).
+_PADDING = " \t"
+# The parser of the fields ends a line at a carriage return as well, and other
+# parsers end a value at a null byte.
+_AMBIGUOUS_BYTE = re.compile(rb"\0|\r(?!\n\Z)")
 # The absolute form of a request target: authority, path and query.
 _ABSOLUTE_TARGET = re.compile(r"https?://([^/?#@]+)([/?].*)?", re.IGNORECASE)
 
@@ -111,9 +117,13 @@
         codings = headers.get_all("transfer-encoding", [])
         if lengths and codings:
             raise ValueError("both Content-Length and Transfer-Encoding")
-        if len(lengths) > 1 or any(not n.strip().isdigit() for n in lengths):
+        if len(lengths) > 1 or any(
+            not _LENGTH.fullmatch(n.strip(_PADDING)) for n in lengths
+        ):
             raise ValueError("more than one or an invalid Content-Length")
-        if codings and [c.strip().lower() for c in codings] != ["chunked"]:
+        if codings and [c.strip(_PADDING).lower() for c in codings] != [
+            "chunked"
+        ]:
             raise ValueError("a Transfer-Encoding other than chunked")
         if headers.defects:
             raise ValueError("a line that is not a header")
@@ -152,6 +162,8 @@
                 raise _HeadTooLongError("the header fields are too long")
             if not line.endswith(b"\n"):
                 raise _HeadCutOffError("in the header fields")
+            if _AMBIGUOUS_BYTE.search(line):
+                raise ValueError("a carriage return or null byte in a field")
             lines.append(line)
             if line in (b"\r\n", b"\n"):
                 return b"".join(lines)
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -92,6 +92,12 @@
     b"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
     b"Transfer_Encoding: chunked\r\n\r\n0\r\n\r\n",
     b"X-Folded: a\r\n Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"X-Return: a\rContent-Length: 4\r\n\r\nabcd",
+    b"X-Return: a\r\rContent-Length: 4\r\n\r\nabcd",
+    b"X-Return: a\r\r\nContent-Length: 4\r\n\r\nabcd",
+    b"X-Null: a\0\r\nContent-Length: 4\r\n\r\nabcd",
+    b"Transfer-Encoding: chunked\x0b\r\n\r\n0\r\n\r\n",
+    b"Content-Length: \xa04\r\n\r\nabcd",
 ]
 
 
