Return to a restarted hub the items that had come from it

What callers saw: nothing that could be told apart, found by review. A control host that was killed and started again didn't know the targets that had registered with it and now check in elsewhere, nor the crashes that its entries had reported. An entry that starts beside it didn't know them either.

Cause: other hubs send a hub their own items, and forward third hubs' feeds, but nobody sends it those of its own earlier feed. A third hub that lagged behind in that feed didn't get them any more either.

Change: once a hub sends a feed of another incarnation, each other hub takes over the items of the earlier ones in its own feed. Their order stays, so entries don't get them again.

--- a/packages/core/src/wasabitray_core/controllers/feed_table.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_table.py
@@ -294,6 +294,33 @@
         self._records[(kind, subject)] = record
         return record.position
 
+    def adopt(self, hub: HostId, incarnation: Incarnation) -> bool:
+        """Take over the items of a hub's earlier incarnations.
+
+        The hub has lost them, and no feed of its own has them any more. They
+        keep their order here, so entries don't get them again.
+
+        Args:
+            hub: the hub that restarted.
+            incarnation: its current incarnation.
+
+        Returns:
+            Whether there are any.
+        """
+        lost = [
+            record
+            for record in self._records.values()
+            if record.origin.hub == hub
+            and record.origin.incarnation != incarnation
+        ]
+        if lost:
+            self._position = FeedPosition(self._position + 1)
+        for record in lost:
+            record.origin = FeedMark(
+                self._host, self._incarnation, self._position
+            )
+        return bool(lost)
+
     def get_items_after(
         self,
         position: FeedPosition,
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -411,6 +411,9 @@
         departures = filter(_is_departure, message.announcements)
         self._unstored.hold(read_before, [d.target for d in departures])
         self._spread(records)
+        current = self._hubs.find_restart(sender, message)
+        if current is not None and self._table.adopt(message.origin, current):
+            self._plan_broadcast(Seconds(now + GATHER_INTERVAL_S))
         new_hubs = self._hubs.add_hubs(message.hubs, now)
         if new_hubs:
             self._send_to_directory(new_hubs)
--- a/packages/core/src/wasabitray_core/controllers/hub_peers.py
+++ b/packages/core/src/wasabitray_core/controllers/hub_peers.py
@@ -80,6 +80,7 @@
         self._marks: dict[HostId, FeedMark] = {}
         self._advanced_at: dict[HostId, Seconds] = {}
         self._lags: dict[tuple[HostId, HostId], _FeedLag] = {}
+        self._incarnations: dict[HostId, Incarnation] = {}
 
     @property
     def marks(self) -> tuple[FeedMark, ...]:
@@ -166,6 +167,19 @@
             return FeedMark(host, incarnation, FEED_START)
         return mark
 
+    def find_restart(self, sender: HostId, feed: Feed) -> Incarnation | None:
+        """Return a feed's current incarnation if there is an earlier one.
+
+        Args:
+            sender: the host that sent the feed, its hub or a third one.
+            feed: the feed.
+        """
+        known = self._incarnations.get(feed.origin)
+        if sender == feed.origin:
+            self._incarnations[sender] = feed.incarnation
+        current = self._incarnations.get(feed.origin)
+        return current if {known, feed.incarnation} != {current} else None
+
     def record_feed(
         self, sender: HostId, feed: Feed, now: Seconds
     ) -> FeedMark:
--- a/tests/support/feed_fleet.py
+++ b/tests/support/feed_fleet.py
@@ -20,6 +20,7 @@
     SubscriberController,
 )
 from wasabitray_core.local_messages import (
+    Announcements,
     Broadcast,
     ConfigurationApplied,
     DeparturesStored,
@@ -77,6 +78,10 @@
     seconds: float = 0.0
 
 
+def ignore(message, origin=NO_ORIGIN):
+    """Receive a message as a host that is down."""
+
+
 class Host:
     """A host of the fleet with its membership controller."""
 
@@ -94,6 +99,8 @@
         self.region = REGIONS[self.domain % len(REGIONS)]
         self.next_tick = 0.0
         self.reports: set[str] = set()
+        self.targets: set[str] = set()
+        self.announced = 0
         self.view: EntriesView | None = None
         self.view_count = 0
         self.link_free_at = 0.0
@@ -102,7 +109,9 @@
         domain = f"d{self.domain}"
         if role == "hub":
             address = HostAddress(name, f"{name}:1", self.region, domain)
-            self.controller = HubController(context, address, f"run-{name}", 1)
+            self.controller = HubController(
+                context, address, f"run-{name}-{first_counter}", first_counter
+            )
         else:
             profile = EntryProfile(self.region, domain, f"{name}:80")
             self.controller = SubscriberController(
@@ -142,6 +151,9 @@
             self.view, self.view_count = message, self.view_count + 1
         elif isinstance(message, StoreDepartures):
             self.receive(DeparturesStored(message.departures))
+        elif isinstance(message, Announcements):
+            self.targets.update(a.target for a in message.items)
+            self.announced += len(message.items)
         elif isinstance(message, TargetReport):
             self.reports.add(message.target)
 
@@ -277,6 +289,21 @@
             entry = self.random.choice(self.entries)
             entry.receive(Broadcast(record))
 
+    def restart_hub(self, number: int, after_s: float) -> Host:
+        """Kill a hub and start it again under its name, without its feed."""
+        old = self.hubs[number]
+        old.is_running = False
+        old.receive = ignore
+        self.run(after_s)
+        hub = Host(self, old.name, number, "hub", RESTART_COUNTER)
+        self.hubs[number] = self.hosts[hub.name] = hub
+        hub.receive(SeedsChanged(("c0", "c1", "c2")))
+        voters = tuple(h.name for h in self.hubs[:5])
+        hub.receive(GroupContact(True, "c1", voters))
+        hub.next_tick = self.clock.now
+        hub.tick()
+        return hub
+
     def restart_entry(self, number: int, after_s: float) -> Host:
         """Kill an entry and start it again under its name."""
         old = self.entries.pop(number)
