Close a connection whose head never ends

What callers saw: nothing so far, found by review. A caller that sent a request line and then nothing held its connection, and up to 256 KiB of memory, for ever; there is no keep-alive probe that fails while its machine runs.

Cause: only the wait for the request line had a timeout.

Change: the rest of the head may take as long as a connection may be idle.

--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -86,7 +86,7 @@
 
 
 class _HeadCutOffError(OSError):
-    """The connection ended before the end of a head."""
+    """The connection ended, or the time, before the end of a head."""
 
 
 class _IdleConnectionEndedError(Exception):
@@ -184,7 +184,9 @@
                 line = self.read_requestline()
             if not line:
                 return None
-            refusal = self._parse_head(line)
+            too_slow = _HeadCutOffError("the head takes too long")
+            with gevent.Timeout(self.server.idle_timeout_s, too_slow):
+                refusal = self._parse_head(line)
         except OSError:
             return None
         if refusal is not None:
@@ -324,7 +326,9 @@
     body would wait for a delayed acknowledgement, about 40 ms.
 
     Attributes:
-        idle_timeout_s: seconds after which an idle connection is closed.
+        idle_timeout_s: seconds after which a connection is closed that is
+            idle, or whose request line doesn't end; after it, the rest of
+            the head may take as long again.
     """
 
     idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -298,6 +298,13 @@
     assert exchange(address, CUT_HEADS[kind], ends=True) == b""
 
 
+@pytest.mark.parametrize("kind", CUT_HEADS)
+def test_connection_with_a_head_that_never_ends_is_closed(slow_server, kind):
+    server, address = slow_server
+    server.idle_timeout_s = 0.2
+    assert exchange(address, CUT_HEADS[kind]) == b""
+
+
 # Some clients end a body with a line break that it doesn't count.
 def test_empty_line_before_a_request_is_ignored(address):
     data = b"\r\nGET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
