Serve requests with a multipart body

A caller that sends a multipart body, such as a form with a file, got 400 for each request.

Cause: the head is parsed by the mail parser of the standard library, which takes an empty body for a multipart without its parts and notes a defect. The listener refuses a head with defects, since a line without a colon is one.

Change: parse the header fields only. Lines that are not header fields are refused as before.

Test: content type doesn't make a request invalid, on real sockets.

--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -7,7 +7,7 @@
 import logging
 import re
 import socket
-from email.parser import Parser
+from email.parser import HeaderParser
 from typing import Any
 
 import falcon
@@ -106,7 +106,7 @@
                 it and closes the connection.
         """
         text = self._read_fields(file).decode("latin-1")
-        headers = Parser(_class=OldMessage).parsestr(text)
+        headers = HeaderParser(_class=OldMessage).parsestr(text)
         lengths = headers.get_all("content-length", [])
         codings = headers.get_all("transfer-encoding", [])
         if lengths and codings:
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -275,3 +275,28 @@
 def test_empty_line_before_a_request_is_ignored(address):
     data = b"\r\nGET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
     assert exchange(address, data).startswith(b"HTTP/1.1 200")
+
+
+CONTENT_TYPES = [
+    "multipart/form-data; boundary=x",
+    "multipart/mixed",
+    "multipart/digest; boundary=x",
+    "message/rfc822",
+    "message/delivery-status",
+    "text/plain",
+    "x",
+    "",
+]
+
+
+# The parser of heads is one of mails and looks for the parts of a multipart.
+@pytest.mark.parametrize("content_type", CONTENT_TYPES)
+def test_content_type_does_not_make_a_request_invalid(address, content_type):
+    head = (
+        "POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        f"Content-Type: {content_type}\r\nContent-Length: 4\r\n"
+        "Content-Transfer-Encoding: 8bit\r\nMIME-Version: 1.0\r\n\r\n"
+    )
+    response = exchange(address, head.encode() + b"body")
+    assert response.startswith(b"HTTP/1.1 200")
+    assert response.endswith(b"body")
