Serve requests with an underscore in a header name

A caller that sends a field such as `X_Trace` got 400 for the whole request, although RFC 9110 allows the name.

Cause: in the WSGI environment an underscore can't be told from a hyphen, so all such names were refused. gevent drops these fields before that.

Change: they are dropped, and the request is served. `Content_Length` and `Transfer_Encoding` are still refused: a target could read a length in them.

Tests: field name with an underscore doesn't make a request invalid, on real sockets; 400 before. The test of ambiguous lengths has two more cases, refused before and after.

--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -47,9 +47,13 @@
 LINGER_READ_BYTES = 65_536
 
 
-# The token of RFC 9110 section 5.6.2, without the underscore: in the WSGI
-# environment it can't be distinguished from a hyphen.
-_HEADER_NAME = re.compile(r"[!#$%&'*+.^`|~0-9A-Za-z-]+")
+# The token of RFC 9110 section 5.6.2.
+_HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+# Other parsers may take an underscore for a hyphen. The server drops fields
+# with one in their name.
+_DISGUISED_FRAMING = re.compile(
+    r"content_length|transfer_encoding", re.IGNORECASE
+)
 # The absolute form of a request target: authority, path and query.
 _ABSOLUTE_TARGET = re.compile(r"https?://([^/?#@]+)([/?].*)?", re.IGNORECASE)
 
@@ -120,6 +124,8 @@
         for name, value in headers.items():
             if not _HEADER_NAME.fullmatch(name):
                 raise ValueError("an invalid header name")
+            if _DISGUISED_FRAMING.fullmatch(name):
+                raise ValueError("a body's length under another name")
             if "\r" in value or "\n" in value:
                 raise ValueError("a folded header line")
         return headers
--- a/tests/node/test_callers.py
+++ b/tests/node/test_callers.py
@@ -336,3 +336,13 @@
     entry.upload_target.early.append("unstamped")
     received = exchange(entry, encode_head("/a", "Connection: close"))
     assert received.startswith(b"HTTP/1.1 502")
+
+
+# An underscore is allowed in a name (RFC 9110 section 5.6.2).
+def test_field_name_with_an_underscore_does_not_make_a_request_invalid(entry):
+    fields = "X_Trace: 1", "Request_Id: other", "Connection: close"
+    received = exchange(entry, encode_head("/a", *fields, method="GET"))
+    assert received.startswith(b"HTTP/1.1 200")
+    [request] = entry.filter.requests
+    assert request.id == "id-a"
+    assert not [n for n, _ in request.headers if n.lower() == "x-trace"]
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -70,6 +70,8 @@
     b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
     b"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
     b"Transfer_Encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"Content_Length: 4\r\n\r\n0\r\n\r\n",
+    b"Content-Length: 1\r\ncontent_length: 4\r\n\r\n0\r\n\r\n",
     b"X-Folded: a\r\n Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 ]
 
