--- a/tests/core/controllers/consensus/test_orders.py
+++ b/tests/core/controllers/consensus/test_orders.py
@@ -1,7 +1,8 @@
 """Orders of operators through faults of nine control hosts.
 
 Processes are killed or frozen, links cut, disks lost or slow, one or two at a
-time, and sometimes the group is split or killed as a whole.
+time. Sometimes the group is split or killed as a whole, or all connections go
+silent.
 
 Set WASABITRAY_SEEDS to run other seeds, for example 100-200.
 """
@@ -69,6 +70,9 @@
         if self.random.random() < 0.1:
             self.network.after(0.0, self.kill_all)
 
+        if self.random.random() < 0.2:
+            self.network.after(1.0, self.silence_connections)
+
     def pick_hosts(self, count):
         hosts = self.random.sample(self.network.names, count)
         leader = self.network.find_leader()
@@ -109,6 +113,10 @@
         seconds = self.random.uniform(3.0, 12.0)
         self.begin(f"split {sorted(half)}", seconds, self.network.heal)
 
+    def silence_connections(self) -> None:
+        self.network.silence_connections()
+        self.begin("silence", 0.0, lambda: None)
+
     def kill_all(self) -> None:
         for host in self.network.names:
             self.network.kill(host)
--- a/tests/core/controllers/consensus/timed_network.py
+++ b/tests/core/controllers/consensus/timed_network.py
@@ -45,6 +45,7 @@
         self.queue: deque[Any] = deque(maxlen=1_024)
         self.is_busy = False
         self.is_connected = False
+        self.is_silent = False
         self.backoff = RECONNECT_FIRST_S
 
     def put(self, message: Any) -> None:
@@ -73,6 +74,7 @@
             self.fail_after(2 * path_s)
         elif not self.is_connected:
             self.is_connected = True
+            self.is_silent = False
             self.backoff = RECONNECT_FIRST_S
             network.after(4 * path_s, self.send_queued)
         else:
@@ -82,12 +84,13 @@
             network.after(2 * path_s, lambda: self.await_ack(peer, deadline))
 
     def deliver(self, peer: Host, batch: list[Any]) -> None:
-        if self.network.has_path(self.sender.name, self.peer):
+        has_path = self.network.has_path(self.sender.name, self.peer)
+        if has_path and not self.is_silent:
             for message in batch:
                 peer.put(message, Origin(peer=self.sender.name))
 
     def await_ack(self, peer: Host, deadline: float) -> None:
-        if not peer.is_frozen:
+        if not peer.is_frozen and not self.is_silent:
             self.send_queued()
         elif self.network.clock.now >= deadline:
             self.fail_after(0.0)
@@ -289,6 +292,12 @@
     def heal(self) -> None:
         self.cut.clear()
 
+    def silence_connections(self) -> None:
+        """Lose all that is sent on open connections; new ones work."""
+        for host in self.hosts.values():
+            for link in host.links.values():
+                link.is_silent = link.is_connected
+
     # Group
 
     def find_leader(self) -> Host | None:
