Run the platform's scenarios with the packages under test

The processes of a scenario got a PYTHONPATH of the platform's adapter alone, so in a checkout without an installation of its own they ran the packages of another one. They keep the path of the environment now.

Seen in the environment of a process that a scenario's fleet started; four scenarios of platform.feature pass with it.

--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -12,6 +12,11 @@
 from support.platform_standins import Instance, call, send
 
 ROOT = Path(__file__).parent.parent.parent
+# A path in the environment may name packages to test in place of those that
+# are installed.
+PYTHON_PATH = [str(ROOT / "platform")]
+if "PYTHONPATH" in os.environ:
+    PYTHON_PATH.append(os.environ["PYTHONPATH"])
 PEER_PORT, OPERATOR_PORT, CALLER_PORT, READINESS_PORT = 7200, 9100, 8381, 8388
 REGISTRY_PORT, DIRECTORY_PORT, INSTANCE_PORT = 8382, 8383, 8407
 REGION_OF_ZONE = {"hobart": "south", "launceston": "north"}
@@ -90,7 +95,7 @@
         process.environment = {
             **os.environ,
             "WASABITRAY_SETTINGS": str(self.settings_file(name)),
-            "PYTHONPATH": str(ROOT / "platform"),
+            "PYTHONPATH": os.pathsep.join(PYTHON_PATH),
         }
         self.processes[name] = process
         process.start()
