--- a/tests/support/feed_fleet.py
+++ b/tests/support/feed_fleet.py
@@ -57,8 +57,8 @@
 DOCUMENTS = {f"route/r{n}": "x" * 300 for n in range(30)}
 # A control host without messages of the leader for this long has lost it.
 LEADER_LOSS_S = 1.0
-# Exceeds the counters of the first incarnation of an entry.
-RESTART_COUNTER = 1_000_000
+# Exceeds the counter that a host reaches before it restarts.
+COUNTER_STEP = 1_000_000
 # Entries serve once they have the configuration.
 SERVING_AFTER_S = (1.0, 2.0)
 
@@ -195,6 +195,7 @@
         self.hosts = {h.name: h for h in (*self.hubs, *self.entries)}
         self.target_count = targets
         self.crash_count = 0
+        self.restart_count = 0
         self.cut: set[tuple[str, str]] = set()
         self.open_links: set[tuple[str, str]] = set()
 
@@ -289,13 +290,18 @@
             entry = self.random.choice(self.entries)
             entry.receive(Broadcast(record))
 
+    def next_counter(self) -> int:
+        """Return the first counter of a host that restarts."""
+        self.restart_count += 1
+        return self.restart_count * COUNTER_STEP
+
     def restart_hub(self, number: int, after_s: float) -> Host:
         """Kill a hub and start it again under its name, without its feed."""
         old = self.hubs[number]
         old.is_running = False
         old.receive = ignore
         self.run(after_s)
-        hub = Host(self, old.name, number, "hub", RESTART_COUNTER)
+        hub = Host(self, old.name, number, "hub", self.next_counter())
         self.hubs[number] = self.hosts[hub.name] = hub
         hub.receive(SeedsChanged(("c0", "c1", "c2")))
         voters = tuple(h.name for h in self.hubs[:5])
@@ -310,7 +316,7 @@
         old.is_running = False
         self.hosts[old.name] = Host(self, "stopped", number, "entry")
         self.run(after_s)
-        return self.add_entry(old.name, number, RESTART_COUNTER)
+        return self.add_entry(old.name, number, self.next_counter())
 
     def add_entry(
         self, name: str, number: int = 0, first_counter: int = 1
