--- a/tests/support/feed_fleet.py
+++ b/tests/support/feed_fleet.py
@@ -57,6 +57,8 @@
 DOCUMENTS = {f"route/r{n}": "x" * 300 for n in range(30)}
 # A control host without messages of the leader for this long has lost it.
 LEADER_LOSS_S = 1.0
+# How long messages are lost when a link breaks.
+OUTAGES_S = (0.05, 0.3, 1.0)
 # Exceeds the counter that a host reaches before it restarts.
 COUNTER_STEP = 1_000_000
 # Entries serve once they have the configuration.
@@ -101,6 +103,7 @@
         self.reports: set[str] = set()
         self.targets: set[str] = set()
         self.announced = 0
+        self.crashes: set[str] = set()
         self.view: EntriesView | None = None
         self.view_count = 0
         self.link_free_at = 0.0
@@ -125,6 +128,8 @@
         if isinstance(message, ConfigState):
             self.configured_at = self.configured_at or self.fleet.clock.now
             message = ConfigurationApplied(message.revision, None, None)
+        if isinstance(message, Broadcast):
+            self.note_item(message.item)
         started = time.perf_counter()
         self.controller.receive(message, origin)
         self.fleet.traffic[self.role].seconds += time.perf_counter() - started
@@ -154,6 +159,12 @@
         elif isinstance(message, Announcements):
             self.targets.update(a.target for a in message.items)
             self.announced += len(message.items)
+        else:
+            self.note_item(message)
+
+    def note_item(self, message):
+        if isinstance(message, Quarantine):
+            self.crashes.add(message.fingerprint)
         elif isinstance(message, TargetReport):
             self.reports.add(message.target)
 
@@ -198,6 +209,8 @@
         self.restart_count = 0
         self.cut: set[tuple[str, str]] = set()
         self.open_links: set[tuple[str, str]] = set()
+        self.loss_rate = 0.0
+        self.lost_until: dict[tuple[str, str], float] = {}
 
     def deliver(self, sender, host, message):
         traffic = self.traffic[sender.role]
@@ -211,7 +224,7 @@
             if receiver.region == sender.region
             else OTHER_REGION_DELAY_S
         )
-        if (sender.name, host) in self.cut:
+        if (sender.name, host) in self.cut or self.is_lost(sender.name, host):
             return
         if (sender.name, host) not in self.open_links:
             self.open_links.add((sender.name, host))
@@ -224,6 +237,14 @@
         origin = Origin(peer=sender.name)
         self.clock.call_later(delay, receiver.receive, message, origin)
 
+    def is_lost(self, sender: str, host: str) -> bool:
+        """Return whether the link breaks, or hasn't been replaced yet."""
+        link = sender, host
+        if self.random.random() < self.loss_rate:
+            outage = self.random.choice(OUTAGES_S)
+            self.lost_until[link] = self.clock.now + outage
+        return self.clock.now < self.lost_until.get(link, 0.0)
+
     def start(self, seconds: float) -> None:
         """Start all hosts and run for some seconds."""
         seeds = SeedsChanged(("c0", "c1", "c2"))
