--- a/tests/core/controllers/consensus/test_orders.py
+++ b/tests/core/controllers/consensus/test_orders.py
@@ -20,6 +20,8 @@
 CONTACT_S = 4.0
 ACK_S = 5.0
 ACK_PER_ROUTE_S = 0.003
+# An acknowledged version is in force everywhere within this time.
+CONFIG_S = 3.0
 # Longer than the bound on an acknowledgement.
 CALM_S = 7.0
 # Within this time of an episode's start, its last fault has begun.
@@ -152,6 +154,14 @@
         ]
 
 
+def check_newest_version(day: Day) -> None:
+    """Check that every host gets the highest acknowledged version in time."""
+    newest = max(o.version for o in day.orders if o.acknowledged_at)
+    day.network.run(CONFIG_S)
+    for host in day.network.hosts.values():
+        assert host.controller.machine.version >= newest
+
+
 def report(day: Day, waits: list[tuple[float, Order]]) -> float:
     """Print the slowest order and return its wait."""
     wait, order = max(waits, key=lambda w: w[0])
@@ -165,6 +175,7 @@
 def test_orders_are_acknowledged_in_calm_after_faults(seed):
     day = Day(seed)
     assert report(day, day.run(episodes=4)) <= ACK_S + ACK_PER_ROUTE_S
+    check_newest_version(day)
 
 
 @pytest.mark.parametrize("seed", (11, 26, 28, 29))  # commits cross regions
@@ -178,3 +189,4 @@
     until = day.network.clock.now
     waits = [(order.get_wait(since, until), order) for order in day.orders]
     assert report(day, waits) <= ACK_S + ACK_PER_ROUTE_S
+    check_newest_version(day)
