Print why tests failed right before the list of the failed ones

Change: each failed test that is not listed as red, also a flaky one, gets a line of at most 300 characters with the start of its message.

--- a/tests/run.py
+++ b/tests/run.py
@@ -12,12 +12,15 @@
 import tempfile
 import xml.etree.ElementTree as ElementTree
 from pathlib import Path
+from typing import NamedTuple
 
 ROOT = Path(__file__).parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 RED_PREFIX = "test: "
 # A test that both failed and passed, for a reason that is not known yet.
 FLAKY_PREFIX = "flaky: "
+# CI keeps only the last part of the output.
+MAX_LINE_LENGTH = 300
 
 
 def read_known_red(prefix: str) -> set[str]:
@@ -32,25 +35,40 @@
     }
 
 
-def read_report(path: Path) -> dict[str, bool]:
-    """Print the failures in a JUnit report; return which tests passed."""
-    results: dict[str, bool] = {}
+class CaseResult(NamedTuple):
+    """How a test ended.
+
+    Attributes:
+        message: why it failed, on one line.
+    """
+
+    is_passed: bool
+    message: str = ""
+
+
+def read_report(path: Path) -> dict[str, CaseResult]:
+    """Print the failures in a JUnit report; return each test's result."""
+    results: dict[str, CaseResult] = {}
     for case in ElementTree.parse(path).iter("testcase"):
         # The names of a scenario outline's examples end in a space.
         name = f"{case.get('classname')}::{case.get('name')}".strip()
         problems = [*case.findall("failure"), *case.findall("error")]
-        results[name] = not problems and case.get("status") != "failed"
-        for problem in problems:
-            print(f"{name}\n{problem.get('message')}\n{problem.text}")
+        is_passed = not problems and case.get("status") != "failed"
+        texts = [f"{p.get('message') or ''}\n{p.text or ''}" for p in problems]
+        results[name] = CaseResult(
+            is_passed, " ".join(" ".join(texts).split())
+        )
+        for text in texts:
+            print(f"{name}\n{text}")
     return results
 
 
-def run_suite(command: list[str], report_path: Path) -> dict[str, bool]:
-    """Run a test suite and return whether each of its tests passed."""
+def run_suite(command: list[str], report_path: Path) -> dict[str, CaseResult]:
+    """Run a test suite and return the result of each of its tests."""
     code = subprocess.run(
         [sys.executable, "-m", *command], cwd=ROOT
     ).returncode
-    results: dict[str, bool] = {}
+    results: dict[str, CaseResult] = {}
     paths = (
         [report_path]
         if report_path.is_file()
@@ -58,11 +76,19 @@
     )
     for path in paths:
         results |= read_report(path)
-    if code and all(results.values()):
-        results[f"{command[0]} exit code {code}"] = False
+    if code and all(r.is_passed for r in results.values()):
+        results[f"{command[0]} exit code {code}"] = CaseResult(False)
     return results
 
 
+def describe_failure(name: str, result: CaseResult) -> str:
+    """Return a failed test and the start of its message, on one line."""
+    line = f"{name.partition('::')[2] or name}: {result.message}"
+    if len(line) <= MAX_LINE_LENGTH:
+        return line
+    return f"{line[: MAX_LINE_LENGTH - 3]}..."
+
+
 def main() -> int:
     """Run the unit tests and the scenarios; print the result."""
     with tempfile.TemporaryDirectory() as temporary:
@@ -74,20 +100,30 @@
         behave = ["behave", "--no-capture", "--format=progress", "--junit"]
         behave.append(f"--junit-directory={scenario_reports}")
         results |= run_suite([*behave, "tests/features"], scenario_reports)
-    known_failures = read_known_red(RED_PREFIX)
-    flaky = read_known_red(FLAKY_PREFIX)
-    failed = {n for n, is_passed in results.items() if not is_passed}
+    return report_results(
+        results, read_known_red(RED_PREFIX), read_known_red(FLAKY_PREFIX)
+    )
+
+
+def report_results(
+    results: dict[str, CaseResult], known_failures: set[str], flaky: set[str]
+) -> int:
+    """Print the results and return the exit code."""
+    all_failed = {n for n, result in results.items() if not result.is_passed}
     for name in sorted(flaky):
-        print(f"flaky, {'failed' if name in failed else 'passed'}: {name}")
-    failed -= flaky
+        print(f"flaky, {'failed' if name in all_failed else 'passed'}: {name}")
+    failed = all_failed - flaky
     for name in sorted(known_failures & failed):
         print(f"known red: {name}")
     for name in sorted(known_failures - failed):
         print(f"known red but not failing: {name}")
+    for name in sorted(all_failed - known_failures):
+        print(describe_failure(name, results[name]))
     for name in sorted(failed - known_failures):
         print(f"failed: {name}")
-    unexpected = (failed - known_failures) | (known_failures - failed)
-    passed = sum(results.values()) - len(known_failures - failed)
+    unexpected = failed ^ known_failures
+    passed = sum(result.is_passed for result in results.values())
+    passed -= len(known_failures - failed)
     print(f"{passed} passed, {len(unexpected)} failed")
     return 1 if unexpected or not results else 0
 
