Test the logs of a timed-out request without a race for its 504

Cause: the scenario's instances keep to the deadline that the entry sends them and answer 504 by themselves when it is over. The entry's own timeout ends at the same millisecond. If the instance's answer comes first, it is forwarded, which is right: the request ends as "request answered" with status 504, and the check waits for "request refused" until it times out. Change: the instances of this example give up 1 s after the deadline, so only the entry's timeout can end the request; the checks of cause and reason are the same. A second scenario has them give up 1 s before it and checks that the logs show the instance's own status.

--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -151,7 +151,13 @@
     And the logs show cause <cause> and reason <reason> for <id>
 
     Examples:
-      | fault                         | id     | status | cause     | reason        |
-      | reset every connection        | lost-1 | 502    | failed    | target-failed |
-      | refuse requests as overloaded | full-1 | 503    | shed      | target-failed |
-      | take 6 s                      | slow-1 | 504    | timed-out | deadline      |
+      | fault                                       | id     | status | cause     | reason        |
+      | reset every connection                      | lost-1 | 502    | failed    | target-failed |
+      | refuse requests as overloaded               | full-1 | 503    | shed      | target-failed |
+      | take 6 s and give up 1 s after the deadline | slow-1 | 504    | timed-out | deadline      |
+
+  Scenario: The logs explain a request that its instance gives up
+    When the instances take 6 s and give up 1 s before the deadline
+    And request late-1 to /write/x is sent to e1
+    Then it is answered with status 504
+    And the logs show the instance's own status 504 for late-1
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -102,6 +102,8 @@
             than the expected one does; `endless-head`, `endless-after`, send
             header lines without end, or bytes after a complete response.
         delay_s: time that each request takes.
+        overrun_s: how long after the deadline of a request it gives up;
+            negative for a time before the deadline.
         crash_path: requests with this path break their connection.
         is_leaving: whether its responses state that it is leaving.
         retry_after: the `Retry-After` header of its refusals, if any.
@@ -111,7 +113,8 @@
     def __init__(self, name, service, address, zone, registries, born=1_000):
         self.name, self.service, self.zone = name, service, zone
         self.address, self.registries, self.born = address, registries, born
-        self.mode, self.delay_s, self.crash_path = "serve", 0.0, ""
+        self.mode, self.crash_path = "serve", ""
+        self.delay_s, self.overrun_s = 0.0, 0.0
         self.is_leaving, self.retry_after = False, ""
         self.received_at: list[float] = []
         self.state, self.sequence = "ready", 0
@@ -250,17 +253,18 @@
         """Wait for the request's delay, or until the sender disconnects.
 
         Returns:
-            Whether the delay was over before the request's deadline.
+            Whether the delay was over before the instance gave up.
         """
         headers = request.headers
         delay_s = float(headers.get("x-delay-s", self.delay_s)) or 0.001
         deadline_s = int(headers.get("deadline-ms", 60_000)) / 1_000
-        with gevent.Timeout(min(delay_s, deadline_s), False):
+        limit_s = deadline_s + self.overrun_s
+        with gevent.Timeout(min(delay_s, limit_s), False):
             gevent.socket.wait_read(sock.fileno())
             if not sock.recv(1, socket.MSG_PEEK):
                 request.sender_left, request.is_running = True, False
                 raise EOFError
-        return delay_s <= deadline_s
+        return delay_s <= limit_s
 
 
 def send_endlessly(sock, start: bytes, filler: bytes) -> None:
