Report a conflict also without contact to the entries

What callers saw: of eight operators that race with the same revision one got 200 and seven 503 in place of 409, so a client that follows the statuses sends a change again that can never be accepted. Cause: the leader checked its contact with the entries before the change itself. The first change names the entries, and the leader may not have heard of them yet; then the temporary reason hid the final one. Change: a change that is based on an old revision, or that is invalid, is refused for that. One that expects a newer revision than the leader knows gets 503 as before, since the leader may have been replaced. Nothing is accepted without contact, as before. Result: the tests of an overtaken and of an invalid change failed before.

--- a/packages/core/src/wasabitray_core/controllers/consensus/proposals.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/proposals.py
@@ -189,20 +189,26 @@
     ) -> Result[None, WasabitrayError]:
         """Check a change against the state and the contact with entries.
 
-        A table was checked as a whole before its edits were computed.
+        A change that no retry can help is refused for that reason, whatever
+        the contact. A table was checked as a whole before its edits were
+        computed.
         """
         change = proposal.change
-        if not change.forced and not self._has_majority_contact():
+        is_table = proposal.table is not None
+        has_contact = change.forced or self._has_majority_contact()
+        # A leader that was replaced may not know the newest revision.
+        is_final = has_contact or change.expected <= self._machine.revision
+        checked = Ok(None) if is_table else self._machine.validate(change)
+        if isinstance(checked, Err) and is_final:
+            return checked
+        if not has_contact:
             return Err(
                 UnavailableError(
                     "no contact with a majority of the entries", step="propose"
                 )
             )
-        if proposal.table is not None:
+        if is_table:
             return Ok(None)
-        checked = self._machine.validate(change)
-        if isinstance(checked, Err):
-            return checked
         return self._validate_group_removal(change, now)
 
     def _validate_group_removal(
--- a/tests/core/controllers/consensus/test_controller.py
+++ b/tests/core/controllers/consensus/test_controller.py
@@ -1,12 +1,20 @@
 """Single decisions of the consensus controller."""
 
+import pytest
 from core.controllers.consensus.network import Network, make_change
+from msgspec.structs import replace
 from result import Err, Ok
 
 from wasabitray_core.controllers.controller import Origin
-from wasabitray_core.errors import ConflictError, NotLeaderError
+from wasabitray_core.documents import FLEET_KEY
+from wasabitray_core.errors import (
+    ConflictError,
+    DocumentError,
+    NotLeaderError,
+    UnavailableError,
+)
 from wasabitray_core.local_messages import TransferLeadership
-from wasabitray_core.messages import VoteReply, VoteRequest
+from wasabitray_core.messages import DocumentEdit, VoteReply, VoteRequest
 from wasabitray_core.states import ConsensusRole
 
 
@@ -42,6 +50,54 @@
     assert isinstance(second.err_value, ConflictError)
 
 
+@pytest.fixture
+def network_without_entries():
+    """A network whose leader has accepted an entry that it never heard."""
+    network, _ = make_settled_network()
+    body = (
+        '{"entries":[{"host":"e1","region":"south","failure_domain":"a",'
+        '"peer_address":"127.0.0.1:7000","caller_address":"127.0.0.1:8080"}],'
+        '"claim_groups":[["e1"]]}'
+    )
+    edits = (*make_change(1, 0).edits, DocumentEdit(FLEET_KEY, body))
+    network.propose(
+        network.leader().host, replace(make_change(1, 0), edits=edits)
+    )
+    network.run(1.0)
+    assert network.leader().controller.machine.revision == 1
+    return network
+
+
+def test_overtaken_change_is_a_conflict_without_contact_to_entries(
+    network_without_entries,
+):
+    reply = propose(network_without_entries, make_change(2, 0))
+    assert isinstance(reply.err_value, ConflictError)
+
+
+def test_invalid_change_is_refused_as_such_without_contact_to_entries(
+    network_without_entries,
+):
+    edits = (DocumentEdit("template/t", '{"name":"other"}'),)
+    change = replace(make_change(2, 1), edits=edits)
+    reply = propose(network_without_entries, change)
+    assert isinstance(reply.err_value, DocumentError)
+
+
+def test_valid_change_is_not_accepted_without_contact_to_entries(
+    network_without_entries,
+):
+    reply = propose(network_without_entries, make_change(2, 1))
+    assert isinstance(reply.err_value, UnavailableError)
+
+
+def test_change_after_an_unknown_revision_is_no_conflict_without_contact(
+    network_without_entries,
+):
+    reply = propose(network_without_entries, make_change(2, 5))
+    assert isinstance(reply.err_value, UnavailableError)
+
+
 def test_resent_change_gets_its_first_result_from_a_new_leader():
     network, leader = make_settled_network()
     first = propose(network, make_change(1, 0))
