Let a learner without a leader ask for admission again

Seen by callers: the control host answers orders with a redirect to a leader that may be gone, and its hub stays isolated, until another failure. Cause: a leader that is cut off may append the admission of a host and lose its lead before the record is committed. The next leader doesn't know the host, and the host, a learner by its own log, asked no one again. Change: a learner that had no message from a leader within the shortest election timeout asks all control hosts for admission, as a voter does. A leader that has the member ignores it. Result: the new test failed before (the host was in no group 4 s after the links were back).

--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -617,12 +617,16 @@
         self._outbox.send(host, reply)
 
     def _ask_to_join(self) -> None:
-        """Ask all known control hosts for admission, unless it is a learner.
+        """Ask all known control hosts for admission, unless a leader has it.
 
-        A voter without a leader asks as well: it may have been removed while
-        it was away, and the leader may be none of the voters that it knows.
+        A member without a leader asks as well: it may have been removed while
+        it was away, or the record that admitted it may have been lost with a
+        former leader. The leader may be none of the members that it knows.
         """
-        if self._state.own_member in self._log.members.learners:
+        is_learner = self._state.own_member in self._log.members.learners
+        if is_learner and self._election.has_recent_leader_contact(
+            self._now()
+        ):
             return
         request = JoinRequest(self._state.own_member)
         for host in self._control_hosts:
--- a/tests/core/controllers/consensus/test_tables.py
+++ b/tests/core/controllers/consensus/test_tables.py
@@ -5,6 +5,7 @@
     empty_snapshot,
     make_change,
 )
+from core.controllers.consensus.timed_network import TimedNetwork
 from result import Err, Ok
 from support.tables import make_route, make_table
 
@@ -189,6 +190,25 @@
     assert away in (*group.voters, *group.learners)
 
 
+def test_learner_whose_admission_was_never_committed_asks_again():
+    network = TimedNetwork(9, 1)
+    joining = network.names[-1]
+    network.kill(joining)
+    network.run(12.0)
+    old_leader = network.find_leader().name
+    network.split([old_leader, joining])
+    network.start(joining)
+    network.run(4.0)
+    learner = network.hosts[joining].controller
+    assert learner._state.own_member in learner._log.members.learners
+    network.heal()
+    network.run(4.0)
+    leader = network.find_leader()
+    assert leader.name != old_leader
+    group = leader.controller._log.members
+    assert learner._state.own_member in (*group.voters, *group.learners)
+
+
 def deliver_all(network):
     """Deliver all messages, also those sent meanwhile; no timer runs."""
     for _ in range(200):
