Forward also the items of a feed that are known from elsewhere

Callers saw nothing of it yet.

Cause: a hub that forwards a third hub's feed selected the items by the feed that it had them from first. An item that it knew already, or one that a newer item from another hub had replaced, was left out, and the reader's mark in the feed advanced beyond it. The hub that owns the feed counts this mark as an item that is held.

Change: a record keeps its subject's position in each feed that had it, also when a newer item replaces it. Forwarding selects by these.

--- a/packages/core/src/wasabitray_core/controllers/feed_table.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_table.py
@@ -36,6 +36,7 @@
 
 FeedItem = Announcement | Ejection | Quarantine | TargetReport | EntryState
 Subject = tuple[type, str]
+FeedKey = tuple[HostId, Incarnation]
 
 # Keeps reports that start no cool-down until every reader has received them.
 RECOVERY_TTL_S = 5.0
@@ -182,6 +183,8 @@
         position: its position in this hub's own feed.
         origin: the hub that first put it into a feed, and its position
             there.
+        positions: where each hub's feed has this item or an earlier one
+            about its subject.
         sender: the host that sent it here, which need not get it again.
         expires_at: when the item's lifetime is over.
     """
@@ -189,6 +192,7 @@
     item: FeedItem
     position: FeedPosition
     origin: FeedMark
+    positions: dict[FeedKey, FeedPosition]
     sender: HostId
     received_at: Seconds
     expires_at: Seconds
@@ -197,6 +201,20 @@
         """Return whether the item's lifetime is over."""
         return now > self.expires_at
 
+    def record_position(self, mark: FeedMark) -> None:
+        """Record that a hub's feed has an item about the subject."""
+        key = mark.hub, mark.incarnation
+        known = self.positions.get(key, FEED_START)
+        self.positions[key] = max(known, mark.position)
+
+    def forget_positions(self, hub: HostId, incarnation: Incarnation) -> None:
+        """Forget the feeds of a hub's other incarnations."""
+        self.positions = {
+            (h, i): position
+            for (h, i), position in self.positions.items()
+            if h != hub or i == incarnation
+        }
+
     def with_remaining_duration(self, now: Seconds) -> FeedItem:
         """Return the item with the rest of its duration."""
         if isinstance(self.item, TargetReport | Ejection):
@@ -262,7 +280,10 @@
         """
         subject = (type(item), get_subject(item))
         known = self._records.get(subject)
+        positions: dict[FeedKey, FeedPosition] = {}
         if known is not None:
+            if origin is not None:
+                known.record_position(origin)
             if not is_newer(item, known.item):
                 return None
             if not adds_information(item, known.item):
@@ -271,14 +292,16 @@
             combined = combine(item, known.item)
             if combined != item:
                 item, sender = combined, self._host  # new to the sender too
+            positions = known.positions
             del self._records[subject]  # the new record goes to the end
         self._position = FeedPosition(self._position + 1)
         if origin is None:
             origin = FeedMark(self._host, self._incarnation, self._position)
         expires_at = Seconds(now + get_lifetime(item))
         record = FeedRecord(
-            item, self._position, origin, sender, now, expires_at
+            item, self._position, origin, positions, sender, now, expires_at
         )
+        record.record_position(origin)
         self._records[subject] = record
         return record
 
@@ -290,6 +313,7 @@
         record.origin = FeedMark(
             self._host, self._incarnation, record.position
         )
+        record.record_position(record.origin)
         record.sender = self._host
         self._records[(kind, subject)] = record
         return record.position
@@ -315,10 +339,13 @@
         ]
         if lost:
             self._position = FeedPosition(self._position + 1)
+        for record in self._records.values():
+            record.forget_positions(hub, incarnation)
         for record in lost:
             record.origin = FeedMark(
                 self._host, self._incarnation, self._position
             )
+            record.record_position(record.origin)
         return bool(lost)
 
     def get_items_after(
@@ -371,13 +398,16 @@
     def get_items_after_mark(
         self, mark: FeedMark, now: Seconds
     ) -> list[FeedItem]:
-        """Return the items of one hub's feed after a position in it."""
+        """Return the items of one hub's feed after a position in it.
+
+        Those that this hub knows from elsewhere are among them, as a reader
+        that gets to the feed's end is taken to hold them.
+        """
+        key = mark.hub, mark.incarnation
         return [
             record.with_remaining_duration(now)
             for record in self._records.values()
-            if record.origin.hub == mark.hub
-            and record.origin.incarnation == mark.incarnation
-            and record.origin.position > mark.position
+            if record.positions.get(key, FEED_START) > mark.position
             and not record.is_expired(now)
         ]
 
--- a/tests/core/controllers/test_feed_table.py
+++ b/tests/core/controllers/test_feed_table.py
@@ -3,7 +3,7 @@
 import pytest
 
 from wasabitray_core.controllers.feed_table import FeedTable
-from wasabitray_core.messages import Quarantine, TargetReport
+from wasabitray_core.messages import FeedMark, Quarantine, TargetReport
 from wasabitray_core.states import ReportKind
 
 
@@ -58,3 +58,23 @@
     items, reached = table.get_items_after(0, "e9", 13.0, 1)
     assert [type(item) for item in items] == [Quarantine]
     assert reached == 2
+
+
+def test_forwarded_feed_has_items_that_came_from_elsewhere_before():
+    table = FeedTable("c1", "run-1")
+    record = Quarantine("r-1", ("i-1",))
+    table.put(record, "e1", 0.0)
+    table.put(record, "c2", 0.0, FeedMark("c2", "run-2", 5))
+    items = table.get_items_after_mark(FeedMark("c2", "run-2", 4), 1.0)
+    assert items == [record]
+    assert not table.get_items_after_mark(FeedMark("c2", "run-2", 5), 1.0)
+
+
+def test_forwarded_feed_has_the_newer_item_that_came_from_elsewhere():
+    table = FeedTable("c1", "run-1")
+    older = TargetReport("i-1", 1, 12.0, ReportKind.BROKEN)
+    newer = TargetReport("i-1", 2, 12.0, ReportKind.BROKEN)
+    table.put(older, "c2", 0.0, FeedMark("c2", "run-2", 5))
+    table.put(newer, "c3", 0.0, FeedMark("c3", "run-3", 7))
+    items = table.get_items_after_mark(FeedMark("c2", "run-2", 4), 0.0)
+    assert items == [newer]
