Compile the sources when the processes are built

Cause: deploy/build.sh copies our sources into target/deps without bytecode. A process can't write there, so each start in a clean checkout compiles 115 files; __pycache__ folders that the copy takes along belong to files with other times and are ignored.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,3 +11,6 @@
 do
     cp -R "$source/." "$deps"
 done
+# A process has no write access to this folder. Without their bytecode it
+# would compile the copied files at each start.
+python3 -m compileall -q -f "$deps"
