Connect to IP addresses without the resolver's thread

Each connection to a target or a peer looked its address up in the thread pool, although addresses are always IP addresses: two wake-ups of a second thread and seven futex calls a connection, and a thread in each process.

The socket is now created for the address's family and connected directly. The new test fails if a connection asks the resolver; it failed with the former call (create_connection).

Run: make check, tests/node.

--- a/packages/node/src/wasabitray_node/links.py
+++ b/packages/node/src/wasabitray_node/links.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 import gevent
-import gevent.socket
 from gevent.event import Event
 from gevent.server import StreamServer
 from thrift.Thrift import TException
@@ -22,6 +21,7 @@
 from wasabitray_core.messages import Hello
 from wasabitray_node.logs import log_error, log_event
 from wasabitray_node.settings import split_address
+from wasabitray_node.sockets import connect
 from wasabitray_wire import (
     PROTOCOL,
     encoded_size,
@@ -160,10 +160,8 @@
     def _connect(self) -> Peer.Client:
         # The link uses the host's own IP address as its source, so that
         # packet filters on the path can tell hosts apart.
-        sock = gevent.socket.create_connection(
-            split_address(self._address),
-            timeout=CONNECT_TIMEOUT_S,
-            source_address=(self._source, 0),
+        sock = connect(
+            split_address(self._address), CONNECT_TIMEOUT_S, self._source
         )
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(ACK_TIMEOUT_S)
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import gevent
-import gevent.socket
 from gevent import Timeout
 from geventhttpclient.response import HTTPParseError
 from msgspec.structs import replace
@@ -31,6 +30,7 @@
 from wasabitray_node.held_bytes import HeldBytes
 from wasabitray_node.settings import Limits, split_address
 from wasabitray_node.silence_watch import SilenceReporter, SilenceWatch
+from wasabitray_node.sockets import connect
 from wasabitray_node.target_responses import SingleResponse
 from wasabitray_node.timers import AttemptTimer
 from wasabitray_node.watch import CallerGoneError, CallerWatch
@@ -236,9 +236,7 @@
 
 
 def _open_socket(target: Target, timeout: float) -> Any:
-    return gevent.socket.create_connection(
-        split_address(target.address or target.target), timeout=timeout
-    )
+    return connect(split_address(target.address or target.target), timeout)
 
 
 class _ConnectError(Exception):
--- a/tests/node/test_sockets.py
+++ b/tests/node/test_sockets.py
@@ -1,20 +1,21 @@
-"""Checking a socket for input without reading from it."""
+"""Connecting, and checking a socket for input without reading from it."""
 
 import os
 import socket
 import subprocess
 import sys
 
+import gevent
 import pytest
 
-from wasabitray_node.sockets import has_input
+from wasabitray_node.sockets import connect, has_input
 
 # A process like the daemon's, whose standard library is patched.
 IN_THE_LOOP = """
 from gevent import monkey
 monkey.patch_all()
 import gevent, socket
-from wasabitray_node.sockets import has_input
+from wasabitray_node.sockets import connect, has_input
 ours, theirs = socket.socketpair()
 results = []
 loop = gevent.get_hub().loop
@@ -63,3 +64,22 @@
         [sys.executable, "-c", IN_THE_LOOP], capture_output=True, text=True
     )
     assert completed.returncode == 0, completed.stderr
+
+
+def test_connecting_looks_no_address_up(monkeypatch):
+    def look_up(*args, **options):
+        raise AssertionError(f"looked up: {args}")
+
+    monkeypatch.setattr(gevent.get_hub().resolver, "getaddrinfo", look_up)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = listener.getsockname()
+        with connect(address, 1.0, "127.0.0.2") as sock:
+            assert sock.getpeername() == address
+            assert sock.getsockname()[0] == "127.0.0.2"
+
+
+def test_failed_connection_raises_its_error():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = listener.getsockname()
+    with pytest.raises(ConnectionRefusedError):
+        connect(address, 1.0)
