Read each frame of a link with one system call

A frame took three reads of its socket on each side: one that found nothing yet, one for the length and one for the rest. An idle peer link's next frame is never there yet when the last one was handled.

A link's socket now waits for input first and reads all that has arrived into a buffer. It keeps one watcher for all waits; a new one for each would register the descriptor anew.

Run: make check, tests/node/test_links.py, test_tasks.py, test_assembly.py.

--- a/packages/node/src/wasabitray_node/links.py
+++ b/packages/node/src/wasabitray_node/links.py
@@ -37,6 +37,8 @@
 # peer may have been taken over by another process.
 MAX_HELLO_BYTES = 4_096
 MAX_REPLY_BYTES = 65_536
+# Holds most frames whole, so that each is read at once.
+READ_BYTES = 16_384
 MAX_QUEUED_MESSAGES = 1_024
 MAX_BATCH_MESSAGES = 128
 CONNECT_TIMEOUT_S = 0.5
@@ -45,22 +47,56 @@
 RECONNECT_FIRST_S = 0.1
 RECONNECT_MAX_S = 1.0
 
+_READ_EVENT = 1  # of libev
 _LINK_ERRORS = (TException, OSError, EOFError)
 
 
-class MeteredSocket(TSocket):
-    """A Thrift socket that counts the bytes it sends."""
+class PeerSocket(TSocket):
+    """A Thrift socket with a read buffer that counts the bytes it sends."""
 
-    def __init__(self, sock: Any) -> None:
-        """Wrap a connected socket."""
+    def __init__(self, sock: Any, timeout: float | None = None) -> None:
+        """Wrap a connected socket.
+
+        Args:
+            sock: the socket.
+            timeout: seconds to wait for input, None to wait indefinitely.
+        """
         super().__init__()
         self.setHandle(sock)
         self.bytes_sent = 0
-
-    def write(self, buff: bytes) -> None:
+        self._timeout = timeout
+        self._received = b""
+        # A watcher for each wait would register the socket anew.
+        self._hub = gevent.get_hub()
+        self._input = self._hub.loop.io(sock.fileno(), _READ_EVENT)
+
+    def read(self, size: int) -> bytes:
+        """Return up to `size` bytes, after a wait if none have arrived.
+
+        Raises:
+            OSError: the socket failed, or nothing arrived in time.
+            TTransportException: the peer has closed the connection.
+        """
+        if not self._received:
+            # The next frame has rarely arrived yet, so a read without a wait
+            # would fail.
+            late = TimeoutError("read timeout")
+            with gevent.Timeout(self._timeout, late):
+                self._hub.wait(self._input)
+            self._received = super().read(max(size, READ_BYTES))
+        data = self._received
+        self._received = data[size:]
+        return data[:size]
+
+    def write(self, data: bytes) -> None:
         """Send bytes."""
-        self.bytes_sent += len(buff)
-        super().write(buff)
+        self.bytes_sent += len(data)
+        super().write(data)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._input.close()
+        super().close()
 
 
 class PeerLink:
@@ -88,7 +124,7 @@
         self._hello = hello_to_wire(hello)
         self._queue: deque[Any] = deque(maxlen=MAX_QUEUED_MESSAGES)
         self._wake = Event()
-        self._socket: MeteredSocket | None = None
+        self._socket: PeerSocket | None = None
         self._closed_connections_bytes = 0
         self._transport: TFramedTransport | None = None
         self._client: Peer.Client | None = None
@@ -165,7 +201,7 @@
         )
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(ACK_TIMEOUT_S)
-        self._socket = MeteredSocket(sock)
+        self._socket = PeerSocket(sock, ACK_TIMEOUT_S)
         self._transport = TFramedTransport(self._socket, MAX_REPLY_BYTES)
         protocol = PROTOCOL.getProtocol(self._transport)
         client = Peer.Client(protocol)
@@ -333,8 +369,7 @@
 
     def _serve(self, sock: Any, address: tuple[str, int]) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        endpoint = TSocket()
-        endpoint.setHandle(sock)
+        endpoint = PeerSocket(sock)
         connection = PeerConnection(
             self._secret, self._receive, self._set_address
         )
@@ -353,5 +388,5 @@
             endpoint.close()
 
 
-def _build_protocol(endpoint: TSocket, max_frame_bytes: int) -> Any:
+def _build_protocol(endpoint: PeerSocket, max_frame_bytes: int) -> Any:
     return PROTOCOL.getProtocol(TFramedTransport(endpoint, max_frame_bytes))
--- a/tests/node/test_links.py
+++ b/tests/node/test_links.py
@@ -21,6 +21,7 @@
     MAX_FRAME_BYTES,
     PeerLinks,
     PeerListener,
+    PeerSocket,
 )
 from wasabitray_wire import to_wire
 
@@ -186,3 +187,55 @@
     )
     links.send("c1", message)
     receiver.wait_for(message)
+
+
+class CountingSocket:
+    """A socket that counts how often it is read."""
+
+    def __init__(self, sock):
+        self.sock, self.reads = sock, 0
+
+    def fileno(self):
+        return self.sock.fileno()
+
+    def recv(self, size):
+        self.reads += 1
+        return self.sock.recv(size)
+
+
+@pytest.fixture
+def pair():
+    ours, theirs = gevent.socket.socketpair()
+    yield CountingSocket(ours), theirs
+    ours.close()
+    theirs.close()
+
+
+# Guards against several system calls for each frame.
+def test_frames_that_have_arrived_are_read_at_once(pair):
+    ours, theirs = pair
+    endpoint = PeerSocket(ours, DEADLINE_S)
+    job = gevent.spawn(lambda: [endpoint.readAll(n) for n in (4, 6, 4, 2)])
+    gevent.sleep(0.01)
+    theirs.sendall(b"\0\0\0\6first.\0\0\0\2ab")
+    assert job.get(timeout=DEADLINE_S) == [
+        b"\0\0\0\6",
+        b"first.",
+        b"\0\0\0\2",
+        b"ab",
+    ]
+    assert ours.reads == 1
+
+
+def test_frame_above_the_read_buffer_is_read_whole(pair):
+    ours, theirs = pair
+    endpoint = PeerSocket(ours, DEADLINE_S)
+    data = bytes(range(256)) * 1_024
+    sender = gevent.spawn(theirs.sendall, data)
+    assert endpoint.readAll(len(data)) == data
+    sender.join()
+
+
+def test_read_without_input_ends_after_its_timeout(pair):
+    with pytest.raises(OSError, match="read timeout"):
+        PeerSocket(pair[0], 0.01).read(4)
