Test what an entry serves while configurations arrive out of order

Pushes with gaps, copies and older states in random order, routes that are dropped and added again: an entry serves exactly the routes of one revision, and never returns to a lower one. Also the longest prefix, paths that are encoded, host names with a port or in upper case, and the time before the first configuration.

--- /dev/null
+++ b/tests/core/controllers/test_configuration.py
@@ -0,0 +1,162 @@
+"""The configuration that an entry has, however it arrives."""
+
+import itertools
+import random
+
+import pytest
+from support.fakes import ControllerBed
+from support.tables import make_route, make_table
+
+from wasabitray_core.controllers.configuration import (
+    ConfigurationController,
+)
+from wasabitray_core.local_messages import (
+    GetDocuments,
+    ResolveRoute,
+    RouteResolved,
+)
+from wasabitray_core.messages import (
+    Change,
+    CommittedChange,
+    ConfigPull,
+    ConfigPush,
+    ConfigState,
+)
+from wasabitray_core.route_table import diff_documents
+from wasabitray_core.states import IsolationPolicy, RefusalReason
+
+HUB = "c1"
+ROUTES = ("a", "b", "c", "d")
+
+
+class Entry(ControllerBed):
+    """An entry that serves by what it has while it is isolated."""
+
+    def __init__(self, startup_wait_s=0.0):
+        super().__init__(
+            ConfigurationController,
+            (),
+            0,
+            IsolationPolicy.SERVE,
+            startup_wait_s,
+        )
+
+    def resolve(self, route):
+        request = ResolveRoute("", "GET", f"/{route}/x", "rota.example")
+        return self.ask(request)
+
+    def list_routes(self):
+        """Return the routes that are served; other requests get a 404."""
+        replies = {name: self.resolve(name) for name in ROUTES}
+        refused = [
+            r.reason
+            for r in replies.values()
+            if not isinstance(r, RouteResolved)
+        ]
+        assert set(refused) <= {RefusalReason.UNKNOWN_ROUTE}
+        return {n for n, r in replies.items() if isinstance(r, RouteResolved)}
+
+
+class History:
+    """Successive route tables, with routes dropped and added again."""
+
+    def __init__(self, seed, count):
+        rng = random.Random(seed)
+        self.routes = [set()]
+        self.documents = [{}]
+        self.changes = []
+        for version in range(1, count + 1):
+            names = set(rng.sample(ROUTES, rng.randint(1, len(ROUTES))))
+            table = make_table(
+                version,
+                *(
+                    make_route(name, path=f"/{name}/")
+                    for name in sorted(names)
+                ),
+            ).documents()
+            edits = diff_documents(self.documents[-1], table)
+            change = Change(
+                f"c-{version}", version - 1, "ann", "", edits, version=version
+            )
+            self.changes.append(CommittedChange(version, change))
+            self.routes.append(names)
+            self.documents.append(table)
+
+    def push(self, first, last):
+        """Return a push of the revisions from the first to the last."""
+        return ConfigPush(tuple(self.changes[first - 1 : last]))
+
+    def state(self, revision):
+        return ConfigState(revision, self.documents[revision])
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_entry_serves_one_whole_table_whatever_arrives(seed):
+    count = 12
+    history = History(seed, count)
+    entry = Entry()
+    rng = random.Random(f"arrivals {seed}")
+    newest = 0
+    for _ in range(60):
+        first = rng.randint(1, count)
+        last = rng.randint(first, min(count, first + 3))
+        message = rng.choice((history.push(first, last), history.state(last)))
+        entry.receive(HUB, message)
+        revision = entry.ask(GetDocuments()).revision
+        assert revision >= newest
+        newest = revision
+        if revision:
+            assert entry.list_routes() == history.routes[revision]
+    entry.receive(HUB, history.state(count))
+    assert entry.list_routes() == history.routes[count]
+
+
+def test_push_after_a_gap_is_answered_with_a_pull_from_the_last_revision():
+    history = History(1, 5)
+    entry = Entry()
+    entry.receive(HUB, history.push(1, 2))
+    entry.receive(HUB, history.push(4, 5))
+    assert entry.outbox.sent == [(HUB, ConfigPull(2))]
+    assert entry.list_routes() == history.routes[2]
+
+
+def test_request_before_the_first_configuration_waits_for_it():
+    history = History(1, 1)
+    entry = Entry(startup_wait_s=4.0)
+    name = min(history.routes[1])
+    request = ResolveRoute("", "GET", f"/{name}/x", "rota.example")
+    token = entry.start_ask(request)
+    assert token not in entry.outbox.replies
+    entry.receive(HUB, history.state(1))
+    assert isinstance(entry.outbox.replies[token], RouteResolved)
+
+
+def test_entry_without_a_configuration_reports_no_route_as_missing():
+    entry = Entry()
+    for name in ROUTES:
+        reason = entry.resolve(name).reason
+        assert reason is RefusalReason.NO_CONFIGURATION
+
+
+PREFIXES = {"/a/": "a", "/a/b/": "ab", "/a%2Fb/": "escaped", "/": "root"}
+
+
+@pytest.mark.parametrize("order", list(itertools.permutations(PREFIXES)))
+def test_longest_prefix_is_found_in_any_order_of_the_routes(order):
+    routes = [make_route(PREFIXES[p], path=p) for p in order]
+    entry = Entry()
+    table = make_table(1, *routes).documents()
+    entry.receive(HUB, ConfigState(1, table))
+    for path, name in {
+        "/a/x": "a",
+        "/a/b/": "ab",
+        "/a/b": "a",
+        "/a%2Fb/x": "escaped",
+        "/a%2fb/x": "root",
+        "//a/b/": "root",
+        "/a/../x": "a",
+        "/a": "root",
+    }.items():
+        for host in ("rota.example", "ROTA.Example", "rota.example:8381"):
+            reply = entry.ask(ResolveRoute("", "GET", path, host))
+            assert reply.route.name == name
