--- a/packages/core/src/wasabitray_core/controllers/configuration.py
+++ b/packages/core/src/wasabitray_core/controllers/configuration.py
@@ -349,8 +349,13 @@
         self, request: ResolveRoute
     ) -> RouteResolved | RouteUnresolved:
         table = self._table
-        route = table.find(request.authority, request.path) if table else None
-        if table is None or route is None:
+        if table is None:
+            return RouteUnresolved(
+                RefusalReason.NO_CONFIGURATION,
+                "this entry has no route table yet",
+            )
+        route = table.find(request.authority, request.path)
+        if route is None:
             return RouteUnresolved(
                 RefusalReason.UNKNOWN_ROUTE,
                 f"no route for {request.authority}{request.path}",
--- a/tests/core/controllers/test_configuration.py
+++ b/tests/core/controllers/test_configuration.py
@@ -21,12 +21,17 @@
     ConfigPull,
     ConfigPush,
     ConfigState,
+    DocumentEdit,
 )
 from wasabitray_core.route_table import diff_documents
 from wasabitray_core.states import IsolationPolicy, RefusalReason
 
 HUB = "c1"
 ROUTES = ("a", "b", "c", "d")
+TEMPLATE = DocumentEdit(
+    "template/t",
+    '{"name":"t","services":{"s":{}},"routes":[{"path":"/","service":"s"}]}',
+)
 
 
 class Entry(ControllerBed):
@@ -138,6 +143,16 @@
         assert reason is RefusalReason.NO_CONFIGURATION
 
 
+def test_entry_without_a_route_table_reports_no_route_as_missing():
+    entry = Entry()
+    change = Change("c-1", 0, "ann", "", (TEMPLATE,))
+    entry.receive(HUB, ConfigPush((CommittedChange(1, change),)))
+    assert entry.ask(GetDocuments()).revision == 1
+    for name in ROUTES:
+        reason = entry.resolve(name).reason
+        assert reason is RefusalReason.NO_CONFIGURATION
+
+
 PREFIXES = {"/a/": "a", "/a/b/": "ab", "/a%2Fb/": "escaped", "/": "root"}
 
 
