Test that valid requests in unusual forms are not refused

Methods, bodies, targets, fields, chunk extensions, trailers and interim responses that RFC 9110 and RFC 9112 allow, at once with a request behind them and in 40 pieces.

--- a/tests/node/test_callers.py
+++ b/tests/node/test_callers.py
@@ -346,3 +346,60 @@
     [request] = entry.filter.requests
     assert request.id == "id-a"
     assert not [n for n, _ in request.headers if n.lower() == "x-trace"]
+
+
+CHUNKED = "Transfer-Encoding: chunked"
+CHUNKS = b"2\r\nxx\r\n0\r\n\r\n"
+EXPECT = "Expect: 100-continue"
+SIZED = "Content-Length: 2"
+# Method, target, fields and body.
+VALID_REQUESTS = {
+    "options": ("OPTIONS", "/a", [], b""),
+    "unknown method": ("PURGE", "/a", [], b""),
+    "get with a body": ("GET", "/a", [SIZED], b"xx"),
+    "get with chunks": ("GET", "/a", [CHUNKED], CHUNKS),
+    "delete with a body": ("DELETE", "/a", [SIZED], b"xx"),
+    "delete with no body": ("DELETE", "/a", ["Content-Length: 0"], b""),
+    "escapes": ("GET", "/a%2Fb/%0a%0d%00%ff?%ff=%0a", [], b""),
+    "invalid escapes": ("GET", "/a/%zz%?%=%zz&&&=;", [], b""),
+    "empty segments": ("GET", "//a//b/", [], b""),
+    "dot segments": ("GET", "/a/../b/./c/..", [], b""),
+    "reserved characters": ("GET", "/a:b@c;p=1,2!$&'()*+=~", [], b""),
+    "long target": ("GET", f"/{'a' * 15_000}?{'b=1&' * 5_000}", [], b""),
+    "many fields": ("GET", "/a", [f"X-{n}: {n}" for n in range(200)], b""),
+    "long field": ("GET", "/a", [f"Cookie: {'c' * 16_000}"], b""),
+    "empty fields": ("GET", "/a", ["X-A:", "X-B: ", "X-C:\t1\t"], b""),
+    "repeated fields": ("GET", "/a", ["X-A: 1", "X-A: 2"], b""),
+    "odd names": ("GET", "/a", ["X!#$%&'*+-.^`|~: 1"], b""),
+    "odd values": ("GET", "/a", ["Range: x", "Date: x", "Accept: ?"], b""),
+    "nested type": ("POST", "/a", ["Content-Type: message/x", SIZED], b"xx"),
+    "no boundary": ("POST", "/a", ["Content-Type: multipart/x", SIZED], b"xx"),
+    "upgrade": ("GET", "/a", ["Upgrade: h2c", "HTTP2-Settings: x"], b""),
+    "continue": ("POST", "/a", [EXPECT, SIZED], b"xx"),
+    "continue, chunks": ("POST", "/a", [EXPECT, CHUNKED], CHUNKS),
+    "extensions": ("POST", "/a", [CHUNKED], b'2;a="b"\r\nxx\r\n0;c\r\n\r\n'),
+    "trailers": ("POST", "/a", [CHUNKED], CHUNKS[:-2] + b"X-T: 1\r\n\r\n"),
+    "chunks in upper case": ("POST", "/a", [CHUNKED.upper()], CHUNKS),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("kind", VALID_REQUESTS)
+def test_valid_request_is_not_refused(entry, kind):
+    method, target, fields, body = VALID_REQUESTS[kind]
+    head = encode_head(target, *fields, method=method)
+    last = encode_head("/last", "Connection: close", method="GET")
+    received = exchange(entry, head + body + last)
+    assert received.count(b"HTTP/1.1 200") == 2
+    assert entry.upload_target.targets == [target, "/last"]
+
+
+@pytest.mark.parametrize("kind", VALID_REQUESTS)
+def test_valid_request_that_arrives_in_pieces_is_not_refused(entry, kind):
+    method, target, fields, body = VALID_REQUESTS[kind]
+    fields = [*fields, "Connection: close"]
+    data = encode_head(target, *fields, method=method) + body
+    size = max(1, len(data) // 40)
+    pieces = [data[n : n + size] for n in range(0, len(data), size)]
+    received = exchange(entry, *pieces, pause_s=0.001)
+    assert received.count(b"HTTP/1.1 200") == 1
+    assert entry.upload_target.targets == [target]
