Choose a target without a look at those of other regions

Each choice asked every target of the service for its free capacity, 301 at the large site, although a request stays in its region as long as a target there is free; the number of regions was counted anew twice for each attempt, and the clock read once for each target.

Free capacity is now asked in the own region first and elsewhere only if no target there will do. The random draws are the same and in the same order: a test compares 1,000 random cases with the former rule, which it states over lists of all targets, including the state of the random source afterwards.

--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -100,6 +100,12 @@
 
 
 class _Service(Struct):
+    """A service's targets and its requests at this entry.
+
+    Attributes:
+        region_count: number of regions that its targets are in.
+    """
+
     budget: RetryBudget
     targets: dict[TargetId, TargetState] = field(default_factory=dict)
     queues: dict[WorkClass, FairQueue] = field(
@@ -111,6 +117,7 @@
     usage: SlotUsage = field(default_factory=SlotUsage)
     losses: LossEstimate = field(default_factory=LossEstimate)
     spillover: Spillover = NO_SPILLOVER
+    region_count: int = 0
 
     def count_waiting(self) -> int:
         return sum(len(q) for q in self.queues.values())
@@ -404,6 +411,7 @@
     def _update_spillover(self, name: ServiceName, service: _Service) -> None:
         before = service.spillover
         regions = Counter(s.target.region for s in service.targets.values())
+        service.region_count = len(regions)
         service.spillover = find_spillover(
             regions, self._entries_by_region, self._region
         )
@@ -461,9 +469,8 @@
         average = service.times[attempt.work].average
         hold_time = attempt.elapsed if average is None else average
         used, _ = self._estimate_demand(service)
-        in_use = sum(
-            not s.is_cooling(self._now()) for s in service.targets.values()
-        )
+        now = self._now()
+        in_use = sum(now >= s.cooling_until for s in service.targets.values())
         return used / max(hold_time, MIN_HOLD_TIME_S) / max(1, in_use)
 
     # Queues
@@ -667,9 +674,8 @@
         evenly over the regions of the targets.
         """
         used = service.usage.get_average(self._now())
-        regions = {s.target.region for s in service.targets.values()}
         fleet = used * self._fleet_share.entries
-        return fleet, fleet / max(1, len(regions))
+        return fleet, fleet / max(1, service.region_count)
 
 
 def _handle_report(
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -188,9 +188,13 @@
             now: monotonic seconds.
             requests_per_slot: how many requests each slot may have.
         """
+        load = self.load(now)
+        slots = self.slots(now)
+        if load + 1 <= slots:
+            return True
         may_queue = self.has_shared_load(now) and not self.is_readmitted(now)
         allowed = requests_per_slot if may_queue else 1.0
-        return self.load(now) + 1 <= self.slots(now) * allowed + 1e-9
+        return load + 1 <= slots * allowed + 1e-9
 
     def is_backing_off(self, now: Seconds) -> bool:
         """Tell whether the target wants no requests from this entry."""
@@ -281,7 +285,7 @@
 ) -> Availability:
     """Count the usable targets of a service and those that cool down."""
     usable = [s for s in states if not s.probation]
-    cooling = [s for s in usable if s.is_cooling(now)]
+    cooling = [s for s in usable if now < s.cooling_until]
     long = [s for s in cooling if now - s.failed_at > RECENT_FAILURE_S]
     return Availability(len(usable), len(cooling), len(long))
 
@@ -377,10 +381,10 @@
     candidates = [
         s
         for t, s in targets.items()
-        if t not in request.excluded and not s.is_backing_off(now)
+        if now >= s.back_off_until and t not in request.excluded
     ]
     usable = [s for s in candidates if not s.probation]
-    in_use = [s for s in usable if not s.is_cooling(now)]
+    in_use = [s for s in usable if now >= s.cooling_until]
     trial = _choose_trial(candidates, in_use, request, now, rng)
     if trial is not None:
         return PlacementChoice(trial, Basis.TRIAL)
@@ -391,15 +395,46 @@
         if cooling:
             reachable = [s for s in cooling if s.avoid_until <= now]
             return _choose_longest_cooling(reachable or cooling)
-    free = [s for s in in_use if s.has_free_capacity(now)]
-    reachable = [s for s in free if s.avoid_until <= now] or free
-    spillover = _filter_spillover(reachable, request, rng)
-    if spillover:
-        return _choose_least_loaded(spillover, request, now, rng)
-    in_region = [s for s in reachable if s.target.region == request.region]
+    if _is_spillover(request, rng):
+        regions = request.spillover.regions
+        spillover = _filter_regions(_find_free(in_use, now), regions)
+        if spillover:
+            return _choose_least_loaded(spillover, request, now, rng)
+    free = _find_free_in_region(in_use, request.region, now)
     if not request.large:
-        in_region = _filter_faster_in_region(in_region, request, now, rng)
-    return _choose_least_loaded(in_region or reachable, request, now, rng)
+        free = _filter_faster_in_region(free, request, now, rng)
+    return _choose_least_loaded(
+        free or _find_free(in_use, now), request, now, rng
+    )
+
+
+def _find_free(states: list[TargetState], now: Seconds) -> list[TargetState]:
+    """Return the targets with free capacity, if possible reachable ones."""
+    free = [s for s in states if s.has_free_capacity(now)]
+    return [s for s in free if s.avoid_until <= now] or free
+
+
+def _find_free_in_region(
+    states: list[TargetState], region: RegionName, now: Seconds
+) -> list[TargetState]:
+    """Return the region's part of the targets that `_find_free` returns.
+
+    The other regions' targets matter only if none of it can be reached.
+    """
+    free = [
+        s
+        for s in states
+        if s.target.region == region
+        and s.avoid_until <= now
+        and s.has_free_capacity(now)
+    ]
+    return free or _filter_regions(_find_free(states, now), {region})
+
+
+def _filter_regions(
+    states: list[TargetState], regions: Collection[RegionName]
+) -> list[TargetState]:
+    return [s for s in states if s.target.region in regions]
 
 
 def _choose_trial(
@@ -435,15 +470,10 @@
     return chosen if chosen.recovering else None
 
 
-def _filter_spillover(
-    states: list[TargetState], request: PlacementRequest, rng: random.Random
-) -> list[TargetState]:
-    """Return the targets of regions with few entries, if it is their turn."""
-    spillover = request.spillover
-    is_local = request.large or not spillover.share
-    if is_local or rng.random() >= spillover.share:
-        return []
-    return [s for s in states if s.target.region in spillover.regions]
+def _is_spillover(request: PlacementRequest, rng: random.Random) -> bool:
+    """Tell whether it is the turn of the regions with few entries."""
+    share = 0.0 if request.large else request.spillover.share
+    return bool(share) and rng.random() < share
 
 
 def _filter_faster_in_region(
@@ -453,7 +483,7 @@
     rng: random.Random,
 ) -> list[TargetState]:
     """Return the targets that respond sooner than other regions' would."""
-    if all(s.has_shared_load(now) for s in in_region):
+    if _have_shared_load(in_region, now):
         return [
             s
             for s in in_region
@@ -491,6 +521,12 @@
     )
 
 
+def _have_shared_load(states: list[TargetState], now: Seconds) -> bool:
+    """Tell whether the other entries' load at all targets is known."""
+    received = (s.shared_load.received_at for s in states)
+    return now - min(received, default=now) < SHARED_WORK_TTL_S
+
+
 def _count_slots(states: Iterable[TargetState]) -> int:
     return sum(s.target.slots for s in states)
 
@@ -510,7 +546,7 @@
     """
     if not states:
         return None
-    if not all(s.has_shared_load(now) for s in states):
+    if not _have_shared_load(states, now):
         sample = rng.sample(states, min(2, len(states)))
         chosen = min(sample, key=lambda s: s.load(now) / s.target.slots)
         return PlacementChoice(chosen, Basis.LOAD)
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -1,18 +1,23 @@
 """Tests of the choice of a target for a request."""
 
 import random
+import sys
 from collections import Counter
 
 import pytest
 
+from wasabitray_core import placement
 from wasabitray_core.placement import (
     Basis,
+    PlacementChoice,
     PlacementRequest,
+    SharedLoad,
     TargetState,
     choose_target,
     find_early_readmissions,
 )
 from wasabitray_core.requests import Target
+from wasabitray_core.spillover import NO_SPILLOVER, Spillover
 
 NOW = 1_000.0
 
@@ -260,3 +265,117 @@
         state.shared_load.received_at = NOW - 60.0
     chosen = count_choices(targets, failure_domain="a", region_demand=1.0)
     assert 0.4 < get_share(chosen, "a-") < 0.6
+
+
+def make_random_states(rng, count=40):
+    """Return targets in all kinds of states, many of them in use."""
+    shared_load = SharedLoad(NOW - rng.choice([0.1, 0.1, 5.0]))
+    states = {}
+    for n in range(count):
+        region = rng.choice(["south", "south", "north", "west"])
+        target = Target(f"t-{n}", "s", region, f"{region}-{n % 3}", 2)
+        failed_ago = rng.choice([0.5, 3.0, 6.0])
+        states[target.target] = TargetState(
+            target,
+            probation=rng.random() < 0.05,
+            ramp_until=NOW + rng.choice([-1.0] * 5 + [1.0]),
+            busy=rng.choice([0, 0, 0, 1, 2]),
+            others_attempts=rng.choice([0, 1, 2, 4, 5]),
+            used_at=NOW - rng.uniform(0.0, 2.0),
+            avoid_until=NOW + rng.choice([-1.0] * 3 + [1.0]),
+            back_off_until=NOW + rng.choice([-1.0] * 8 + [1.0]),
+            failed_at=NOW - failed_ago,
+            cooling_until=NOW + rng.choice([-1.0] * 3 + [1.0]),
+            recovering=rng.random() < 0.1,
+            shared_load=shared_load,
+        )
+    return states
+
+
+def choose_plainly(targets, request, now, rng):
+    """Choose as `choose_target` does, from lists of all targets."""
+    candidates = [
+        s
+        for t, s in targets.items()
+        if t not in request.excluded and not s.is_backing_off(now)
+    ]
+    usable = [s for s in candidates if not s.probation]
+    in_use = [s for s in usable if not s.is_cooling(now)]
+    trial = placement._choose_trial(candidates, in_use, request, now, rng)
+    if trial is not None:
+        return PlacementChoice(trial, Basis.TRIAL)
+    demand = request.demand / placement.MAX_REQUESTS_PER_SLOT
+    if placement._is_overflow(in_use, demand, rng):
+        cooling = [
+            s for s in usable if s.is_cooling(now) and s.has_free_capacity(now)
+        ]
+        if cooling:
+            reachable = [s for s in cooling if s.avoid_until <= now]
+            return placement._choose_longest_cooling(reachable or cooling)
+    free = [s for s in in_use if s.has_free_capacity(now)]
+    reachable = [s for s in free if s.avoid_until <= now] or free
+    spillover = request.spillover
+    if not request.large and spillover.share:
+        is_turn = rng.random() < spillover.share
+        chosen = [
+            s
+            for s in reachable
+            if is_turn and s.target.region in spillover.regions
+        ]
+        if chosen:
+            return placement._choose_least_loaded(chosen, request, now, rng)
+    in_region = [s for s in reachable if s.target.region == request.region]
+    if not request.large:
+        in_region = placement._filter_faster_in_region(
+            in_region, request, now, rng
+        )
+    return placement._choose_least_loaded(
+        in_region or reachable, request, now, rng
+    )
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_choice_is_that_among_lists_of_all_targets(seed):
+    rng = random.Random(seed)
+    for _ in range(25):
+        targets = make_random_states(rng, rng.choice([1, 4, 40]))
+        request = PlacementRequest(
+            "south",
+            excluded=rng.choice([(), ("t-0", "t-1")]),
+            trial=rng.random() < 0.5,
+            large=rng.random() < 0.2,
+            demand=rng.choice([0.0, 60.0, 400.0]),
+            region_demand=rng.choice([0.0, 60.0]),
+            lost_share=rng.choice([0.0, 0.2]),
+            spillover=rng.choice(
+                [NO_SPILLOVER, Spillover(frozenset({"west"}), 0.5)]
+            ),
+            failure_domain="south-1",
+        )
+        start = rng.getrandbits(32)
+        one, other = random.Random(start), random.Random(start)
+        chosen = choose_target(targets, request, NOW, one)
+        plain = choose_plainly(targets, request, NOW, other)
+        assert (chosen and chosen.basis) == (plain and plain.basis)
+        assert (chosen and chosen.state) is (plain and plain.state)
+        assert one.getstate() == other.getstate()
+
+
+def count_calls(targets):
+    """Return how many functions a choice calls."""
+    counts = Counter()
+    rng = random.Random(1)
+    sys.setprofile(lambda frame, event, arg: counts.update([event]))
+    try:
+        choose_target(targets, PlacementRequest("south"), NOW, rng)
+    finally:
+        sys.setprofile(None)
+    return counts["call"]
+
+
+# Guards against work for the targets of all regions with each request.
+def test_choice_in_the_own_region_costs_the_same_with_more_elsewhere():
+    few, many = make_states(south=10, north=10), make_states(10, 200)
+    for targets in (few, many):
+        set_others_load(targets, south=1)
+    assert count_calls(many) < count_calls(few) + 250
