Build a hub's feed message once for the entries that lack the same

A hub collected, built and converted the same items anew for each entry, at each broadcast and heartbeat.

Entries at the same position now get the same message, unless one of its items came from them or more items are in transit to them than it allows; these get their own as before. Links share the converted struct of a feed.

Run: make check, tests/core/controllers, test_feed_*.py, test_restarted_*.py, test_split_control_hosts.py, test_crashing_requests.py, tests/node.

--- a/packages/core/src/wasabitray_core/controllers/feed_table.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_table.py
@@ -13,7 +13,7 @@
 from functools import singledispatch
 from itertools import islice
 
-from msgspec import Struct
+from msgspec import Struct, field
 from msgspec.structs import replace
 
 from wasabitray_core.controllers.crashes import (
@@ -205,6 +205,21 @@
         return self.item
 
 
+class FeedPart(Struct, frozen=True):
+    """The items after a position of a feed.
+
+    Attributes:
+        reached: the position up to which they reach.
+        senders: the hosts that they came from.
+        messages: the messages made of them, by whether they list the hubs.
+    """
+
+    items: list[FeedItem]
+    reached: FeedPosition
+    senders: frozenset[HostId] = frozenset()
+    messages: dict[bool, Feed] = field(default_factory=dict)
+
+
 def _get_position(record: FeedRecord) -> FeedPosition:
     return record.position
 
@@ -353,6 +368,24 @@
             items.append(record.with_remaining_duration(now))
         return items, self._position
 
+    def get_part_after(
+        self, position: FeedPosition, now: Seconds, limit: int
+    ) -> FeedPart | None:
+        """Return all items after a position, None if they are too many.
+
+        Readers that sent none of them can share the part.
+        """
+        records = [
+            record
+            for record in self._list_records_after(position, limit)
+            if not record.is_expired(now)
+        ]
+        if len(records) > limit:
+            return None
+        items = [record.with_remaining_duration(now) for record in records]
+        senders = frozenset(record.sender for record in records)
+        return FeedPart(items, self._position, senders)
+
     def _list_records_after(
         self, position: FeedPosition, limit: int
     ) -> list[FeedRecord]:
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -24,11 +24,13 @@
 from wasabitray_core.controllers.departures import UnstoredDepartures
 from wasabitray_core.controllers.feed_readers import (
     FEED_START,
+    WINDOW_ITEMS,
     FeedReader,
     PendingConfirmations,
 )
 from wasabitray_core.controllers.feed_table import (
     FeedItem,
+    FeedPart,
     FeedRecord,
     FeedTable,
     is_urgent,
@@ -104,6 +106,10 @@
 _NEVER = Seconds(math.inf)
 
 
+_FeedParts = dict[FeedPosition, FeedPart | None]
+"""The part of the feed after a position, None if it is too long to share."""
+
+
 class _Subscriber(Struct):
     """An entry that subscribes to this hub.
 
@@ -209,8 +215,7 @@
             self._forward_feeds(host, now)
             if not self._ticks % HUB_LIST_INTERVAL_TICKS:
                 self._send_hub_list(host)
-        for host, subscriber in self._subscribers.items():
-            self._send_to_entry(host, subscriber, heartbeat=True)
+        self._send_to_entries(heartbeat=True)
         for host, hub in self._hubs.items():
             self._send_to_hub(host, hub)
         self._record_broadcast(now)
@@ -231,8 +236,7 @@
                 present=message.in_contact,
                 leader=message.leader,
             )
-            for host, subscriber in self._subscribers.items():
-                self._send_to_entry(host, subscriber, heartbeat=True)
+            self._send_to_entries(heartbeat=True)
 
     @receive.register
     def _(self, message: ConfigurationApplied, origin: Origin) -> None:
@@ -448,32 +452,76 @@
     def _broadcast(self) -> None:
         """Send new items to the entries and the other hubs."""
         self._record_broadcast(self._now())
-        for host, subscriber in self._subscribers.items():
-            self._send_to_entry(host, subscriber)
+        self._send_to_entries()
         for host, hub in self._hubs.items():
             self._send_to_hub(host, hub)
         self._publish_entries()
 
+    def _send_to_entries(self, heartbeat: bool = False) -> None:
+        """Send all entries what they lack; most get the same message."""
+        parts: _FeedParts = {}
+        for host, subscriber in self._subscribers.items():
+            self._send_to_entry(host, subscriber, heartbeat, parts)
+
     def _send_to_entry(
-        self, host: HostId, subscriber: _Subscriber, heartbeat: bool = False
+        self,
+        host: HostId,
+        subscriber: _Subscriber,
+        heartbeat: bool = False,
+        parts: _FeedParts | None = None,
     ) -> None:
+        """Send an entry the items that it lacks.
+
+        Args:
+            host: the entry.
+            subscriber: its state.
+            heartbeat: whether to send a message without items too.
+            parts: what other entries get at the same time.
+        """
         now = self._now()
         reader = subscriber.reader
-        items, reached = self._table.get_items_after(
-            reader.sent, host, now, reader.window, subscriber.started_at
-        )
-        if not items and not heartbeat and subscriber.has_hub_list:
+        part = self._get_part(host, subscriber, parts, now)
+        if not part.items and not heartbeat and subscriber.has_hub_list:
             return
         with_hubs = (
             not subscriber.has_hub_list
             or not self._ticks % HUB_LIST_INTERVAL_TICKS
             or not self._group_contact.in_contact
         )
-        mark = FeedMark(self.host, self._table.incarnation, reader.sent)
-        feed = self._build_feed(mark, reached, items, with_hubs)
+        feed = part.messages.get(with_hubs)
+        if feed is None:
+            mark = FeedMark(self.host, self._table.incarnation, reader.sent)
+            feed = self._build_feed(mark, part.reached, part.items, with_hubs)
+            part.messages[with_hubs] = feed
         self._outbox.send(host, feed)
         subscriber.has_hub_list = True
-        reader.record_sent(reached, len(items), now)
+        reader.record_sent(part.reached, len(part.items), now)
+
+    def _get_part(
+        self,
+        host: HostId,
+        subscriber: _Subscriber,
+        parts: _FeedParts | None,
+        now: Seconds,
+    ) -> FeedPart:
+        """Return what an entry lacks, shared with others if possible."""
+        reader = subscriber.reader
+        if parts is not None:
+            if reader.sent not in parts:
+                parts[reader.sent] = self._table.get_part_after(
+                    reader.sent, now, WINDOW_ITEMS
+                )
+            shared = parts[reader.sent]
+            if (
+                shared is not None
+                and host not in shared.senders
+                and len(shared.items) <= reader.window
+            ):
+                return shared
+        items, reached = self._table.get_items_after(
+            reader.sent, host, now, reader.window, subscriber.started_at
+        )
+        return FeedPart(items, reached)
 
     def _send_to_hub(self, host: HostId, hub: PeerHub) -> None:
         """Send another hub the new items that entered the fleet here."""
--- a/packages/node/src/wasabitray_node/links.py
+++ b/packages/node/src/wasabitray_node/links.py
@@ -18,7 +18,7 @@
 
 from wasabitray_core.errors import PeerError
 from wasabitray_core.ids import HostId
-from wasabitray_core.messages import Hello
+from wasabitray_core.messages import Feed, Hello
 from wasabitray_node.logs import log_error, log_event
 from wasabitray_node.settings import split_address
 from wasabitray_node.sockets import connect
@@ -40,6 +40,8 @@
 # Holds most frames whole, so that each is read at once.
 READ_BYTES = 16_384
 MAX_QUEUED_MESSAGES = 1_024
+# Entries that sent some of the items get messages of their own in between.
+MAX_SHARED_FEEDS = 16
 MAX_BATCH_MESSAGES = 128
 CONNECT_TIMEOUT_S = 0.5
 # A round trip of a batch to another region takes well under this.
@@ -99,6 +101,29 @@
         super().close()
 
 
+class SharedEncoder:
+    """Converts messages to generated structs.
+
+    A hub sends most of its feed to many entries at once. Such a message is
+    converted only once.
+    """
+
+    def __init__(self) -> None:
+        """Start without messages."""
+        self._feeds: deque[tuple[Feed, Any]] = deque(maxlen=MAX_SHARED_FEEDS)
+
+    def encode(self, message: Any) -> Any:
+        """Return the generated struct of a message."""
+        if not isinstance(message, Feed):
+            return to_wire(message)
+        for feed, encoded in self._feeds:
+            if feed is message:
+                return encoded
+        encoded = to_wire(message)
+        self._feeds.append((message, encoded))
+        return encoded
+
+
 class PeerLink:
     """A task that owns the connection to one peer.
 
@@ -108,7 +133,12 @@
     """
 
     def __init__(
-        self, peer: HostId, address: str, hello: Hello, source: str
+        self,
+        peer: HostId,
+        address: str,
+        hello: Hello,
+        source: str,
+        encoder: SharedEncoder,
     ) -> None:
         """Create the link; `run` starts it.
 
@@ -117,8 +147,10 @@
             address: the peer's address, `IP:PORT`.
             hello: this host's hello, the first message of a connection.
             source: this host's IP address, from which it connects.
+            encoder: converts the messages of all links.
         """
         self._source = source
+        self._encode = encoder.encode
         self._peer = peer
         self._address = address
         self._hello = hello_to_wire(hello)
@@ -172,7 +204,7 @@
             count = min(MAX_BATCH_MESSAGES, len(self._queue))
             batch = [self._queue.popleft() for _ in range(count)]
             try:
-                client.deliver([to_wire(message) for message in batch])
+                client.deliver([self._encode(message) for message in batch])
             except _LINK_ERRORS:
                 raise
             except Exception as error:
@@ -242,6 +274,7 @@
         """
         self._hello = hello
         self._source = source
+        self._encoder = SharedEncoder()
         self._addresses = dict(seeds)
         self._links: dict[HostId, PeerLink] = {}
         self._greenlets: dict[HostId, gevent.Greenlet] = {}
@@ -274,7 +307,9 @@
             address = self._addresses.get(peer)
             if address is None:
                 return
-            link = PeerLink(peer, address, self._hello, self._source)
+            link = PeerLink(
+                peer, address, self._hello, self._source, self._encoder
+            )
             self._links[peer] = link
             self._greenlets[peer] = gevent.spawn(link.run)
         link.put(message)
--- a/tests/core/controllers/test_feed_table.py
+++ b/tests/core/controllers/test_feed_table.py
@@ -1,5 +1,7 @@
 """Reading a feed in parts."""
 
+import random
+
 import pytest
 
 from wasabitray_core.controllers.feed_table import FeedTable
@@ -58,3 +60,34 @@
     items, reached = table.get_items_after(0, "e9", 13.0, 1)
     assert [type(item) for item in items] == [Quarantine]
     assert reached == 2
+
+
+def fill_table(rng):
+    """Return a feed of cool-downs, some expired, from several entries."""
+    table = FeedTable("c1", "run-1")
+    for number in range(rng.randrange(40)):
+        report = TargetReport(
+            f"t-{rng.randrange(20)}", number, rng.choice([0.0, 1.0, 12.0]),
+            ReportKind.BROKEN,
+        )  # fmt: skip
+        table.put(report, f"e{rng.randrange(6)}", rng.uniform(0.0, 10.0))
+    return table
+
+
+@pytest.mark.parametrize("seed", range(50))
+def test_shared_part_is_what_each_reader_gets_alone(seed):
+    rng = random.Random(seed)
+    table = fill_table(rng)
+    for position in range(table.position + 1):
+        limit = rng.choice([1, 10, 100])
+        part = table.get_part_after(position, 10.0, limit)
+        for reader in ("e0", "e1", "e9"):
+            items, reached = table.get_items_after(
+                position, reader, 10.0, limit
+            )
+            if part is None:
+                assert len(items) == limit or reader != "e9"
+            elif reader not in part.senders:
+                assert (part.items, part.reached) == (items, reached)
+            else:
+                assert len(items) < len(part.items)
--- a/tests/core/controllers/test_hub.py
+++ b/tests/core/controllers/test_hub.py
@@ -267,6 +267,25 @@
     ]
 
 
+# Guards against a message of its own for each of many entries.
+def test_entries_that_lack_the_same_items_get_one_message():
+    bed = hub_bed()
+    for number in range(9):
+        bed.receive(f"e{number}", presence())
+    bed.clock.advance(1.0)
+    bed.tick()
+    bed.clock.advance(0.1)
+    bed.receive("e0", News(reports=(COOL_DOWN,)))
+    feeds = [
+        feed
+        for number in range(9)
+        for feed in get_feeds_sent_to(bed, f"e{number}")
+        if feed.reports
+    ]
+    assert len(feeds) == 8
+    assert len({id(feed) for feed in feeds}) == 1
+
+
 def test_feed_is_forwarded_to_a_third_hub_that_lags():
     bed = hub_bed("c1", "c2", "c3")
     for host in ("c2", "c3"):
--- a/tests/node/test_links.py
+++ b/tests/node/test_links.py
@@ -12,16 +12,19 @@
 from wasabitray_core.messages import (
     Announcement,
     ConfigPull,
+    Feed,
     Hello,
     News,
     Quarantine,
 )
 from wasabitray_core.states import TargetPhase
+from wasabitray_node import links as links_module
 from wasabitray_node.links import (
     MAX_FRAME_BYTES,
     PeerLinks,
     PeerListener,
     PeerSocket,
+    SharedEncoder,
 )
 from wasabitray_wire import to_wire
 
@@ -189,6 +192,24 @@
     receiver.wait_for(message)
 
 
+# Guards against a conversion of a hub's feed for each of its entries.
+def test_feed_to_several_peers_is_converted_once(monkeypatch):
+    converted = []
+
+    def convert(message):
+        converted.append(message)
+        return to_wire(message)
+
+    monkeypatch.setattr(links_module, "to_wire", convert)
+    encoder = SharedEncoder()
+    feed = Feed("c1", "run-1", 0, 1, 0, True, 2)
+    other = replace(feed, position=2)
+    encoded = [encoder.encode(feed), encoder.encode(other)]
+    assert encoder.encode(feed) is encoded[0]
+    assert encoded == [to_wire(feed), to_wire(other)]
+    assert converted == [feed, other]
+
+
 class CountingSocket:
     """A socket that counts how often it is read."""
 
