Compare in-flight attempts once for all subscribers

A hub compared the attempts at each target for each subscriber, and added the requests of all sources up for each, although a subscriber's own attempts are at few targets and all else is the same for all.

The sum and its changes are now found once for all subscribers, and corrected for each by its own attempts. The messages have the same content.

A subscriber costs the same with 300 targets as with 30; the test of that failed before. Another one compares what random sequences of messages tell subscribers with the sum of the others. Run: make check, tests/core/controllers, test_shared_load.py, test_feed_*.py, test_split_control_hosts.py.

--- a/packages/core/src/wasabitray_core/controllers/shared_work.py
+++ b/packages/core/src/wasabitray_core/controllers/shared_work.py
@@ -66,6 +66,63 @@
         self.lost = Counter({c.service: c.lost for c in counts})
 
 
+class _Sum(Struct):
+    """The sum of several sources' counts.
+
+    Attributes:
+        last_attempts: the sum of their attempts in the last messages.
+        changes: the targets at which the two differ.
+    """
+
+    last_attempts: AttemptCounts
+    attempts: AttemptCounts = field(default_factory=Counter)
+    ended: Counter[ServiceName] = field(default_factory=Counter)
+    lost: Counter[ServiceName] = field(default_factory=Counter)
+    changes: dict[TargetId, TargetWork] = field(default_factory=dict)
+
+    def build_message(
+        self,
+        kind: type[EntryWork | OthersWork],
+        own: _Source,
+        last_own: AttemptCounts | None,
+    ) -> EntryWork | OthersWork:
+        """Return the message to a subscriber.
+
+        A subscriber has attempts at few targets, so all others are the same
+        in the messages to all subscribers.
+
+        Args:
+            kind: the kind of message.
+            own: the subscriber's own counts, which are left out.
+            last_own: those that were left out of the last message; None for
+                a message with all counts.
+        """
+        if last_own is None:
+            others = self.attempts - own.counts
+            full = tuple(TargetWork(t, n) for t, n in others.items())
+            return kind(full, True, self._list_requests(own))
+        own_targets = own.counts.keys() | last_own.keys()
+        if not own_targets:
+            return kind(tuple(self.changes.values()), False)
+        changes = [
+            work for t, work in self.changes.items() if t not in own_targets
+        ]
+        for target in own_targets:
+            attempts = self.attempts[target] - own.counts[target]
+            if attempts != self.last_attempts[target] - last_own[target]:
+                changes.append(TargetWork(target, attempts))
+        return kind(tuple(changes), False)
+
+    def _list_requests(self, own: _Source) -> tuple[RequestCounts, ...]:
+        ended = self.ended - own.ended
+        return tuple(
+            RequestCounts(
+                service, count, self.lost[service] - own.lost[service]
+            )
+            for service, count in ended.items()
+        )
+
+
 class SharedWorkController(Controller):
     """Owns a hub's counts of the in-flight attempts in its region."""
 
@@ -76,7 +133,10 @@
         super().__init__(context)
         self._subscribers = InFlightSubscribers((), ())
         self._sources: dict[HostId, _Source] = {}
-        self._last_sent: dict[HostId, AttemptCounts] = {}
+        # What was left out of the last message to each subscriber.
+        self._last_own: dict[HostId, AttemptCounts] = {}
+        self._everywhere = _Sum(Counter())
+        self._at_entries = _Sum(Counter())
         self._changed = False
         self._next_full_at = context.clock()
 
@@ -99,8 +159,8 @@
     def _(self, message: InFlightSubscribers, origin: Origin) -> None:
         self._subscribers = message
         subscribers = {*message.entries, *message.hubs}
-        for host in set(self._last_sent) - subscribers:
-            del self._last_sent[host]
+        for host in set(self._last_own) - subscribers:
+            del self._last_own[host]
 
     @receive.register
     def _(self, message: EntryWork, origin: Origin) -> None:
@@ -141,61 +201,51 @@
             origin,
             {
                 "sources": sorted(self._sources),
-                "in_flight": sum(self._sum_counts(self._sources).values()),
+                "in_flight": sum(
+                    sum(s.counts.values()) for s in self._sources.values()
+                ),
             },
         )
 
     def _send_to_subscribers(self, full: bool) -> None:
-        total = self._sum_counts(self._sources)
-        for host in self._subscribers.entries:
-            own_source = self._sources.get(host)
-            others_total = total - own_source.counts if own_source else total
-            others = [h for h in self._sources if h != host]
-            self._send_counts(host, others_total, OthersWork, full, others)
+        """Send all subscribers the changed counts, or all counts."""
         hubs = set(self._subscribers.hubs)
         entries = [h for h in self._sources if h not in hubs]
-        entries_total = self._sum_counts(entries)
+        everywhere = self._add_up(self._sources, self._everywhere.attempts)
+        at_entries = self._add_up(entries, self._at_entries.attempts)
+        nothing = _Source(self._now())
+        sent_to = {}
+        for host in self._subscribers.entries:
+            own = self._sources.get(host, nothing)
+            last_own = None if full else self._last_own.get(host)
+            message = everywhere.build_message(OthersWork, own, last_own)
+            self._send(host, message)
+            sent_to[host] = own.counts
         for host in self._subscribers.hubs:
-            self._send_counts(host, entries_total, EntryWork, full, entries)
-
-    def _sum_counts(self, hosts: Iterable[HostId]) -> AttemptCounts:
-        total: AttemptCounts = Counter()
-        for host in hosts:
-            total.update(self._sources[host].counts)
-        return total
-
-    def _sum_requests(self, hosts: list[HostId]) -> tuple[RequestCounts, ...]:
-        ended: Counter[ServiceName] = Counter()
-        lost: Counter[ServiceName] = Counter()
+            last_own = None if full else self._last_own.get(host)
+            message = at_entries.build_message(EntryWork, nothing, last_own)
+            self._send(host, message)
+            sent_to[host] = nothing.counts
+        self._last_own = sent_to
+        self._everywhere, self._at_entries = everywhere, at_entries
+
+    def _send(self, host: HostId, message: EntryWork | OthersWork) -> None:
+        if message.full or message.targets:
+            self._outbox.send(host, message)
+
+    def _add_up(
+        self, hosts: Iterable[HostId], last_attempts: AttemptCounts
+    ) -> _Sum:
+        """Return the sum of several sources' counts."""
+        result = _Sum(last_attempts)
         for host in hosts:
-            ended.update(self._sources[host].ended)
-            lost.update(self._sources[host].lost)
-        return tuple(RequestCounts(s, n, lost[s]) for s, n in ended.items())
-
-    def _send_counts(
-        self,
-        host: HostId,
-        counts: AttemptCounts,
-        kind: type[EntryWork | OthersWork],
-        full: bool,
-        sources: list[HostId],
-    ) -> None:
-        """Send a subscriber the changed counts, or all counts.
-
-        It gets all counts if `full` is set or none were sent to it yet.
-        """
-        last_sent = self._last_sent.get(host)
-        if last_sent is None or full:
-            changes = tuple(TargetWork(t, n) for t, n in counts.items() if n)
-            requests = self._sum_requests(sources)
-            self._outbox.send(host, kind(changes, True, requests))
-        else:
-            changes = tuple(
-                TargetWork(t, counts[t])
-                for t in {*counts, *last_sent}
-                if counts[t] != last_sent[t]
-            )
-            if not changes:
-                return
-            self._outbox.send(host, kind(changes, False))
-        self._last_sent[host] = +counts
+            source = self._sources[host]
+            result.attempts.update(source.counts)
+            result.ended.update(source.ended)
+            result.lost.update(source.lost)
+        result.changes = {
+            target: TargetWork(target, result.attempts[target])
+            for target in {*result.attempts, *last_attempts}
+            if result.attempts[target] != last_attempts[target]
+        }
+        return result
--- a/tests/core/controllers/test_shared_work.py
+++ b/tests/core/controllers/test_shared_work.py
@@ -1,5 +1,9 @@
 """The in-flight attempts that a hub shares between entries."""
 
+import random
+import sys
+from collections import Counter
+
 import pytest
 from support.fakes import ControllerBed
 
@@ -130,3 +134,86 @@
         seconds += interval
     full_updates = count * 2.0 / IDLE_INTERVAL_S
     assert len(bed.outbox.sent) <= 2.0 * MAX_MESSAGES_PER_S + full_updates
+
+
+def apply_message(known, message):
+    """Apply a message to the counts that a subscriber knows."""
+    if message.full:
+        known.clear()
+    for work in message.targets:
+        assert known.get(work.target, 0) != work.attempts
+        known[work.target] = work.attempts
+
+
+def add_up(counts, hosts):
+    total = sum((Counter(counts[h]) for h in hosts), Counter())
+    return {t: n for t, n in total.items() if n}
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_subscribers_know_the_sum_of_the_others_after_each_message(seed):
+    rng = random.Random(seed)
+    bed = ControllerBed(SharedWorkController, host="c1")
+    entries, hubs = [f"e{n}" for n in range(6)], ["c2", "c3"]
+    counts = {host: {} for host in (*entries, *hubs)}
+    known = {host: {} for host in counts}
+    for step in range(60):
+        present = entries if step % 20 else rng.sample(entries, 4)
+        bed.tell(InFlightSubscribers(tuple(present), tuple(hubs)))
+        # Sources that send nothing for a while are dropped.
+        senders = list(counts) if step % 10 == 0 else []
+        for host in [*senders, *rng.choices(list(counts), k=4)]:
+            target = f"t{rng.randrange(5)}"
+            counts[host][target] = rng.randrange(4)
+            is_full = rng.random() < 0.3
+            sent = counts[host] if is_full else {target: counts[host][target]}
+            receive_counts(bed, host, full=is_full, **sent)
+        bed.outbox.sent.clear()
+        bed.tick(0.1)
+        for host, message in bed.outbox.sent:
+            apply_message(known[host], message)
+        for host in (*present, *hubs):
+            senders = [
+                h for h in counts if h != host and not {h, host} <= set(hubs)
+            ]
+            if host in hubs:
+                senders = entries
+            shown = {t: n for t, n in known[host].items() if n}
+            assert shown == add_up(counts, senders)
+
+
+def count_lines(bed):
+    """Return how many lines a tick runs."""
+    count = 0
+
+    def trace(frame, event, arg):
+        nonlocal count
+        count += event == "line"
+        return trace
+
+    sys.settrace(trace)
+    try:
+        bed.tick(0.1)
+    finally:
+        sys.settrace(None)
+    return count
+
+
+def make_busy_bed(subscribers, targets):
+    bed = ControllerBed(SharedWorkController, host="c1")
+    entries = tuple(f"e{n}" for n in range(subscribers))
+    bed.tell(InFlightSubscribers(entries, ()))
+    work = {f"t{n}": 1 + n % 3 for n in range(targets)}
+    receive_counts(bed, "c2", full=True, **work)
+    bed.tick()
+    receive_counts(bed, "c2", t1=9)
+    return bed
+
+
+# Guards against a look at all targets for each subscriber.
+def test_subscriber_costs_the_same_with_more_targets():
+    def cost_of_subscribers(targets):
+        few, many = make_busy_bed(10, targets), make_busy_bed(40, targets)
+        return count_lines(many) - count_lines(few)
+
+    assert cost_of_subscribers(300) == cost_of_subscribers(30)
