Handle the items of a feed as one batch

Messages to one controller that follow each other in an outbox are now delivered together and handled as one batch, as those in a mailbox are.

--- a/packages/node/src/wasabitray_node/tasks.py
+++ b/packages/node/src/wasabitray_node/tasks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import singledispatchmethod
 from typing import Any, cast
 
@@ -68,7 +68,7 @@
 
 class _ControllerDelivery(Struct, frozen=True):
     controller: ControllerName
-    message: Any
+    messages: list[Any]
 
 
 class _ReplyDelivery(Struct, frozen=True):
@@ -99,8 +99,19 @@
         self.deliveries.append(_PeerDelivery(host, message))
 
     def tell(self, controller: ControllerName, message: Any) -> None:
-        """Put a message into another controller's mailbox."""
-        self.deliveries.append(_ControllerDelivery(controller, message))
+        """Put a message into another controller's mailbox.
+
+        Those that follow each other, such as the items of a feed, are
+        delivered together.
+        """
+        last = self.deliveries[-1] if self.deliveries else None
+        if (
+            isinstance(last, _ControllerDelivery)
+            and last.controller is controller
+        ):
+            last.messages.append(message)
+        else:
+            self.deliveries.append(_ControllerDelivery(controller, [message]))
 
     def reply(self, token: ReplyToken, value: Any) -> None:
         """Reply to a local ask."""
@@ -171,13 +182,19 @@
 
     def put(self, message: Any, origin: Origin) -> None:
         """Handle a message immediately if the task is idle, else queue it."""
+        self.put_all((message,), origin)
+
+    def put_all(self, messages: Sequence[Any], origin: Origin) -> None:
+        """Handle several messages as one batch, or queue them."""
         must_queue = self._sync is not None or not self._is_running
         if must_queue or self._is_handling or self._mailbox.qsize():
-            self._mailbox.put(_Envelope(message, origin))
+            for message in messages:
+                self._mailbox.put(_Envelope(message, origin))
             return
         self._is_handling = True
         try:
-            self._handle(message, origin)
+            for message in messages:
+                self._handle(message, origin)
             self._flush()
         finally:
             self._is_handling = False
@@ -315,7 +332,9 @@
 
     @deliver.register
     def _(self, delivery: _ControllerDelivery) -> None:
-        self.tell(delivery.controller, delivery.message)
+        task = self._tasks.get(delivery.controller)
+        if task is not None:
+            task.put_all(delivery.messages, NO_ORIGIN)
 
     @deliver.register
     def _(self, delivery: _ReplyDelivery) -> None:
