Load the metrics' text library at the first scrape

Cause: each start imported prometheus_client, with an HTTP server and wsgiref, though only scrapers need its text and few processes are ever scraped.

Change: Metrics keeps its counters itself, and metrics_text describes them to the library when they are scraped. The text is the same line by line, compared before and after with the times of creation masked.

test_start_loads_no_library_that_only_scrapes_need failed before.

--- a/packages/node/src/wasabitray_node/metrics.py
+++ b/packages/node/src/wasabitray_node/metrics.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
+import time
 from collections import OrderedDict
+from collections.abc import Mapping
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, Counter, generate_latest
-from prometheus_client.core import (
-    CounterMetricFamily,
-    GaugeMetricFamily,
-    Metric,
-)
+from msgspec import Struct
 
 from wasabitray_core.requests import Response
 from wasabitray_core.states import WorkClass
@@ -22,11 +19,23 @@
 SIGNIFICANT_DIGITS = 2
 MAX_HISTOGRAMS = 1_024
 OTHER_ORGANISATIONS = "(others)"
-QUANTILES = (50.0, 90.0, 99.0, 99.9)
 
+Labels = tuple[str, ...]
 _HistogramKey = tuple[str, str]
 
 
+class Count(Struct):
+    """A counter of the events with the same labels.
+
+    Attributes:
+        created_s: Unix seconds of the first event.
+        total: the count since then.
+    """
+
+    created_s: float
+    total: int = 0
+
+
 class Metrics:
     """Counts responses and keeps a histogram per organisation and class.
 
@@ -36,29 +45,37 @@
     """
 
     def __init__(self, lines: LineWriter) -> None:
-        """Create empty metrics with a separate registry.
+        """Create empty metrics.
 
         Args:
             lines: counts the events that are logged.
         """
         self._lines = lines
-        self.registry = CollectorRegistry()
-        self._responses = Counter(
-            "wasabitray_answers",
-            "Answers to callers",
-            ("work", "status", "reason", "outcome"),
-            registry=self.registry,
-        )
-        self._attempts = Counter(
-            "wasabitray_attempts",
-            "Attempts at targets",
-            ("work",),
-            registry=self.registry,
-        )
+        self._responses: dict[Labels, Count] = {}
+        self._attempts: dict[Labels, Count] = {}
         self._histograms: OrderedDict[_HistogramKey, HdrHistogram] = (
             OrderedDict()
         )
-        self.registry.register(self)
+
+    @property
+    def lines(self) -> LineWriter:
+        """The writer that counts the events that are logged."""
+        return self._lines
+
+    @property
+    def responses(self) -> Mapping[Labels, Count]:
+        """Responses by work class, status, reason and outcome."""
+        return self._responses
+
+    @property
+    def attempts(self) -> Mapping[Labels, Count]:
+        """Attempts by work class."""
+        return self._attempts
+
+    @property
+    def histograms(self) -> Mapping[_HistogramKey, HdrHistogram]:
+        """Histograms of microseconds by organisation and work class."""
+        return self._histograms
 
     def record(
         self,
@@ -70,11 +87,11 @@
         """Count a response and the time that it took."""
         reason = response.refusal.value if response.refusal else ""
         outcome = response.outcome.value if response.outcome else ""
-        self._responses.labels(
-            work_class.value, str(response.status), reason, outcome
-        ).inc()
-        self._attempts.labels(work_class.value).inc(response.attempts)
-        histogram = self._get_histogram((organisation, work_class.value))
+        work = work_class.value
+        labels = (work, str(response.status), reason, outcome)
+        _get_count(self._responses, labels).total += 1
+        _get_count(self._attempts, (work,)).total += response.attempts
+        histogram = self._get_histogram((organisation, work))
         microseconds = max(LOWEST_US, int(elapsed_s * 1e6))
         histogram.record_value(min(HIGHEST_US, microseconds))
 
@@ -113,41 +130,12 @@
             ), histogram in self._histograms.items()
         ]
 
-    def collect(self) -> list[Metric]:
-        """Return the metrics that have no counter (called by the registry)."""
-        return [self._collect_quantiles(), *self._collect_logged()]
 
-    def _collect_logged(self) -> list[Metric]:
-        events = CounterMetricFamily(
-            "wasabitray_events",
-            "Decisions and changes of state, as logged",
-            labels=("event", "outcome"),
-        )
-        for event, count in self._lines.event_counts.items():
-            events.add_metric(event, count)
-        dropped_lines = CounterMetricFamily(
-            "wasabitray_log_lines_dropped",
-            "Log lines left out",
-            value=self._lines.dropped_total,
-        )
-        return [events, dropped_lines]
-
-    def _collect_quantiles(self) -> Metric:
-        family = GaugeMetricFamily(
-            "wasabitray_request_seconds",
-            "Time to answer, by quantile",
-            labels=("organisation", "work", "quantile"),
-        )
-        for (organisation, work_class), histogram in self._histograms.items():
-            for quantile in QUANTILES:
-                value = histogram.get_value_at_percentile(quantile) / 1e6
-                labels = (organisation, work_class, f"{quantile / 100:g}")
-                family.add_metric(labels, value)
-        return family
-
-    def render(self) -> bytes:
-        """Return all metrics in the text format that scrapers read."""
-        return generate_latest(self.registry)
+def _get_count(counts: dict[Labels, Count], labels: Labels) -> Count:
+    count = counts.get(labels)
+    if count is None:
+        count = counts[labels] = Count(time.time())
+    return count
 
 
 def _new_histogram() -> HdrHistogram:
--- a/packages/node/src/wasabitray_node/operators.py
+++ b/packages/node/src/wasabitray_node/operators.py
@@ -207,8 +207,11 @@
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Show all metrics."""
+        # Few processes are ever scraped, and the import makes a start longer.
+        from wasabitray_node.metrics_text import render_metrics
+
         resp.content_type = "text/plain; version=0.0.4"
-        resp.data = self._metrics.render()
+        resp.data = render_metrics(self._metrics)
 
 
 class LatenciesResource:
--- a/tests/node/test_daemon.py
+++ b/tests/node/test_daemon.py
@@ -32,6 +32,13 @@
 print(gc.isenabled(), gc.get_freeze_count() > 1_000)
 """
 
+# Prints which of the libraries for rare requests are loaded.
+RARE_LIBRARIES_SCRIPT = """
+import sys
+import wasabitray_platform.__main__
+print(sorted({"prometheus_client"} & sys.modules.keys()))
+"""
+
 
 def test_start_searches_no_packages_for_plugins():
     assert run(SCRIPT) == ["[]"]
@@ -41,6 +48,10 @@
     assert run(COLLECTOR_SCRIPT) == ["False", "True True"]
 
 
+def test_start_loads_no_library_that_only_scrapes_need():
+    assert run(RARE_LIBRARIES_SCRIPT) == ["[]"]
+
+
 def run(script):
     environment = {**os.environ, "PYTHONPATH": str(ROOT / "platform")}
     command = [sys.executable, "-c", script]
--- a/tests/node/test_logs.py
+++ b/tests/node/test_logs.py
@@ -18,6 +18,7 @@
     LoggedEvent,
 )
 from wasabitray_node.metrics import Metrics
+from wasabitray_node.metrics_text import render_metrics
 
 
 @pytest.fixture
@@ -92,7 +93,7 @@
     metrics = Metrics(writer)
     log(writer, "retry refused")
     metrics.record("hobart", WorkClass.SHORT, Response(200), 0.25)
-    text = metrics.render().decode()
+    text = render_metrics(metrics).decode()
     counted = 'wasabitray_events_total{event="retry refused",outcome=""} 1.0'
     assert counted in text
     assert "wasabitray_log_lines_dropped_total 0.0" in text
