Test that a batch which a slow link carries for seconds arrives

Suspected: a batch that an entry's link of 2 Mbit/s doesn't carry within a second is given up, with the link's queue. It isn't: the second counts from the last bytes that the kernel took, and the kernel keeps much less than a second's worth. A link that is stuck in the middle is still replaced.

Both tests pass without a change of the product.

--- a/tests/node/test_links.py
+++ b/tests/node/test_links.py
@@ -12,6 +12,7 @@
 from wasabitray_core.messages import (
     Announcement,
     ConfigPull,
+    ConfigState,
     Hello,
     News,
     Quarantine,
@@ -186,3 +187,81 @@
     )
     links.send("c1", message)
     receiver.wait_for(message)
+
+
+# 2 Mbit/s, the narrowest link of an entry.
+SLOW_LINK_BYTES_PER_S = 250_000
+LARGE_CONFIGURATION = ConfigState(1, {"route/r1": "x" * 400_000})
+SLOW_LINK_STEP_S = 0.05
+RECEIVE_BUFFER_BYTES = 4_096
+
+
+class SlowLink:
+    """A proxy in front of a receiver that carries few bytes a second."""
+
+    def __init__(self, receiver):
+        self._receiver = receiver
+        self.connections = 0
+        self.is_stuck = False
+        listener = gevent.socket.socket()
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        self.address = f"127.0.0.1:{listener.getsockname()[1]}"
+        self._server = StreamServer(listener, self._serve)
+        self._server.start()
+
+    def _serve(self, sock, _address):
+        self.connections += 1
+        host, _, port = self._receiver.address.rpartition(":")
+        with gevent.socket.create_connection((host, int(port))) as sink:
+            replies = gevent.spawn(self._carry, sink, sock)
+            self._carry(sock, sink)
+            replies.kill()
+
+    def _carry(self, source, sink):
+        size = int(SLOW_LINK_BYTES_PER_S * SLOW_LINK_STEP_S)
+        while data := source.recv(size):
+            while self.is_stuck:
+                gevent.sleep(SLOW_LINK_STEP_S)
+            sink.sendall(data)
+            gevent.sleep(len(data) / SLOW_LINK_BYTES_PER_S)
+
+    def stop(self):
+        self._server.stop(timeout=0)
+
+
+@pytest.fixture
+def slow_link(receiver):
+    slow_link = SlowLink(receiver)
+    yield slow_link
+    slow_link.stop()
+
+
+def test_configuration_that_takes_a_slow_link_over_a_second_arrives(
+    receiver, slow_link
+):
+    hello = Hello("c2", "127.0.0.1:1", "")
+    links = PeerLinks(hello, {"e1": slow_link.address}, "127.0.0.1")
+    links.send("e1", LARGE_CONFIGURATION)
+    links.send("e1", ConfigPull(1))
+    receiver.wait_for(ConfigPull(1))
+    assert receiver.messages == [LARGE_CONFIGURATION, ConfigPull(1)]
+    assert slow_link.connections == 1
+
+
+def test_slow_link_that_gets_stuck_is_replaced(receiver, slow_link):
+    hello = Hello("c2", "127.0.0.1:1", "")
+    links = PeerLinks(hello, {"e1": slow_link.address}, "127.0.0.1")
+    links.send("e1", LARGE_CONFIGURATION)
+    gevent.sleep(0.5)
+    slow_link.is_stuck = True
+    with gevent.Timeout(DEADLINE_S):
+        while links.describe()["e1"]["up"]:
+            gevent.sleep(0.01)
+    slow_link.is_stuck = False
+    links.send("e1", ConfigPull(2))
+    receiver.wait_for(ConfigPull(2))
+    assert slow_link.connections == 2
