Pass on what a lost hub sent after a gap

A hub's mark in a feed doesn't advance beyond a message that was lost, and a feed is forwarded up to the mark. If the feed's hub was lost for good before it sent the message again, an item that one hub had received after the gap stayed there: the other hubs, and the entries that read from them, never got the failure that it reports.

Change: once a hub is silent for the usual time, the others adopt the items that they have from it beyond their marks, as they adopt those of a hub that restarted.

test_item_that_one_hub_has_after_a_gap_reaches_the_others failed before (one of four hubs). After it the tests of feeds, restarts, splits and controllers pass (467).

--- a/packages/core/src/wasabitray_core/controllers/feed_table.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_table.py
@@ -331,16 +331,38 @@
         Returns:
             Whether there are any.
         """
-        lost = [
+        for record in self._records.values():
+            record.forget_positions(hub, incarnation)
+        return self._adopt_records(
             record
             for record in self._records.values()
             if record.origin.hub == hub
             and record.origin.incarnation != incarnation
-        ]
+        )
+
+    def adopt_after(self, mark: FeedMark) -> bool:
+        """Take over the items of a silent hub after a mark in its feed.
+
+        Items before them are missing here, so the feed isn't forwarded up to
+        them. Another hub may lack them as well.
+
+        Returns:
+            Whether there are any.
+        """
+        return self._adopt_records(
+            record
+            for record in self._records.values()
+            if record.origin.hub == mark.hub
+            and (
+                record.origin.incarnation != mark.incarnation
+                or record.origin.position > mark.position
+            )
+        )
+
+    def _adopt_records(self, records: Iterable[FeedRecord]) -> bool:
+        lost = list(records)
         if lost:
             self._position = FeedPosition(self._position + 1)
-        for record in self._records.values():
-            record.forget_positions(hub, incarnation)
         for record in lost:
             record.origin = FeedMark(
                 self._host, self._incarnation, self._position
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -201,6 +201,8 @@
         self._counter += 1
         self._table.expire(now)
         self._drop_unresponsive_entries(now)
+        for mark in self._hubs.find_silent_marks(now):
+            self._table.adopt_after(mark)
         self._hubs.expire_hubs(now)
         self._confirm_departures()
         presence = self._build_presence()
--- a/packages/core/src/wasabitray_core/controllers/hub_peers.py
+++ b/packages/core/src/wasabitray_core/controllers/hub_peers.py
@@ -172,6 +172,13 @@
             return FeedMark(host, incarnation, FEED_START)
         return mark
 
+    def find_silent_marks(self, now: Seconds) -> Iterator[FeedMark]:
+        """Return this hub's read positions in the feeds of silent hubs."""
+        for host, hub in self._hubs.items():
+            if hub.is_unresponsive(now):
+                unread = FeedMark(host, Incarnation(""), FEED_START)
+                yield self._marks.get(host, unread)
+
     def find_restart(self, sender: HostId, feed: Feed) -> Incarnation | None:
         """Return a feed's current incarnation if there is an earlier one.
 
