Start an election when its timeout ends, not at the next heartbeat

Seen by callers: no leader for more than 4 s after two of five voters are lost, so orders wait although the group is calm. Cause: a member looked at its election timeout every 0.2 s only. Timeouts of several members fell on the same heartbeat, they began together and split the votes, again and again while their timers were in phase. Change: the interval of the controller's timer ends with the timeout.

--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -102,7 +102,6 @@
     """
 
     name: ClassVar[ControllerName] = ControllerName.CONSENSUS
-    tick_interval_s = HEARTBEAT_INTERVAL_S
 
     def __init__(
         self,
@@ -148,6 +147,18 @@
         if snapshot.revision:
             self._outbox.tell(ControllerName.CONFIGURATION, Restored(snapshot))
 
+    @property
+    def tick_interval_s(self) -> float:  # type: ignore[override]
+        """Seconds until the next timer, at most a heartbeat's interval.
+
+        An election begins when its timeout ends: timeouts that are rounded to
+        heartbeats would coincide more often, and so would elections.
+        """
+        remaining_s = self._election.timeout - self._now()
+        if self._state.is_leader or remaining_s <= 0.0:
+            return HEARTBEAT_INTERVAL_S
+        return min(HEARTBEAT_INTERVAL_S, remaining_s)
+
     @property
     def role(self) -> ConsensusRole:
         """The member's role in the current term."""
--- a/tests/core/controllers/consensus/test_orders.py
+++ b/tests/core/controllers/consensus/test_orders.py
@@ -194,17 +194,23 @@
     check_newest_version(day)
 
 
+def lose_leader_and_voter(network):
+    """Kill the leader and another voter for good; return their hosts."""
+    leader = network.find_leader()
+    voters = [m.host for m in leader.controller._log.members.voters]
+    voters.remove(leader.name)
+    lost = (network.random.choice(voters), leader.name)
+    for host in lost:
+        network.kill(host)
+    return lost
+
+
 # Guards against split votes, each of which cost a whole election timeout.
 @pytest.mark.parametrize("seed", (595, 15, 49, 131, 166, 215))
 def test_orders_are_acknowledged_while_two_voters_stay_away(seed):
     day = Day(seed)
     network = day.network
-    leader = network.find_leader()
-    voters = [m.host for m in leader.controller._log.members.voters]
-    voters.remove(leader.name)
-    away = (network.random.choice(voters), leader.name)
-    for host in away:
-        network.kill(host)
+    for host in lose_leader_and_voter(network):
         network.after(LIST_LAG_S, lambda h=host: network.listed.remove(h))
     since = network.clock.now + CONTACT_S
     day.orders = [Order(network, n + 1, seed * 10 + n) for n in range(4)]
@@ -212,3 +218,14 @@
     until = network.clock.now
     waits = [(order.get_wait(since, until), order) for order in day.orders]
     assert report(day, waits) <= ACK_S + ACK_PER_ROUTE_S
+
+
+# Guards against elections that begin together, at the same heartbeat.
+@pytest.mark.parametrize("seed", (2, 133, 154, 157, 233, 249, 705, 751))
+def test_lead_is_taken_before_calm_while_two_voters_stay_away(seed):
+    network = Day(seed).network
+    lose_leader_and_voter(network)
+    network.run(CONTACT_S)
+    leader = network.find_leader()
+    assert leader is not None
+    assert leader.controller._has_committed_own_term()
