Look for a nearer hub only if there can be one

An entry whose hub is in its failure domain now skips that: none is nearer.

The new test, in which a feed costs the same with 40 hubs as with 2, failed before.

--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -421,9 +421,11 @@
 
     def _switch_to_nearer_hub(self) -> bool:
         """Switch to a nearer hub, if there is one; return whether it did."""
+        current = self._hubs.get_nearness(self._hub)
+        if current is Nearness.FAILURE_DOMAIN:
+            return False  # none is nearer
         chosen = self._hubs.choose(self._now())
-        nearness = self._hubs.get_nearness(chosen)
-        if nearness <= self._hubs.get_nearness(self._hub):
+        if self._hubs.get_nearness(chosen) <= current:
             return False
         # Without a leader so far, the nearer hub gets the usual time.
         self._is_searching = self._has_found_leader
--- a/tests/core/controllers/test_subscriber.py
+++ b/tests/core/controllers/test_subscriber.py
@@ -1,5 +1,8 @@
 """An entry's subscription to a hub."""
 
+import sys
+from collections import Counter
+
 import pytest
 from msgspec.structs import replace
 from support.fakes import ControllerBed
@@ -426,3 +429,26 @@
         bed.receive("c1", lost)
         bed.tick(0.5)
     assert bed.controller.hub == "c2"
+
+
+def count_calls_for_a_feed(hub_count):
+    """Return the calls that a feed costs an entry at its nearest hub."""
+    others = [
+        HostAddress(f"d{n}", f"10.0.1.{n}:1", "south", f"d-{n}")
+        for n in range(hub_count)
+    ]
+    bed = entry_bed("c3")
+    bed.receive("c3", feed("c3", hubs=(NEAR, *others)))
+    assert bed.controller.hub == "c3"
+    calls = Counter()
+    sys.setprofile(lambda frame, event, arg: calls.update([event]))
+    try:
+        bed.receive("c3", feed("c3"))
+    finally:
+        sys.setprofile(None)
+    return calls["call"]
+
+
+# Guards against a ranking of all hubs for each feed message.
+def test_feed_of_the_nearest_hub_costs_the_same_with_more_hubs():
+    assert count_calls_for_a_feed(40) == count_calls_for_a_feed(2)
