Measure a target's load with fewer calls

The load of a target was put together by several small calls, and asked up to three times for each target of the region with each request. The expected wait summed the slots in use of all targets although no request waited.

Load and free capacity are now computed in place, targets without a recovery are left out of the search for trials at once, and the sum is made only if requests wait. A test compares both with their definition in random states.

--- a/packages/core/src/wasabitray_core/controllers/dispatch.py
+++ b/packages/core/src/wasabitray_core/controllers/dispatch.py
@@ -470,7 +470,9 @@
         hold_time = attempt.elapsed if average is None else average
         used, _ = self._estimate_demand(service)
         now = self._now()
-        in_use = sum(now >= s.cooling_until for s in service.targets.values())
+        in_use = sum(
+            [now >= s.cooling_until for s in service.targets.values()]
+        )
         return used / max(hold_time, MIN_HOLD_TIME_S) / max(1, in_use)
 
     # Queues
@@ -600,8 +602,10 @@
     def _estimate_wait(self, service: _Service, work: WorkClass) -> float:
         """Estimate the seconds until a new request of a class is done."""
         hold_time = service.times[work].average or 0.0
-        in_use = sum(s.busy for s in service.targets.values())
         ahead = len(service.queues[work])
+        if not ahead:
+            return hold_time
+        in_use = sum(s.busy for s in service.targets.values())
         return hold_time * (ahead / max(1, in_use) + 1.0)
 
     def _choose_retry_after(self, wait: float) -> float:
--- a/packages/core/src/wasabitray_core/placement.py
+++ b/packages/core/src/wasabitray_core/placement.py
@@ -151,20 +151,21 @@
         """Return how many slots may be used now."""
         if self.probation or now < self.ramp_until:
             return 1
-        if self.is_readmitted(now):
+        if self.recovering and now >= self.cooling_until:
             return 1
         return self.target.slots
 
     def load(self, now: Seconds) -> float:
         """Return an estimate of the slots that all entries use."""
-        short = self.busy - self.busy_long
-        in_use = short + max(self.busy_long, self.long_held)
-        if self.has_shared_load(now):
+        in_use = self.busy
+        if self.long_held > self.busy_long:
+            in_use += self.long_held - self.busy_long
+        if now - self.shared_load.received_at < SHARED_WORK_TTL_S:
             in_use += self.others_attempts
-        if self.reported_load is None:
-            return in_use
         age = now - self.reported_at
-        weight = max(0.0, 1.0 - age / LOAD_REPORT_TTL_S)
+        if self.reported_load is None or age >= LOAD_REPORT_TTL_S:
+            return in_use
+        weight = 1.0 - age / LOAD_REPORT_TTL_S
         return max(in_use, self.reported_load.busy * weight)
 
     def has_shared_load(self, now: Seconds) -> bool:
@@ -339,7 +340,7 @@
     if lost_share <= FIRST_READMISSION_LOST_SHARE:
         return []
     reachable = [s for s in states if not s.probation and s.avoid_until <= now]
-    cooling = [s for s in reachable if s.is_cooling(now)]
+    cooling = [s for s in reachable if now < s.cooling_until]
     recent = [s for s in cooling if now - s.failed_at <= RECENT_FAILURE_S]
     older = [s for s in cooling if now - s.failed_at > RECENT_FAILURE_S]
     share = _get_cooling_share(lost_share)
@@ -455,8 +456,13 @@
         trials = [s for s in free if s.probation and not s.busy]
         if trials:
             return rng.choice(trials)
-    in_region = [s for s in states if s.target.region == request.region]
-    recovering = [s for s in in_region if s.may_get_trial(now, request.trial)]
+    recovering = [
+        s
+        for s in states
+        if s.recovering
+        and s.target.region == request.region
+        and s.may_get_trial(now, request.trial)
+    ]
     if not recovering or not request.is_losing:
         return rng.choice(recovering) if recovering else None
     idle = [
@@ -523,12 +529,12 @@
 
 def _have_shared_load(states: list[TargetState], now: Seconds) -> bool:
     """Tell whether the other entries' load at all targets is known."""
-    received = (s.shared_load.received_at for s in states)
+    received = [s.shared_load.received_at for s in states]
     return now - min(received, default=now) < SHARED_WORK_TTL_S
 
 
 def _count_slots(states: Iterable[TargetState]) -> int:
-    return sum(s.target.slots for s in states)
+    return sum([s.target.slots for s in states])
 
 
 def _choose_least_loaded(
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -16,7 +16,7 @@
     choose_target,
     find_early_readmissions,
 )
-from wasabitray_core.requests import Target
+from wasabitray_core.requests import LoadReport, Target
 from wasabitray_core.spillover import NO_SPILLOVER, Spillover
 
 NOW = 1_000.0
@@ -379,3 +379,43 @@
     for targets in (few, many):
         set_others_load(targets, south=1)
     assert count_calls(many) < count_calls(few) + 250
+
+
+def measure_plainly(state, now):
+    """Return a target's load and whether it has free capacity, as defined."""
+    in_use = state.busy - state.busy_long
+    in_use += max(state.busy_long, state.long_held)
+    shares = state.has_shared_load(now)
+    if shares:
+        in_use += state.others_attempts
+    load = in_use
+    if state.reported_load is not None:
+        age = now - state.reported_at
+        weight = max(0.0, 1.0 - age / placement.LOAD_REPORT_TTL_S)
+        load = max(in_use, state.reported_load.busy * weight)
+    is_new = state.probation or now < state.ramp_until
+    slots = 1 if is_new or state.is_readmitted(now) else state.target.slots
+    may_queue = shares and not state.is_readmitted(now)
+    allowed = placement.MAX_REQUESTS_PER_SLOT if may_queue else 1.0
+    return load, load + 1 <= slots * allowed + 1e-9
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_load_and_free_capacity_follow_their_definition(seed):
+    rng = random.Random(seed)
+    for state in make_random_states(rng, 100).values():
+        state.busy_long = rng.randrange(state.busy + 1)
+        state.long_held = rng.randrange(3)
+        if rng.random() < 0.5:
+            state.reported_load = LoadReport(rng.randrange(6), 0, 2)
+            state.reported_at = NOW - rng.choice([0.0, 0.1, 0.25, 0.3, 9.0])
+        measured = state.load(NOW), state.has_free_capacity(NOW)
+        assert measured == measure_plainly(state, NOW)
+
+
+# Guards against ever more calls for each target of the region.
+def test_choice_makes_few_calls_for_each_target():
+    few, many = make_states(south=10), make_states(south=110)
+    for targets in (few, many):
+        set_others_load(targets, south=1)
+    assert count_calls(many) - count_calls(few) <= 10 * 100
