Merge what is known of a crash with fewer counters

A broken connection becomes an item of every feed, some sixty a second at the large site, and nearly each is about a request that was not known before. Merging it and finding its new crashes took six counters; the items of a feed were also listed twice.

Records without crashes, or with the same, are now merged without counters. Tests compare both functions with their definition by counters, for all generated records.

--- a/packages/core/src/wasabitray_core/controllers/crashes.py
+++ b/packages/core/src/wasabitray_core/controllers/crashes.py
@@ -59,11 +59,9 @@
     """
     if known.epoch != other.epoch:
         return max(known, other, key=lambda r: r.epoch)
-    # The union of two counters has the larger count of each target.
-    crashes = Counter(known.targets) | Counter(other.targets)
     return replace(
         known,
-        targets=_sort(crashes),
+        targets=_merge_crashes(known.targets, other.targets),
         trials=max(known.trials, other.trials),
         unused_trials=max(known.unused_trials, other.unused_trials),
     )
@@ -89,5 +87,23 @@
     return replace(record, unused_trials=record.unused_trials + 1)
 
 
+def find_new_crashes(
+    record: Quarantine, known: Quarantine
+) -> frozenset[TargetId]:
+    """Return the targets with more crashes than are known of the request."""
+    if record.epoch != known.epoch or not known.targets:
+        return frozenset(record.targets)
+    return frozenset(Counter(record.targets) - Counter(known.targets))
+
+
+def _merge_crashes(
+    known: tuple[TargetId, ...], other: tuple[TargetId, ...]
+) -> tuple[TargetId, ...]:
+    """Return the larger count of crashes of each target."""
+    if not known or not other or known == other:
+        return tuple(sorted(known or other))
+    return _sort(Counter(known) | Counter(other))
+
+
 def _sort(crashes: Counter[TargetId]) -> tuple[TargetId, ...]:
     return tuple(sorted(crashes.elements()))
--- a/packages/core/src/wasabitray_core/controllers/quarantine.py
+++ b/packages/core/src/wasabitray_core/controllers/quarantine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
@@ -17,6 +17,7 @@
     add_crash,
     clear_crashes,
     count_unused_trial,
+    find_new_crashes,
     get_time_to_live,
     get_trial_wait,
     is_quarantined,
@@ -219,11 +220,9 @@
             return
         now = self._now()
         was_quarantined = suspect.is_quarantined
-        known_crashes = Counter(suspect.record.targets)
         if record.epoch != suspect.record.epoch:
             suspect.crashed_at.clear()
-            known_crashes.clear()
-        for target in Counter(record.targets) - known_crashes:
+        for target in find_new_crashes(record, suspect.record):
             suspect.crashed_at[target] = now
         suspect.record = record
         suspect.expires_at = Seconds(now + get_time_to_live(record))
--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -283,16 +283,18 @@
 
     def _apply_items(self, feed: Feed) -> None:
         """Pass the items of a feed to their controllers."""
-        self._unacked_items += sum(1 for _ in iterate_items(feed))
+        items = tuple(iterate_items(feed))
+        self._unacked_items += len(items)
         if feed.announcements:
             announcements = Announcements(feed.announcements)
             self._outbox.tell(ControllerName.TARGETS, announcements)
-        for item in iterate_items(feed):
-            if isinstance(item, EntryState):
+        for item in items:
+            kind = type(item)
+            if kind is EntryState:
                 continue
-            self._received_items[(type(item), get_subject(item))] = item
-            if not isinstance(item, Announcement):
-                self._outbox.tell(_CONTROLLER_BY_KIND[type(item)], item)
+            self._received_items[(kind, get_subject(item))] = item
+            if kind is not Announcement:
+                self._outbox.tell(_CONTROLLER_BY_KIND[kind], item)
 
     def _apply_entry_states(self, states: tuple[EntryState, ...]) -> None:
         """Store the states of the other entries that the hub sent."""
--- a/tests/core/controllers/test_crashes.py
+++ b/tests/core/controllers/test_crashes.py
@@ -1,11 +1,14 @@
 """What hosts know together of a request that crashed targets."""
 
+from collections import Counter
+
 from hypothesis import given
 from hypothesis import strategies as st
 
 from wasabitray_core.controllers.crashes import (
     add_crash,
     clear_crashes,
+    find_new_crashes,
     is_quarantined,
     merge_records,
 )
@@ -48,3 +51,20 @@
     items, _ = table.get_items_after(0, "e2", 0.2, 10)
     assert record.item in items
     assert table.put(Quarantine("f", ("t2",)), "e3", 0.3) is None
+
+
+@given(RECORDS, RECORDS)
+def test_merge_has_the_larger_count_of_each_targets_crashes(known, other):
+    merged = merge_records(known, other)
+    newest = max(known.epoch, other.epoch)
+    counts = [Counter(r.targets) for r in (known, other) if r.epoch == newest]
+    union = counts[0] | counts[-1]
+    assert merged.targets == tuple(sorted(union.elements()))
+
+
+@given(RECORDS, RECORDS)
+def test_new_crashes_are_those_beyond_the_known_count(record, known):
+    same = record.epoch == known.epoch
+    counted = Counter(known.targets) if same else Counter()
+    expected = Counter(record.targets) - counted
+    assert find_new_crashes(record, known) == set(expected)
