Tick controllers only when a change may be due

An idle entry woke up for ticks at which nothing was due: four a second for its targets, two for the addresses, which ignore them, and two for requests that wait for a first configuration.

Targets now tick when the next change is due, a quarter of a second after the last tick at the earliest and a second at the latest; a change is found no later than before, as tests with leases and ejections show. Configuration ticks each half second only while requests wait.

--- a/packages/core/src/wasabitray_core/controllers/addresses.py
+++ b/packages/core/src/wasabitray_core/controllers/addresses.py
@@ -54,6 +54,7 @@
     """Owns the list of entries that address responses are taken from."""
 
     name: ClassVar[ControllerName] = ControllerName.ADDRESSES
+    tick_interval_s = 60.0
 
     def __init__(
         self,
--- a/packages/core/src/wasabitray_core/controllers/configuration.py
+++ b/packages/core/src/wasabitray_core/controllers/configuration.py
@@ -61,6 +61,10 @@
 MAX_RECENT_CHANGES = 512
 # A host that lags behind a known revision for longer than this stops serving.
 MAX_LAG_S = 2.0
+# Interval of ticks while requests wait for the first configuration, and while
+# none does.
+WAITING_INTERVAL_S = 0.5
+IDLE_INTERVAL_S = 60.0
 RENDERED_CACHE_SIZE = 4_096
 
 
@@ -126,6 +130,13 @@
         self._caught_up_at: Seconds | None = None
         self._peers: tuple[HostId, ...] = ()
 
+    @property
+    def tick_interval_s(self) -> float:  # type: ignore[override]
+        """Seconds between ticks; short only while requests wait."""
+        return (
+            WAITING_INTERVAL_S if self._waiting_requests else IDLE_INTERVAL_S
+        )
+
     @property
     def revision(self) -> Revision:
         """The revision applied here, 0 if none."""
--- a/packages/core/src/wasabitray_core/controllers/targets.py
+++ b/packages/core/src/wasabitray_core/controllers/targets.py
@@ -39,6 +39,11 @@
 from wasabitray_core.states import EjectionPhase, TargetPhase
 
 DEFAULT_FLOOR = 1
+# A change that is due between two ticks waits this long at most.
+MIN_TICK_INTERVAL_S = 0.25
+MAX_TICK_INTERVAL_S = 1.0
+# A tick just before a change would not see it.
+CLOCK_MARGIN_S = 0.001
 # Version of an ejection decided on this host until the targets controller
 # assigns one to it.
 UNASSIGNED_VERSION = 0
@@ -64,7 +69,6 @@
     """
 
     name: ClassVar[ControllerName] = ControllerName.TARGETS
-    tick_interval_s = 0.25
 
     def __init__(self, context: Context, first_version: int) -> None:
         """Start without any target.
@@ -84,6 +88,14 @@
         # announced.
         self._review_at: dict[ServiceName, float] = {}
 
+    @property
+    def tick_interval_s(self) -> float:  # type: ignore[override]
+        """Seconds between ticks; short only if a change is due soon."""
+        expiries = (e.expires_at for e in self._ejections.values())
+        due = min((*self._review_at.values(), *expiries), default=math.inf)
+        remaining = due - self._now() + CLOCK_MARGIN_S
+        return min(MAX_TICK_INTERVAL_S, max(MIN_TICK_INTERVAL_S, remaining))
+
     @singledispatchmethod
     def receive(self, message: Any, origin: Origin) -> None:
         """Handle one message."""
--- a/tests/core/controllers/test_addresses.py
+++ b/tests/core/controllers/test_addresses.py
@@ -67,3 +67,8 @@
         "f2",
         "f3",
     }
+
+
+# Guards against wake-ups of each entry at which nothing is due.
+def test_ticks_are_rare(bed):
+    assert bed.controller.tick_interval_s >= 10.0
--- a/tests/core/controllers/test_configuration.py
+++ b/tests/core/controllers/test_configuration.py
@@ -8,6 +8,7 @@
 from support.tables import make_route, make_table
 
 from wasabitray_core.controllers.configuration import (
+    WAITING_INTERVAL_S,
     ConfigurationController,
 )
 from wasabitray_core.local_messages import (
@@ -27,6 +28,7 @@
 from wasabitray_core.states import IsolationPolicy, RefusalReason
 
 HUB = "c1"
+STARTUP_WAIT_S = 4.0
 ROUTES = ("a", "b", "c", "d")
 TEMPLATE = DocumentEdit(
     "template/t",
@@ -175,3 +177,20 @@
         for host in ("rota.example", "ROTA.Example", "rota.example:8381"):
             reply = entry.ask(ResolveRoute("", "GET", path, host))
             assert reply.route.name == name
+
+
+# Guards against wake-ups of each entry at which nothing is due.
+def test_ticks_are_rare_while_no_request_waits():
+    assert Entry(STARTUP_WAIT_S).controller.tick_interval_s >= 10.0
+
+
+def test_request_that_waits_is_answered_soon_after_the_wait():
+    entry = Entry(STARTUP_WAIT_S)
+    entry.clock.advance(0.2)
+    token = entry.start_ask(ResolveRoute("", "GET", "/read/x", "a"))
+    asked_at = entry.clock.now
+    while token not in entry.outbox.replies:
+        entry.tick(entry.controller.tick_interval_s)
+    waited = entry.clock.now - asked_at
+    assert waited <= STARTUP_WAIT_S - 0.2 + WAITING_INTERVAL_S
+    assert entry.controller.tick_interval_s >= 10.0
--- a/tests/core/controllers/test_targets.py
+++ b/tests/core/controllers/test_targets.py
@@ -6,6 +6,7 @@
 import pytest
 from support.fakes import ControllerBed
 
+from wasabitray_core.controllers.known_targets import WARM_UP_S
 from wasabitray_core.controllers.targets import (
     SUBSCRIBERS,
     TargetsController,
@@ -205,3 +206,49 @@
         new = make_hub_announcement(count)
         calls.append(count_calls(lambda b=bed, n=new: b.tell(n)))
     assert calls[1] <= 10 * calls[0]
+
+
+def run_ticks(bed, seconds):
+    """Tick as the controller's task does; return when, from now on."""
+    started, times = bed.clock.now, []
+    while bed.clock.now - started < seconds:
+        bed.tick(bed.controller.tick_interval_s)
+        times.append(bed.clock.now - started)
+    return times
+
+
+# Guards against wake-ups of each entry at which nothing is due.
+def test_ticks_are_rare_while_no_change_is_due():
+    bed = ControllerBed(TargetsController, 0)
+    bed.tell(Announcements((make_hub_announcement(1),)))
+    bed.tick(WARM_UP_S + 1.0)
+    assert len(run_ticks(bed, 10.0)) <= 11
+
+
+@pytest.mark.parametrize("offset_s", [0.0, 0.1, 0.13, 0.9])
+def test_quiet_target_is_found_when_its_lease_ends(offset_s):
+    bed = make_bed(2, floor=1)
+    bed.clock.advance(offset_s)
+    bed.tell(make_announcement("t0", 2))
+    renewed_at = bed.clock.now
+    while get_usable(bed) != {"t0"}:
+        bed.tick(bed.controller.tick_interval_s)
+    assert bed.clock.now - renewed_at <= LEASE_S - offset_s + 0.26
+    while get_usable(bed) == {"t0"} and bed.clock.now - renewed_at < 9.0:
+        bed.tick(bed.controller.tick_interval_s)
+    assert get_usable(bed) == {"t0"}  # the floor keeps it
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.3])
+def test_ejection_ends_no_later_than_a_quarter_second_after_it_is_due(
+    after_s,
+):
+    bed = ControllerBed(TargetsController, 0)
+    bed.tell(Announcements(tuple(make_hub_announcement(n) for n in (1, 2))))
+    bed.tick(WARM_UP_S + after_s)
+    name = make_hub_announcement(1).target
+    bed.tell(Ejection(name, "rota", 1, EjectionPhase.EJECTED, 2.6, "why"))
+    assert name not in get_usable(bed)
+    times = run_ticks(bed, 2.6)
+    assert name in get_usable(bed)
+    assert times[-1] <= 2.6 + 0.25
