Load only the controllers of a process's own role

Cause: assembly.py imported the controllers of all roles and topologies, so each of the entries loaded consensus, the hub, the stored files and the mesh's claims, grants and health, which it never runs.

Change: each kind of process has a module for its assembly (entry, control host, mesh), and app.py imports the one that the settings ask for.

test_start_of_an_entry_loads_no_controllers_of_other_roles failed before. Ran make check, tests/node, tests/platform, tests/core, tests/wire, tests/cli, and the scenarios of platform.feature (29 passed), configuration.feature and requests.feature (15 passed).

--- a/packages/node/src/wasabitray_node/app.py
+++ b/packages/node/src/wasabitray_node/app.py
@@ -17,7 +17,7 @@
     SetFlag,
     TransferLeadership,
 )
-from wasabitray_core.states import HostFlag, Role
+from wasabitray_core.states import HostFlag, Role, Topology
 from wasabitray_core.stopping import plan_stop
 from wasabitray_node.assembly import Assembly, exit_immediately, monotonic
 from wasabitray_node.callers import (
@@ -74,7 +74,9 @@
         """
         self._settings = settings
         self._interfaces = interfaces or native_interfaces(settings)
-        self._assembly = Assembly(settings, initialise or settings.initialise)
+        self._assembly = create_assembly(
+            settings, initialise or settings.initialise
+        )
         self._router = self._assembly.router
         self._metrics = Metrics(get_log_writer())
         self._requests = InFlightRequests()
@@ -230,6 +232,29 @@
         self._router.tell(ControllerName.MEMBERSHIP, leaving)
 
 
+def create_assembly(settings: Settings, initialise: bool) -> Assembly:
+    """Create the controllers that the role and the topology need.
+
+    Args:
+        settings: the validated settings.
+        initialise: whether an empty data folder becomes a founding member's.
+    """
+    # Imported here so that a start loads only the controllers of its role.
+    if settings.topology is Topology.MESH:
+        from wasabitray_node import mesh_assembly
+
+        if settings.role is Role.CONTROL:
+            return mesh_assembly.MeshControlAssembly(settings, initialise)
+        return mesh_assembly.MeshEntryAssembly(settings)
+    if settings.role is Role.CONTROL:
+        from wasabitray_node.control_assembly import ControlAssembly
+
+        return ControlAssembly(settings, initialise)
+    from wasabitray_node.entry_assembly import EntryAssembly
+
+    return EntryAssembly(settings)
+
+
 def enable_collector() -> None:
     """Enable the garbage collector, for objects that are made from now on.
 
--- /dev/null
+++ b/packages/node/src/wasabitray_node/entry_assembly.py
@@ -0,0 +1,35 @@
+"""The assembly of an entry in a fleet with hubs."""
+
+from __future__ import annotations
+
+from wasabitray_core.controllers.configuration import ConfigurationController
+from wasabitray_core.controllers.subscriber import (
+    EntryProfile,
+    SubscriberController,
+)
+from wasabitray_core.ids import FailureDomainName, RegionName
+from wasabitray_core.local_messages import ControllerName
+from wasabitray_node.assembly import Assembly
+
+
+class EntryAssembly(Assembly):
+    """The controllers of an entry."""
+
+    def _build_controllers(self) -> None:
+        settings = self._settings
+        profile = EntryProfile(
+            RegionName(settings.region),
+            FailureDomainName(settings.failure_domain),
+            settings.listen.callers or "",
+        )
+        self._add(SubscriberController, profile, self._first_counter)
+        self._add(
+            ConfigurationController,
+            (ControllerName.TARGETS,),
+            0,
+            settings.when_isolated,
+            settings.startup_wait_s,
+        )
+        self._add_dispatch()
+        if settings.listen.directory is not None:
+            self._add_addresses()
--- a/tests/node/test_daemon.py
+++ b/tests/node/test_daemon.py
@@ -39,6 +39,38 @@
 print(sorted({"prometheus_client"} & sys.modules.keys()))
 """
 
+# Prints which controllers of other roles an entry has loaded.
+ENTRY_SCRIPT = """
+import sys
+import wasabitray_platform.__main__
+from wasabitray_node.app import App
+from wasabitray_node.settings import Listeners, Settings
+from wasabitray_platform.servers import platform_interfaces
+listen = Listeners(
+    peers="127.0.0.1:7200",
+    operators="127.0.0.1:9100",
+    callers="127.0.0.1:8381",
+)
+settings = Settings(
+    host="127.0.0.1",
+    role="entry",
+    region="south",
+    failure_domain="hobart",
+    topology="hubs",
+    contacts=("127.0.0.2:8382",),
+    listen=listen,
+)
+app = App(settings, interfaces=platform_interfaces())
+package = "wasabitray_core.controllers."
+print(sorted(
+    name.removeprefix(package) for name in sys.modules
+    if name.startswith(package)
+    and name.removeprefix(package) in
+    {"claims", "consensus", "departures", "grants", "health", "hub",
+     "long_slots", "shared_work", "trials"}
+))
+"""
+
 
 def test_start_searches_no_packages_for_plugins():
     assert run(SCRIPT) == ["[]"]
@@ -52,6 +84,10 @@
     assert run(RARE_LIBRARIES_SCRIPT) == ["[]"]
 
 
+def test_start_of_an_entry_loads_no_controllers_of_other_roles():
+    assert run(ENTRY_SCRIPT) == ["[]"]
+
+
 def run(script):
     environment = {**os.environ, "PYTHONPATH": str(ROOT / "platform")}
     command = [sys.executable, "-c", script]
