Build a hub's own feed once for the hubs that lack the same

At each broadcast a hub looked through all items it knows, thousands at the large site, for each of fourteen other hubs, mostly to find that none of its own was new.

Hubs at the same position now get the same message, found once, and none is looked for while no item entered the fleet here after that position.

--- a/packages/core/src/wasabitray_core/controllers/feed_table.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_table.py
@@ -250,6 +250,7 @@
         self._host = host
         self._incarnation = incarnation
         self._position = FeedPosition(0)
+        self._own_position = FeedPosition(0)
         self._records: dict[Subject, FeedRecord] = {}
 
     @property
@@ -257,6 +258,11 @@
         """The position of the newest item."""
         return self._position
 
+    @property
+    def own_position(self) -> FeedPosition:
+        """The position of the newest item that entered the fleet here."""
+        return self._own_position
+
     @property
     def incarnation(self) -> Incarnation:
         """The incarnation of the hub that this feed belongs to."""
@@ -311,7 +317,7 @@
             del self._records[subject]  # the new record goes to the end
         self._position = FeedPosition(self._position + 1)
         if origin is None:
-            origin = FeedMark(self._host, self._incarnation, self._position)
+            origin = self._mark_own()
         expires_at = Seconds(now + get_lifetime(item))
         record = FeedRecord(
             item, self._position, origin, positions, sender, now, expires_at
@@ -325,9 +331,7 @@
         record = self._records.pop((kind, subject))
         self._position = FeedPosition(self._position + 1)
         record.position = self._position
-        record.origin = FeedMark(
-            self._host, self._incarnation, record.position
-        )
+        record.origin = self._mark_own()
         record.record_position(record.origin)
         record.sender = self._host
         self._records[(kind, subject)] = record
@@ -379,12 +383,15 @@
         if lost:
             self._position = FeedPosition(self._position + 1)
         for record in lost:
-            record.origin = FeedMark(
-                self._host, self._incarnation, self._position
-            )
+            record.origin = self._mark_own()
             record.record_position(record.origin)
         return bool(lost)
 
+    def _mark_own(self) -> FeedMark:
+        """Return the mark of an item that enters the fleet here now."""
+        self._own_position = self._position
+        return FeedMark(self._host, self._incarnation, self._position)
+
     def get_items_after(
         self,
         position: FeedPosition,
--- a/packages/core/src/wasabitray_core/controllers/hub.py
+++ b/packages/core/src/wasabitray_core/controllers/hub.py
@@ -218,8 +218,7 @@
             if not self._ticks % HUB_LIST_INTERVAL_TICKS:
                 self._send_hub_list(host)
         self._send_to_entries(heartbeat=True)
-        for host, hub in self._hubs.items():
-            self._send_to_hub(host, hub)
+        self._send_to_hubs()
         self._record_broadcast(now)
         self._publish()
 
@@ -457,8 +456,7 @@
         """Send new items to the entries and the other hubs."""
         self._record_broadcast(self._now())
         self._send_to_entries()
-        for host, hub in self._hubs.items():
-            self._send_to_hub(host, hub)
+        self._send_to_hubs()
         self._publish_entries()
 
     def _send_to_entries(self, heartbeat: bool = False) -> None:
@@ -527,20 +525,45 @@
         )
         return FeedPart(items, reached)
 
-    def _send_to_hub(self, host: HostId, hub: PeerHub) -> None:
-        """Send another hub the new items that entered the fleet here."""
-        now = self._now()
+    def _send_to_hubs(self) -> None:
+        """Send all other hubs what they lack; most get the same message."""
+        feeds: dict[FeedPosition, Feed | None] = {}
+        for host, hub in self._hubs.items():
+            self._send_to_hub(host, hub, feeds)
+
+    def _send_to_hub(
+        self,
+        host: HostId,
+        hub: PeerHub,
+        feeds: dict[FeedPosition, Feed | None] | None = None,
+    ) -> None:
+        """Send another hub the new items that entered the fleet here.
+
+        Args:
+            host: the hub.
+            hub: its state.
+            feeds: what other hubs get at the same time, by their position.
+        """
         sent = hub.reader.sent
-        if sent >= self._table.position:
+        if sent >= self._table.own_position:
+            return
+        known = {} if feeds is None else feeds
+        if sent not in known:
+            known[sent] = self._build_own_feed(sent)
+        feed = known[sent]
+        if feed is None:
             return
+        self._outbox.send(host, feed)
+        count = sum(1 for _ in iterate_items(feed))
+        hub.reader.record_sent(feed.position, count, self._now())
+
+    def _build_own_feed(self, sent: FeedPosition) -> Feed | None:
+        """Return the items that entered the fleet here, None without any."""
         mark = FeedMark(self.host, self._table.incarnation, sent)
-        items = self._table.get_items_after_mark(mark, now)
+        items = self._table.get_items_after_mark(mark, self._now())
         if not items:
-            return
-        self._outbox.send(
-            host, self._build_feed(mark, self._table.position, items, False)
-        )
-        hub.reader.record_sent(self._table.position, len(items), now)
+            return None
+        return self._build_feed(mark, self._table.position, items, False)
 
     def _renew_hub_lists(self, now: Seconds) -> None:
         """Send the changed list of hubs to the entries soon.
--- a/tests/core/controllers/test_feed_table.py
+++ b/tests/core/controllers/test_feed_table.py
@@ -113,3 +113,25 @@
                 assert (part.items, part.reached) == (items, reached)
             else:
                 assert len(items) < len(part.items)
+
+
+@pytest.mark.parametrize("seed", range(50))
+def test_no_item_that_entered_the_fleet_here_is_beyond_the_own_position(seed):
+    rng = random.Random(seed)
+    table = FeedTable("c1", "run-1")
+    for number in range(60):
+        report = TargetReport(
+            f"t-{rng.randrange(20)}", number, 12.0, ReportKind.BROKEN
+        )
+        mark = FeedMark("c2", rng.choice(["old", "new"]), number)
+        table.put(report, "e1", 0.0, rng.choice([None, mark]))
+        if rng.random() < 0.1 and table.find(TargetReport, "t-3"):
+            table.republish(TargetReport, "t-3")
+        if rng.random() < 0.1:
+            table.adopt("c2", "new")
+        mark = FeedMark("c1", "run-1", table.own_position)
+        assert table.get_items_after_mark(mark, 1.0) == []
+        if table.own_position:
+            before = FeedMark("c1", "run-1", table.own_position - 1)
+            newest = table.get_items_after_mark(before, 1.0)
+            assert newest or table.own_position < table.position
--- a/tests/core/controllers/test_hub.py
+++ b/tests/core/controllers/test_hub.py
@@ -286,6 +286,29 @@
     assert len({id(feed) for feed in feeds}) == 1
 
 
+# Guards against a look at the whole feed for each of many hubs.
+def test_hubs_that_lack_the_same_items_get_one_message(monkeypatch):
+    bed = hub_bed()
+    hubs = [f"c{number}" for number in range(2, 12)]
+    for host in hubs:
+        bed.receive(host, hub_presence())
+    bed.clock.advance(1.0)
+    bed.tick()
+    bed.outbox.sent.clear()
+    looks = []
+    look = bed.controller.table.get_items_after_mark
+    monkeypatch.setattr(
+        bed.controller.table,
+        "get_items_after_mark",
+        lambda mark, now: looks.append(mark) or look(mark, now),
+    )
+    bed.clock.advance(0.1)
+    bed.receive("e1", News(reports=(COOL_DOWN,)))
+    feeds = [f for h in hubs for f in get_feeds_sent_to(bed, h) if f.reports]
+    assert len(feeds) == len(hubs)
+    assert len({id(feed) for feed in feeds}) == len(looks) == 1
+
+
 def test_feed_is_forwarded_to_a_third_hub_that_lags():
     bed = hub_bed("c1", "c2", "c3")
     for host in ("c2", "c3"):
