Find a hub's entries without a look at its whole feed

A hub publishes the entries at each broadcast, about twelve times a second, and looked through all items of its feed for them, also those of thousands of broken connections.

The feed keeps its records by kind too, in the same order, and drops expired records one by one instead of copying all others twice a second.

The test that counts lines failed before; another one compares the items of a kind with the whole feed after random changes.

--- a/packages/core/src/wasabitray_core/controllers/feed_table.py
+++ b/packages/core/src/wasabitray_core/controllers/feed_table.py
@@ -252,6 +252,7 @@
         self._position = FeedPosition(0)
         self._own_position = FeedPosition(0)
         self._records: dict[Subject, FeedRecord] = {}
+        self._by_kind: dict[type, dict[Subject, FeedRecord]] = {}
 
     @property
     def position(self) -> FeedPosition:
@@ -274,11 +275,8 @@
 
     def get_items_of_kind(self, kind: type) -> list[FeedItem]:
         """Return all items of a kind."""
-        return [
-            record.item
-            for (k, _), record in self._records.items()
-            if k is kind
-        ]
+        records = self._by_kind.get(kind, {})
+        return [record.item for record in records.values()]
 
     def put(
         self,
@@ -314,7 +312,7 @@
             if combined != item:
                 item, sender = combined, self._host  # new to the sender too
             positions = known.positions
-            del self._records[subject]  # the new record goes to the end
+            self._remove(subject)  # the new record goes to the end
         self._position = FeedPosition(self._position + 1)
         if origin is None:
             origin = self._mark_own()
@@ -323,18 +321,28 @@
             item, self._position, origin, positions, sender, now, expires_at
         )
         record.record_position(origin)
-        self._records[subject] = record
+        self._append(subject, record)
         return record
 
+    def _append(self, subject: Subject, record: FeedRecord) -> None:
+        """Store a record at the feed's end."""
+        self._records[subject] = record
+        self._by_kind.setdefault(subject[0], {})[subject] = record
+
+    def _remove(self, subject: Subject) -> FeedRecord:
+        """Remove and return a record."""
+        del self._by_kind[subject[0]][subject]
+        return self._records.pop(subject)
+
     def republish(self, kind: type, subject: str) -> FeedPosition:
         """Move an item to the feed's end as if it had originated here."""
-        record = self._records.pop((kind, subject))
+        record = self._remove((kind, subject))
         self._position = FeedPosition(self._position + 1)
         record.position = self._position
         record.origin = self._mark_own()
         record.record_position(record.origin)
         record.sender = self._host
-        self._records[(kind, subject)] = record
+        self._append((kind, subject), record)
         return record.position
 
     def adopt(self, hub: HostId, incarnation: Incarnation) -> bool:
@@ -475,11 +483,13 @@
 
     def expire(self, now: Seconds) -> None:
         """Drop the items whose lifetime is over."""
-        self._records = {
-            subject: record
+        expired = [
+            subject
             for subject, record in self._records.items()
-            if not record.is_expired(now)
-        }
+            if record.is_expired(now)
+        ]
+        for subject in expired:
+            self._remove(subject)
 
     def __len__(self) -> int:
         return len(self._records)
--- a/tests/core/controllers/test_feed_table.py
+++ b/tests/core/controllers/test_feed_table.py
@@ -1,10 +1,11 @@
 """Reading a feed in parts."""
 
 import random
+import sys
 
 import pytest
 
-from wasabitray_core.controllers.feed_table import FeedTable
+from wasabitray_core.controllers.feed_table import FeedTable, get_subject
 from wasabitray_core.messages import FeedMark, Quarantine, TargetReport
 from wasabitray_core.states import ReportKind
 
@@ -135,3 +136,50 @@
             before = FeedMark("c1", "run-1", table.own_position - 1)
             newest = table.get_items_after_mark(before, 1.0)
             assert newest or table.own_position < table.position
+
+
+def put_random_items(rng, table, count):
+    """Put reports and crashes into a table; move and expire some."""
+    for number in range(count):
+        name = f"n-{rng.randrange(20)}"
+        report = TargetReport(name, number, 12.0, ReportKind.BROKEN)
+        crash = Quarantine(name, (f"i-{number}",))
+        now = number / 2
+        table.put(rng.choice([report, crash]), "e1", now)
+        if table.find(TargetReport, "n-3"):
+            table.republish(TargetReport, "n-3")
+        if rng.random() < 0.2:
+            table.expire(now)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_items_of_a_kind_are_those_in_the_table_in_its_order(seed):
+    table = FeedTable("c1", "run-1")
+    put_random_items(random.Random(seed), table, 80)
+    items, _ = table.get_items_after(0, "e9", 0.0, 1_000)
+    for kind in (TargetReport, Quarantine):
+        found = [get_subject(i) for i in table.get_items_of_kind(kind)]
+        listed = [get_subject(i) for i in items if isinstance(i, kind)]
+        assert found == listed
+
+
+# Guards against a look at all items each time that entries are published.
+def test_items_of_a_kind_cost_the_same_beside_more_of_another():
+    def count_lines(crashes):
+        table, count = FeedTable("c1", "run-1"), 0
+        for number in range(crashes):
+            table.put(Quarantine(f"r-{number}", ("i-1",)), "e1", 0.0)
+
+        def trace(frame, event, arg):
+            nonlocal count
+            count += event == "line"
+            return trace
+
+        sys.settrace(trace)
+        try:
+            table.get_items_of_kind(TargetReport)
+        finally:
+            sys.settrace(None)
+        return count
+
+    assert count_lines(500) == count_lines(5)
