Serve the heads and idle times that a configuration allows

A configuration may let callers send more than 262,144 bytes of head, or stay idle for more than 75 s. It was accepted and never reached the listener, which refused such heads with 414 or 431, statuses after which callers don't retry, and closed connections that callers may still use.

Change: a controller gives the listener for callers the limits of each configuration that is applied. The listener's own limits remain the lowest: a configuration that allows less is not enforced, as before.

--- a/packages/core/src/wasabitray_core/local_messages.py
+++ b/packages/core/src/wasabitray_core/local_messages.py
@@ -69,6 +69,7 @@
     SHARED_WORK = "shared-work"
     DEPARTURES = "departures"
     DIRECTORY = "directory"
+    LISTENERS = "listeners"
 
 
 class Tick(Struct, frozen=True):
--- a/packages/node/src/wasabitray_node/app.py
+++ b/packages/node/src/wasabitray_node/app.py
@@ -85,6 +85,7 @@
         self._servers: list[NoDelayServer] = [self._build_operators()]
         if settings.role is Role.ENTRY:
             self._callers_server = self._build_callers()
+            self._assembly.listeners.add(self._callers_server)
             self._servers.append(self._callers_server)
         parts = ServerParts(settings, self._router, self._is_ready)
         self._servers += self._interfaces.build_servers(parts)
--- a/packages/node/src/wasabitray_node/entry_assembly.py
+++ b/packages/node/src/wasabitray_node/entry_assembly.py
@@ -10,6 +10,7 @@
 from wasabitray_core.ids import FailureDomainName, RegionName
 from wasabitray_core.local_messages import ControllerName
 from wasabitray_node.assembly import Assembly
+from wasabitray_node.listeners import ListenersController
 
 
 class EntryAssembly(Assembly):
@@ -25,11 +26,12 @@
         self._add(SubscriberController, profile, self._first_counter)
         self._add(
             ConfigurationController,
-            (ControllerName.TARGETS,),
+            (ControllerName.TARGETS, ControllerName.LISTENERS),
             0,
             settings.when_isolated,
             settings.startup_wait_s,
         )
         self._add_dispatch()
+        self._add(ListenersController, self.listeners)
         if settings.listen.directory is not None:
             self._add_addresses()
--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -37,8 +37,8 @@
 USER_TIMEOUT_MS = 10_000
 DEFAULT_IDLE_TIMEOUT_S = 75.0
 MAX_LOGGED_ERROR = 200
-# Bounds what a connection keeps in memory. What callers may send is stated by
-# the configuration, by default a quarter of this.
+# Bounds what a connection keeps in memory, unless the configuration lets
+# callers send more; by default it states a quarter of this.
 MAX_HEAD_BYTES = 262_144
 # What a caller still sends is read for this long after the last response on
 # its connection, and until nothing has come for the shorter time.
@@ -160,7 +160,7 @@
     def _read_fields(self, file: Any) -> bytes:
         """Return the lines after the request line, up to an empty one."""
         lines = []
-        left = MAX_HEAD_BYTES - len(self.requestline)
+        left = self.server.max_head_bytes - len(self.requestline)
         while True:
             line = file.readline(left + 1)
             left -= len(line)
@@ -212,7 +212,7 @@
         Raises:
             OSError: the connection ended before the head.
         """
-        if len(line) > MAX_HEAD_BYTES:
+        if len(line) > self.server.max_head_bytes:
             return 414, _build_refusal("414 URI Too Long")
         if not line.endswith("\n"):
             raise _HeadCutOffError("in the request line")
@@ -248,7 +248,7 @@
         self.server.record_idle(self)
         try:
             with gevent.Timeout(self.server.idle_timeout_s, False):
-                line = self.rfile.readline(MAX_HEAD_BYTES + 1)
+                line = self.rfile.readline(self.server.max_head_bytes + 1)
                 return line.decode("latin-1")
         except _IdleConnectionEndedError:
             pass  # the connection is closed as after the idle timeout
@@ -335,9 +335,11 @@
         idle_timeout_s: seconds after which a connection is closed that is
             idle, or whose request line doesn't end; after it, the rest of
             the head may take as long again.
+        max_head_bytes: largest size of a request's head.
     """
 
     idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
+    max_head_bytes = MAX_HEAD_BYTES
 
     def __init__(self, *args: Any, **options: Any) -> None:
         """Create the server; it has no connections yet."""
--- a/packages/node/src/wasabitray_node/mesh_assembly.py
+++ b/packages/node/src/wasabitray_node/mesh_assembly.py
@@ -16,6 +16,7 @@
 from wasabitray_core.states import HostFlag
 from wasabitray_node.assembly import Assembly
 from wasabitray_node.control_assembly import ControlAssembly
+from wasabitray_node.listeners import ListenersController
 from wasabitray_node.storage import Storage
 
 
@@ -63,6 +64,7 @@
         )
         audience = (
             ControllerName.DIRECTORY,
+            ControllerName.LISTENERS,
             ControllerName.ADDRESSES,
             ControllerName.TARGETS,
             ControllerName.HEALTH,
@@ -76,3 +78,4 @@
         self._add(ClaimsController)
         self._add(GrantsController, Incarnation(secrets.token_hex(12)))
         self._add(LongSlotsController)
+        self._add(ListenersController, self.listeners)
