Test that a configuration's limits reach an entry's listener

The settings' section of addresses has the name Listeners already, so the listeners for callers are CallerListeners.

--- a/packages/node/src/wasabitray_node/assembly.py
+++ b/packages/node/src/wasabitray_node/assembly.py
@@ -33,7 +33,7 @@
 from wasabitray_core.states import Topology
 from wasabitray_node.fleet_directory import DirectoryController
 from wasabitray_node.links import PeerLinks
-from wasabitray_node.listeners import Listeners
+from wasabitray_node.listeners import CallerListeners
 from wasabitray_node.logs import flush_logs, log_error
 from wasabitray_node.settings import Settings, split_address
 from wasabitray_node.tasks import ControllerTask, Router, TaskOutbox
@@ -79,7 +79,7 @@
             split_address(settings.listen.peers)[0],
         )
         self.router.connect_peers(self.links.send)
-        self.listeners = Listeners()
+        self.listeners = CallerListeners()
         self._files: list[DiskFile] = []
         self._build_controllers()
         self._add(DirectoryController, self.links)
--- a/packages/node/src/wasabitray_node/listeners.py
+++ b/packages/node/src/wasabitray_node/listeners.py
@@ -22,7 +22,7 @@
 )
 
 
-class Listeners:
+class CallerListeners:
     """The listeners for callers."""
 
     def __init__(self) -> None:
@@ -54,7 +54,7 @@
     name: ClassVar[ControllerName] = ControllerName.LISTENERS
     tick_interval_s = 60.0
 
-    def __init__(self, context: Context, listeners: Listeners) -> None:
+    def __init__(self, context: Context, listeners: CallerListeners) -> None:
         """Initialise with the listeners."""
         super().__init__(context)
         self._listeners = listeners
--- a/tests/node/test_assembly.py
+++ b/tests/node/test_assembly.py
@@ -1,13 +1,23 @@
-"""What follows when a task can't write to disk."""
+"""The tasks of a process, and what follows if one can't write to disk."""
 
 import errno
 
+import gevent
 import pytest
 
+from wasabitray_core.messages import ConfigState
+from wasabitray_core.route_table import (
+    LIMITS_KEY,
+    VERSION_KEY,
+    TrafficLimits,
+)
 from wasabitray_node import assembly
+from wasabitray_node.app import create_assembly
 from wasabitray_node.control_assembly import handle_sync_error
 from wasabitray_node.departure_file import DepartureFile
+from wasabitray_node.http import build_server
 from wasabitray_node.quarantine_file import QuarantineFile
+from wasabitray_node.settings import Settings
 from wasabitray_node.storage import Storage
 
 NO_SPACE = OSError(errno.ENOSPC, "no space left")
@@ -33,3 +43,40 @@
 def test_process_goes_on_if_quarantines_cannot_be_stored(tmp_path, ends):
     handle_sync_error(QuarantineFile(tmp_path), NO_SPACE)
     assert ends == []
+
+
+ENTRY = {
+    "host": "e1",
+    "role": "entry",
+    "region": "south",
+    "failure_domain": "hobart",
+    "trusted_network": True,
+    "seeds": {"c1": "127.0.0.1:1"},
+    "listen": {
+        "peers": "127.0.0.1:7000",
+        "operators": "127.0.0.1:7001",
+        "callers": "127.0.0.1:7002",
+        "targets": "127.0.0.1:7003",
+    },
+}
+DOCUMENTS = {
+    LIMITS_KEY: TrafficLimits(max_header_bytes=400_000).model_dump_json(),
+    VERSION_KEY: '{"version": 3}',
+}
+DEADLINE_S = 5.0
+
+
+@pytest.mark.parametrize("topology", ["hubs", "mesh"])
+def test_limits_of_a_configuration_reach_the_listener(topology):
+    settings = Settings.model_validate({**ENTRY, "topology": topology})
+    entry = create_assembly(settings, initialise=False)
+    server = build_server(settings.listen.callers, lambda *_: [])
+    entry.listeners.add(server)
+    tasks = entry.router.start()
+    entry.router.receive("c1", ConfigState(5, DOCUMENTS))
+    try:
+        with gevent.Timeout(DEADLINE_S):
+            while server.max_head_bytes != 400_000:
+                gevent.sleep(0.01)
+    finally:
+        gevent.killall(tasks)
--- a/tests/node/test_listeners.py
+++ b/tests/node/test_listeners.py
@@ -15,7 +15,7 @@
     MAX_HEAD_BYTES,
     build_server,
 )
-from wasabitray_node.listeners import Listeners, ListenersController
+from wasabitray_node.listeners import CallerListeners, ListenersController
 
 DEADLINE_S = 5.0
 
@@ -39,7 +39,7 @@
 
 @pytest.fixture
 def bed(server):
-    listeners = Listeners()
+    listeners = CallerListeners()
     listeners.add(server)
     return ControllerBed(ListenersController, listeners)
 
