Forget expired items that an entry received from its hub

Seen by nobody yet: an entry's memory grows with each broken connection of the fleet, some sixty items a second at 276 entries, until its hub restarts; with a limit of 200 MB it ends after hours of failures. Cause: the items that an entry received, which it doesn't send back, were kept for ever since a restarted hub needs them again.

--- a/packages/core/src/wasabitray_core/controllers/subscriber.py
+++ b/packages/core/src/wasabitray_core/controllers/subscriber.py
@@ -15,13 +15,11 @@
 )
 from wasabitray_core.controllers.feed_readers import WINDOW_ITEMS
 from wasabitray_core.controllers.feed_table import (
-    FeedItem,
-    Subject,
-    get_subject,
     iterate_items,
     select_by_kind,
 )
 from wasabitray_core.controllers.hub_choice import HubChoice
+from wasabitray_core.controllers.received_items import ReceivedItems
 from wasabitray_core.ids import (
     FailureDomainName,
     FeedPosition,
@@ -134,7 +132,7 @@
         self._last_hub_contact = context.clock()
         self._last_leader_contact = context.clock()
         self._next_review_at = context.clock()
-        self._received_items: dict[Subject, FeedItem] = {}
+        self._received_items = ReceivedItems()
         self._entry_states: dict[HostId, EntryState] = {}
         self._are_entries_published = False
         self._entry_count = 0
@@ -203,8 +201,7 @@
     @receive.register
     def _(self, message: Broadcast, origin: Origin) -> None:
         item = message.item
-        subject = (type(item), get_subject(item))
-        if self._hub is None or self._received_items.get(subject) == item:
+        if self._hub is None or item in self._received_items:
             return  # there is no hub, or the item came from it
         update = News(
             select_by_kind((item,), Announcement),
@@ -283,6 +280,7 @@
 
     def _apply_items(self, feed: Feed) -> None:
         """Pass the items of a feed to their controllers."""
+        now = self._now()
         items = tuple(iterate_items(feed))
         self._unacked_items += len(items)
         if feed.announcements:
@@ -292,7 +290,7 @@
             kind = type(item)
             if kind is EntryState:
                 continue
-            self._received_items[(kind, get_subject(item))] = item
+            self._received_items.add(item, now)
             if kind is not Announcement:
                 self._outbox.tell(_CONTROLLER_BY_KIND[kind], item)
 
