Send a request between two times that a stop's test asks for

Seen: "Callers go on until a stopping entry exits", 2.8 s, failed once (0.48 s where 0.5 s are asked), beside other scenarios. Cause, by the entry's log: an entry with 6 s for a stop takes requests with a deadline of 4 s for 0.98 s. The callers began half a second apart, so requests came 0.45 and 0.95 s after the stop plus their delay; with one of 30 to 50 ms the first came before 0.5 s and the next after 0.98 s. Change: callers begin 0.4 s apart, so a request comes at 0.75 s, far from both. The bounds are the same.

--- a/tests/features/steps/platform_stop_steps.py
+++ b/tests/features/steps/platform_stop_steps.py
@@ -17,6 +17,9 @@
 
 CALLERS = 6
 PAUSE_S = 0.15
+# So that some request of 2.8 s begins 0.5 to 0.98 s after a stop, the last
+# time at which it is taken.
+CALLER_OFFSET_S = 0.4
 UPLOAD_PIECES = 25
 UPLOAD_PIECE_BYTES = 4_000
 _numbers = itertools.count()
@@ -120,7 +123,10 @@
         SteadyCaller(fleet.caller_address("e1"), n % 2 == 0, send_one)
         for n in range(CALLERS)
     ]
-    jobs = [gevent.spawn_later(n / 2, c.run) for n, c in enumerate(callers)]
+    jobs = [
+        gevent.spawn_later(n * CALLER_OFFSET_S, c.run)
+        for n, c in enumerate(callers)
+    ]
     gevent.sleep(seconds)
     fleet.processes["e1"].signal(signal.SIGTERM)
     context.changed_at = time.monotonic()
