--- a/tests/core/controllers/consensus/operators.py
+++ b/tests/core/controllers/consensus/operators.py
@@ -1,4 +1,4 @@
-"""An operator who sends route tables to simulated control hosts."""
+"""Operators who call simulated control hosts."""
 
 from __future__ import annotations
 
@@ -10,8 +10,9 @@
 from support.tables import make_route, make_table
 
 from wasabitray_core.errors import NotLeaderError
-from wasabitray_core.ids import HostId
-from wasabitray_core.local_messages import ReplaceTable
+from wasabitray_core.ids import ConfigVersion, HostId
+from wasabitray_core.local_messages import ReadDocuments, ReplaceTable
+from wasabitray_core.route_table import get_table_version
 
 CALL_TIMEOUT_S = 1.0
 MAX_REDIRECTS = 2
@@ -20,44 +21,40 @@
 PATH_S = 0.015
 
 
-class Order:
-    """A table on its way; sent to host after host until acknowledged."""
+class Errand:
+    """Something sent to host after host until one of them does it."""
 
-    def __init__(self, network: TimedNetwork, version: int, seed: int):
-        self.network, self.version = network, version
+    def __init__(self, network: TimedNetwork, seed: int | str):
+        self.network = network
         self.random = random.Random(seed)
         self.sent_at = network.clock.now
-        self.acknowledged_at: float | None = None
+        self.ended_at: float | None = None
         self.backoff = BACKOFF_FIRST_S
         self.call_count = 0
         self.steps: list[tuple[float, HostId, str]] = []
         self.try_next()
 
-    def get_wait(self, since: float, until: float) -> float:
-        """Return how long of a period it had no acknowledgement."""
-        acknowledged_at = self.acknowledged_at or until
-        return min(acknowledged_at, until) - max(self.sent_at, since)
+    def make_message(self) -> Any:
+        raise NotImplementedError
+
+    def end(self, value: Any) -> None:
+        self.ended_at = self.network.clock.now
 
     def try_next(self) -> None:
-        if self.acknowledged_at is None:
+        if self.ended_at is None:
             self.call(self.random.choice(self.network.listed), MAX_REDIRECTS)
 
     def call(self, host: HostId, redirects_left: int) -> None:
         self.call_count += 1
         number = self.call_count
         network = self.network
-        change = ReplaceTable(
-            f"c-{self.version}-{number}",
-            "ann",
-            "",
-            make_table(self.version, make_route("r")),
-        )
+        message = self.make_message()
 
         def reach() -> None:
             if network.hosts[host].is_ended:
                 network.after(PATH_S, lambda: self.fail(number, host, "dead"))
             else:
-                network.ask(host, change, reply)
+                network.ask(host, message, reply)
 
         def reply(result: Any) -> None:
             network.after(
@@ -73,21 +70,21 @@
     def finish(
         self, number: int, host: HostId, redirects_left: int, result: Any
     ) -> None:
-        if number != self.call_count or self.acknowledged_at is not None:
+        if number != self.call_count or self.ended_at is not None:
             return
         if isinstance(result, Ok):
-            self.acknowledged_at = self.network.clock.now
-            self.log(host, "acknowledged")
+            self.end(result.ok_value)
+            self.log(host, "done")
             return
         error = result.err_value
         if isinstance(error, NotLeaderError) and error.peer and redirects_left:
             self.log(host, f"redirected to {error.peer}")
-            self.call(error.peer, redirects_left - 1)
+            self.call(HostId(error.peer), redirects_left - 1)
         else:
             self.fail(number, host, str(error))
 
     def fail(self, number: int, host: HostId, reason: str) -> None:
-        if number != self.call_count or self.acknowledged_at is not None:
+        if number != self.call_count or self.ended_at is not None:
             return
         self.call_count += 1
         self.log(host, reason)
@@ -97,3 +94,45 @@
     def log(self, host: HostId, step: str) -> None:
         now = round(self.network.clock.now, 2)
         self.steps.append((now, host, step))
+
+
+class Order(Errand):
+    """A table on its way; sent to host after host until acknowledged."""
+
+    def __init__(self, network: TimedNetwork, version: int, seed: int | str):
+        self.version = version
+        super().__init__(network, seed)
+
+    @property
+    def acknowledged_at(self) -> float | None:
+        return self.ended_at
+
+    def get_wait(self, since: float, until: float) -> float:
+        """Return how long of a period it had no acknowledgement."""
+        acknowledged_at = self.acknowledged_at or until
+        return min(acknowledged_at, until) - max(self.sent_at, since)
+
+    def make_message(self) -> ReplaceTable:
+        return ReplaceTable(
+            f"c-{self.version}-{self.call_count}",
+            "ann",
+            "",
+            make_table(self.version, make_route("r")),
+        )
+
+
+class Reading(Errand):
+    """A read of the configuration.
+
+    Attributes:
+        version: the version that was read, None until then.
+    """
+
+    version: ConfigVersion | None = None
+
+    def make_message(self) -> ReadDocuments:
+        return ReadDocuments()
+
+    def end(self, value: Any) -> None:
+        super().end(value)
+        self.version = get_table_version(value.documents)
--- /dev/null
+++ b/tests/core/controllers/consensus/test_replaced_hosts.py
@@ -0,0 +1,66 @@
+"""Control hosts that are replaced by others at new addresses.
+
+Set WASABITRAY_SEEDS to run other seeds, for example 100-200.
+"""
+
+import os
+
+import pytest
+from core.controllers.consensus.schedules import (
+    FIVE,
+    NINE,
+    SIX,
+    Removal,
+    Schedule,
+)
+
+HOWS = {
+    "kill": Removal.KILL,
+    "stop": Removal.STOP,
+    "successor first": Removal.STOP_AFTER_SUCCESSOR,
+}
+ORDERS = {
+    "leader first": Schedule.find_leader,
+    "oldest first": Schedule.find_oldest,
+}
+
+
+def seeds():
+    first, _, last = os.environ.get("WASABITRAY_SEEDS", "1-3").partition("-")
+    return range(int(first), int(last or first) + 1)
+
+
+# Guards against voters that are gone and make up a majority of the group.
+@pytest.mark.parametrize("count", (3, 4, 5))
+@pytest.mark.parametrize("order", ORDERS)
+@pytest.mark.parametrize("how", HOWS)
+def test_configuration_is_read_back_after_hosts_were_replaced_one_by_one(
+    how, order, count
+):
+    for seed in seeds():
+        schedule = Schedule(FIVE, seed)
+        for _ in range(count):
+            schedule.await_room()
+            schedule.replace(ORDERS[order](schedule), HOWS[how])
+            schedule.send_order()
+        schedule.check()
+
+
+@pytest.mark.parametrize(
+    ("site", "pairs"),
+    ((SIX, 2), (SIX, 3), (NINE, 2), (NINE, 4)),
+    ids=("2 of six", "3 of six", "2 of nine", "4 of nine"),
+)
+@pytest.mark.parametrize("order", ORDERS)
+@pytest.mark.parametrize("how", ("kill", "stop"))
+def test_configuration_is_read_back_after_hosts_were_replaced_two_by_two(
+    how, order, site, pairs
+):
+    for seed in seeds():
+        schedule = Schedule(site, seed)
+        for _ in range(pairs):
+            schedule.await_room(2)
+            for _ in range(2):
+                schedule.replace(ORDERS[order](schedule), HOWS[how])
+            schedule.send_order()
+        schedule.check()
--- a/tests/core/controllers/consensus/timed_network.py
+++ b/tests/core/controllers/consensus/timed_network.py
@@ -126,7 +126,7 @@
         self.controller = ConsensusController(
             context,
             disk.member.member,
-            tuple(network.names),
+            network.get_contacts(self.name),
             disk.ballot,
             disk.snapshot,
             tuple(disk.records),
@@ -160,6 +160,7 @@
                 if ticks:
                     continue  # a late timer runs once
             self.controller.receive(message, origin)
+        self.network.observe(self)
         items = list(self.outbox.persisted)
         sent, replies = list(self.outbox.sent), dict(self.outbox.replies)
         for kept in (self.outbox.persisted, self.outbox.sent):
@@ -250,6 +251,10 @@
 
     # Paths
 
+    def get_contacts(self, name: HostId) -> tuple[HostId, ...]:
+        """Return the control hosts that a host's settings name."""
+        return tuple(self.names)
+
     def get_path_s(self, one: HostId, other: HostId) -> float:
         regions = {self.names.index(h) % REGIONS for h in (one, other)}
         return WITHIN_REGION_S if len(regions) == 1 else BETWEEN_REGIONS_S
@@ -313,3 +318,6 @@
         token = ReplyToken(self.token_count)
         self.pending[token] = on_reply
         self.hosts[name].put(message, Origin(reply_token=token))
+
+    def observe(self, host: Host) -> None:
+        """Look at a host that has handled messages."""
