Log who votes, who is silent and what a redirection rests on

Members log each change of the group, the leader logs voters that fall silent or are heard again, and the lines of an order that was redirected or not served have the host's role, term, voters, those that it heard lately and the age of its contact with the leader. The status has the same.

--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -152,6 +152,8 @@
         self._read_queue = ReadQueue()
         self._has_leader_flag = False
         self._sent_contact: GroupContact | None = None
+        self._logged_members = snapshot.members
+        self._silent_voters: frozenset[HostId] = frozenset()
         self._state.reset_election_timeout()
         if snapshot.revision:
             self._outbox.tell(ControllerName.CONFIGURATION, Restored(snapshot))
@@ -205,6 +207,7 @@
             self._voting.start_pre_vote()
             self._ask_to_join()
         self._send_group_contact()
+        self._log_members()
 
     @receive.register
     def _(self, message: FleetView, origin: Origin) -> None:
@@ -301,6 +304,8 @@
                     member: self._log.last_index - progress.match_index
                     for member, progress in self._progress.items()
                 },
+                "silent_s": self._get_silences(),
+                "contact": self._state.describe_contact(),
             },
         )
 
@@ -324,11 +329,13 @@
     @receive.register
     def _(self, message: VoteRequest, origin: Origin) -> None:
         assert origin.peer is not None
+        self._state.record_peer(origin.peer)
         self._voting.handle_vote_request(message, origin.peer)
         self._readd_member(Member(message.candidate, origin.peer))
 
     @receive.register
     def _(self, message: VoteReply, origin: Origin) -> None:
+        self._state.record_peer(origin.peer)
         self._voting.handle_vote_reply(message)
 
     @receive.register
@@ -377,6 +384,7 @@
             self._send_append(member)
         self._advance_commit()
         self._advance_members()
+        self._log_silent_voters()
         self._reply_to_completed_changes()
         self._process_queued_proposals()
 
@@ -420,6 +428,7 @@
 
     @receive.register
     def _(self, message: AppendReply, origin: Origin) -> None:
+        self._state.record_peer(origin.peer)
         self._voting.observe_term(message.term)
         progress = self._progress.get(message.member)
         if not self._state.is_leader or progress is None:
@@ -578,6 +587,7 @@
     @receive.register
     def _(self, message: AppendRequest, origin: Origin) -> None:
         assert origin.peer is not None
+        self._state.record_peer(origin.peer)
         if not self._accept_leader(message.term, message.leader):
             self._reply_append(
                 origin.peer, False, self._log.last_index, message.round
@@ -604,6 +614,7 @@
     @receive.register
     def _(self, message: InstallSnapshot, origin: Origin) -> None:
         assert origin.peer is not None
+        self._state.record_peer(origin.peer)
         if not self._accept_leader(message.term, message.leader):
             self._reply_append(origin.peer, False, self._log.last_index)
             return
@@ -675,6 +686,51 @@
             self._sent_contact = contact
             self._outbox.tell(ControllerName.TRIALS, contact)
 
+    # Logs
+
+    def _get_silences(self) -> dict[HostId, float]:
+        """Return the seconds since each other member replied to the leader."""
+        now = self._now()
+        return {
+            m.host: round(now - self._progress[m.member].last_contact, 3)
+            for m in self._state.peers
+            if m.member in self._progress
+        }
+
+    def _log_silent_voters(self) -> None:
+        """Log which voters fell silent or are heard again."""
+        voters = {m.host for m in self._state.voters}
+        silences = self._get_silences()
+        silent = frozenset(
+            host
+            for host, silent_s in silences.items()
+            if host in voters and silent_s >= ELECTION_MIN_S
+        )
+        for host in sorted(silent - self._silent_voters):
+            self._outbox.log_event(
+                "voter silent", peer=host, silent_s=silences[host]
+            )
+        for host in sorted((self._silent_voters - silent) & voters):
+            self._outbox.log_event("voter heard", peer=host)
+        self._silent_voters = silent
+
+    def _log_members(self) -> None:
+        """Log the group in this member's log after each change of it."""
+        members = self._log.members
+        if members == self._logged_members:
+            return
+        self._logged_members = members
+        self._outbox.log_event(
+            "group changed",
+            voters=[m.host for m in members.voters],
+            learners=[m.host for m in members.learners],
+            index=self._log.members_index,
+            committed=self._log.members_index <= self._commit_index,
+            role=self.role.value,
+            term=self.term,
+            silent_s=self._get_silences(),
+        )
+
     # Applying
 
     def _commit_up_to(self, index: LogIndex) -> None:
@@ -731,7 +787,12 @@
     def _make_not_leader_error(self) -> WasabitrayError:
         leader = self._state.leader_host
         detail = f"not the leader; the leader is {leader or 'unknown'}"
-        return NotLeaderError(detail, step="propose", peer=leader)
+        return NotLeaderError(
+            detail,
+            step="propose",
+            peer=leader,
+            contact=self._state.describe_contact() | {"role": self.role.value},
+        )
 
     def _set_leader_flag(self, value: bool) -> None:
         if value != self._has_leader_flag:
--- a/packages/core/src/wasabitray_core/errors.py
+++ b/packages/core/src/wasabitray_core/errors.py
@@ -48,7 +48,23 @@
 
 
 class NotLeaderError(WasabitrayError):
-    """The control host that received the request is not the leader."""
+    """The control host that received the request is not the leader.
+
+    Attributes:
+        contact: the host's contact with its control group, by log field.
+    """
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        step: str,
+        peer: str = "",
+        contact: dict[str, Any] | None = None,
+    ) -> None:
+        """Store the detail, the leader if it is known, and the contact."""
+        super().__init__(detail, step=step, peer=peer)
+        self.contact = contact or {}
 
 
 class UnavailableError(WasabitrayError):
--- a/tests/core/controllers/consensus/network.py
+++ b/tests/core/controllers/consensus/network.py
@@ -68,6 +68,7 @@
         self.disk = disk
         self.host = disk.member.host
         self.outbox = FakeOutbox()
+        self.events: list[tuple[str, dict]] = []
         context = Context(
             self.host, network.clock, network.random, self.outbox
         )
@@ -110,6 +111,7 @@
         outbox.sent.clear()
         outbox.told.clear()
         outbox.replies.clear()
+        self.events += outbox.events
         outbox.events.clear()
 
 
--- a/tests/core/controllers/consensus/test_controller.py
+++ b/tests/core/controllers/consensus/test_controller.py
@@ -165,6 +165,45 @@
     assert reply.err_value.peer == leader.host
 
 
+def test_follower_error_tells_of_its_contact_with_the_group():
+    network, leader = make_settled_network()
+    follower = next(h for h in network.hosts if h != leader.host)
+    token = network.propose(follower, make_change(1, 0))
+    contact = network.replies[token].err_value.contact
+    assert contact["role"] == "follower"
+    assert contact["term"] == leader.controller.term
+    assert contact["leader_age_s"] < HEARTBEAT_INTERVAL_S + 0.1
+    assert contact["voters_heard"] == [leader.host]
+
+
+def test_leader_logs_the_voter_that_fell_silent_and_its_return():
+    network, leader = make_settled_network()
+    lost = next(h for h in network.hosts if h != leader.host)
+    leader.events.clear()
+    network.crash(lost)
+    network.run(1.5)
+    assert ("voter silent", lost) in [
+        (name, fields["peer"])
+        for name, fields in leader.events
+        if name == "voter silent"
+    ]
+    network.start(lost)
+    network.run(1.0)
+    assert ("voter heard", {"peer": lost}) in leader.events
+
+
+def test_change_of_the_group_is_logged_by_its_members():
+    network, leader = make_settled_network(size=5)
+    lost = next(h for h in network.hosts if h != leader.host)
+    network.lose_disk(lost)
+    network.start(lost)
+    network.run(4.0)
+    for node in network.nodes.values():
+        groups = [f for name, f in node.events if name == "group changed"]
+        assert sorted(groups[-1]["voters"]) == network.hosts
+        assert groups[-1]["learners"] == []
+
+
 def test_new_disk_becomes_a_voter_and_the_group_survives_a_second_loss():
     network, leader = make_settled_network(size=3)
     propose(network, make_change(1, 0))
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -62,7 +62,12 @@
 
     def ask(self, controller, message, timeout):
         return Err(
-            NotLeaderError("not the leader", step="propose", peer="10.4.0.80")
+            NotLeaderError(
+                "not the leader",
+                step="propose",
+                peer="10.4.0.80",
+                contact={"role": "learner", "leader_age_s": 0.3},
+            )
         )
 
 
@@ -76,3 +81,5 @@
     (record,) = caplog.records
     assert record.getMessage() == "order redirected"
     assert record.leader == "10.4.0.80"
+    assert record.role == "learner"
+    assert record.leader_age_s == 0.3
