Replace voters before the next hosts may be lost

Callers: an operator could not read the configuration back. Control hosts had been replaced one after the other by others at new addresses; the voters that were left were no majority, and nothing mends that.

Cause: a silent voter gave its place to a learner after 8 s, "longer than a restart and most partitions". A host has a successor after 4 s, so a third of five voters may be gone before the first is replaced. The time came from what a host may need to return, not from how soon the next one may be lost.

A voter now gives its place up after 1.5 s and becomes a learner instead of being removed, so that one that was cut off or frozen catches up and votes again. The former leader's silence counts from its last message to the new leader. Without a learner, one of two silent voters leaves a group that bears a loss without it. The sizes follow from the losses that a site may have at once (tolerated_losses): 2t + 1 voters at least, 4t + 1 at most.

--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -13,10 +13,15 @@
     NO_MEMBER,
     Election,
 )
+from wasabitray_core.controllers.consensus.group import (
+    GroupChange,
+    GroupSize,
+    MemberStates,
+    plan_change,
+)
 from wasabitray_core.controllers.consensus.log import ReplicatedLog
 from wasabitray_core.controllers.consensus.progress import (
     Progress,
-    find_next_members,
     get_quorum_index,
     is_quorum,
 )
@@ -85,7 +90,11 @@
     VoteRequest,
 )
 from wasabitray_core.route_table import diff_documents
-from wasabitray_core.states import ConsensusRole, HostFlag
+from wasabitray_core.states import (
+    ConsensusRole,
+    GroupChangeReason,
+    HostFlag,
+)
 
 HEARTBEAT_INTERVAL_S = 0.2
 # A member that has not reported its contact for this long is not in contact.
@@ -93,9 +102,15 @@
 MAX_RECORDS_PER_APPEND = 64
 SNAPSHOT_INTERVAL_RECORDS = 1_000
 RECORDS_KEPT_AFTER_SNAPSHOT = 200
-# A voter that has not replied for this long may be replaced by a learner. It
-# is longer than a host restart and most network partitions take.
-UNRESPONSIVE_AFTER_S = 8.0
+# A voter that has not replied for this long gives its place to a learner.
+# With an election before it and two commits after it, a lost voter is replaced
+# before the next hosts may be lost.
+SILENT_AFTER_S = 1.5
+# A learner that has not replied for this long is not expected to return.
+GONE_AFTER_S = 60.0
+# After its own tick came this late, the leader waits as long for replies
+# before it judges the silence of others.
+STALL_S = 0.5
 # A learner may become a voter if it lags behind the log's end by at most this.
 MAX_CAUGHT_UP_LAG_RECORDS = 10
 
@@ -120,6 +135,7 @@
         ballot: Ballot,
         snapshot: Snapshot,
         records: tuple[LogRecord, ...] = (),
+        tolerated_losses: int = 1,
     ) -> None:
         """Start from stored state.
 
@@ -132,8 +148,11 @@
             snapshot: the stored snapshot; an empty one on a new disk.
             records: the stored records in the order in which they were
                 written.
+            tolerated_losses: control hosts that may be lost at the same time.
         """
         super().__init__(context)
+        self._size = GroupSize(tolerated_losses)
+        self._last_run = self._members_due_at = context.clock()
         self._control_hosts = control_hosts
         self._machine = ConfigurationStateMachine()
         self._machine.restore(snapshot)
@@ -361,7 +380,9 @@
         self._election.role = _LEADER
         self._election.leader = self._election.member
         self._progress = {}
+        self._last_run = self._members_due_at = self._now()
         self._append(Noop())
+        self._backdate_former_leader()
         self._outbox.log_event("lead taken", term=self.term)
         self._run_as_leader()
 
@@ -369,6 +390,9 @@
 
     def _run_as_leader(self) -> None:
         now = self._now()
+        if now - self._last_run > STALL_S:
+            self._members_due_at = Seconds(now + STALL_S)
+        self._last_run = now
         self._track_peers()
         reachable = {
             m
@@ -396,6 +420,12 @@
             for m in self._state.peers
         }
 
+    def _backdate_former_leader(self) -> None:
+        """Count the former leader's silence from its last message here."""
+        former = self._progress.get(self._election.last_leader)
+        if former is not None:
+            former.last_contact = self._election.last_leader_contact
+
     def _send_append(self, member: Member) -> None:
         progress = self._progress[member.member]
         previous = LogIndex(progress.next_index - 1)
@@ -471,27 +501,54 @@
             self._commit_up_to(index)
             self._reply_to_completed_changes()
             self._process_queued_proposals()
+            self._advance_members()
 
     def _advance_members(self) -> None:
-        if self._log.members_index > self._commit_index:
+        """Make the next membership change, once the last is committed."""
+        if (
+            not self._state.is_leader
+            or self._log.members_index > self._commit_index
+            or not self._has_committed_own_term()
+            or self._now() < self._members_due_at
+        ):
             return
-        caught_up_index = self._log.last_index - MAX_CAUGHT_UP_LAG_RECORDS
-        caught_up = {
-            m
-            for m, p in self._progress.items()
-            if p.match_index >= max(1, caught_up_index)
-        }
-        now = self._now()
-        unresponsive = frozenset(
-            m
-            for m, p in self._progress.items()
-            if now - p.last_contact > UNRESPONSIVE_AFTER_S
+        change = plan_change(
+            self._log.members, self._get_member_states(), self._size
         )
-        next_members = find_next_members(
-            self._log.members, caught_up, unresponsive
+        if change is not None:
+            self._append_group_change(change)
+
+    def _append_group_change(self, change: GroupChange) -> None:
+        progress = self._progress.get(change.member.member)
+        self._outbox.log_event(
+            "group change",
+            peer=change.member.host,
+            member=change.member.member,
+            reason=change.reason.value,
+            silent_s=None
+            if progress is None
+            else round(self._now() - progress.last_contact, 3),
+        )
+        self._append(change.members)
+
+    def _get_member_states(self) -> MemberStates:
+        caught_up_index = max(
+            1, self._log.last_index - MAX_CAUGHT_UP_LAG_RECORDS
+        )
+        now = self._now()
+        silences = {m: now - p.last_contact for m, p in self._progress.items()}
+        return MemberStates(
+            ready=frozenset(
+                m
+                for m, p in self._progress.items()
+                if p.match_index >= caught_up_index
+                and silences[m] < ELECTION_MIN_S
+            ),
+            silent=frozenset(
+                m for m, s in silences.items() if s > SILENT_AFTER_S
+            ),
+            gone=frozenset(m for m, s in silences.items() if s > GONE_AFTER_S),
         )
-        if next_members is not None and self._has_committed_own_term():
-            self._append(next_members)
 
     @receive.register
     def _(self, message: JoinRequest, origin: Origin) -> None:
@@ -522,7 +579,13 @@
             and self._has_committed_own_term()
         ):
             learners = (*members.learners, member)
-            self._append(Members(members.voters, learners))
+            self._append_group_change(
+                GroupChange(
+                    Members(members.voters, learners),
+                    member,
+                    GroupChangeReason.JOINED,
+                )
+            )
 
     def _has_committed_own_term(self) -> bool:
         return self._log.find_term(self._commit_index) == self.term
--- a/packages/core/src/wasabitray_core/controllers/consensus/election.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/election.py
@@ -31,6 +31,7 @@
         ballot: current term and vote; synced to disk before any message
             reveals it.
         leader: the leader of the current term, if it is known.
+        last_leader: the leader that sent the last accepted message.
         last_leader_contact: when a leader's last accepted message arrived.
         timeout: when the member starts an election unless it receives a
             message from a leader before then.
@@ -41,6 +42,7 @@
     ballot: Ballot
     role: ConsensusRole = ConsensusRole.FOLLOWER
     leader: MemberId = NO_MEMBER
+    last_leader: MemberId = NO_MEMBER
     last_leader_contact: Seconds = NEVER
     timeout: Seconds = Seconds(0.0)
     votes: set[MemberId] = field(default_factory=set)
@@ -75,7 +77,7 @@
     def follow(self, leader: MemberId, now: Seconds) -> None:
         """Become a follower of the current term's leader."""
         self.role = ConsensusRole.FOLLOWER
-        self.leader = leader
+        self.leader = self.last_leader = leader
         self.last_leader_contact = now
 
     def reset_timeout(self, now: Seconds, jitter: float) -> None:
--- /dev/null
+++ b/packages/core/src/wasabitray_core/controllers/consensus/group.py
@@ -0,0 +1,211 @@
+"""Which membership change of the control group is due next.
+
+A voter that is gone for good weakens the group until it is replaced: with
+each further loss the majority comes nearer to its end, and a group without a
+majority can't change its members any more. So a voter that is silent gives
+its place to a learner soon, and it is not removed but becomes a learner
+itself: if it was only cut off or frozen, it catches up and votes again.
+
+Members change one at a time, and each change is committed by a majority of
+the new group ("Cluster membership changes" in Ongaro's thesis). A minority
+that is cut off can therefore not shrink the group to itself.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from wasabitray_core.ids import MemberId
+from wasabitray_core.messages import Member, Members
+from wasabitray_core.states import GroupChangeReason
+
+
+class GroupSize(Struct, frozen=True):
+    """How many voters a group has.
+
+    Attributes:
+        tolerated_losses: hosts that may be lost at the same time; a group
+            is never planned for less than one.
+    """
+
+    tolerated_losses: int = 1
+
+    @property
+    def smallest(self) -> int:
+        """Voters that keep a majority through the tolerated losses."""
+        return 2 * max(1, self.tolerated_losses) + 1
+
+    @property
+    def largest(self) -> int:
+        """Voters that keep a majority through twice the tolerated losses.
+
+        The first losses may not have been replaced when the next ones occur.
+        """
+        return 4 * max(1, self.tolerated_losses) + 1
+
+
+class MemberStates(Struct, frozen=True):
+    """What the leader knows about the members of its group.
+
+    Attributes:
+        ready: members that replied lately and whose logs reach the end of the
+            leader's log or nearly so.
+        silent: members that have not replied for a long time.
+        leaving: members whose hosts are being stopped.
+        gone: members that have not replied for so long that they are not
+            expected to return.
+    """
+
+    ready: frozenset[MemberId] = frozenset()
+    silent: frozenset[MemberId] = frozenset()
+    leaving: frozenset[MemberId] = frozenset()
+    gone: frozenset[MemberId] = frozenset()
+
+    def is_absent(self, member: Member) -> bool:
+        """Return whether a voter's place should go to another member."""
+        return member.member in self.silent | self.leaving
+
+
+class GroupChange(Struct, frozen=True):
+    """A membership change.
+
+    Attributes:
+        members: the group after the change.
+        member: the member that is added, moved or removed.
+    """
+
+    members: Members
+    member: Member
+    reason: GroupChangeReason
+
+
+def plan_change(
+    members: Members, states: MemberStates, size: GroupSize
+) -> GroupChange | None:
+    """Return the next membership change, None if none is due.
+
+    Args:
+        members: the newest group in the log; it is committed.
+        states: what the leader knows about the members.
+        size: how many voters the group has.
+    """
+    return (
+        _replace_disk(members, states)
+        or _replace_absent(members, states, size)
+        or _grow(members, states, size)
+        or _forget_gone(members, states)
+    )
+
+
+def _replace_disk(
+    members: Members, states: MemberStates
+) -> GroupChange | None:
+    """Replace the member of a host's former disk by that of its new one.
+
+    The former member is removed first, since it can only weaken the quorum.
+    """
+    newest = {m.host: m for m in members.learners}
+    for learner in members.learners:
+        if newest[learner.host] != learner:
+            learners = _without(members.learners, learner)
+            return GroupChange(
+                Members(members.voters, learners),
+                learner,
+                GroupChangeReason.DISK_REPLACED,
+            )
+    for voter in members.voters:
+        successor = newest.get(voter.host)
+        if successor is not None and successor.member in states.ready:
+            voters = _without(members.voters, voter)
+            return GroupChange(
+                Members(voters, members.learners),
+                voter,
+                GroupChangeReason.DISK_REPLACED,
+            )
+    return None
+
+
+def _replace_absent(
+    members: Members, states: MemberStates, size: GroupSize
+) -> GroupChange | None:
+    """Replace a voter that is silent or leaving.
+
+    The voter goes first if the group is larger than its smallest size.
+    Without a learner to take its place, it goes if the group bears more
+    losses without it: an even number of voters bears no more than the odd
+    number below it.
+    """
+    absent = [v for v in members.voters if states.is_absent(v)]
+    if not absent:
+        return None
+    candidates = _find_candidates(members, states)
+    may_shrink = len(members.voters) > size.smallest
+    if candidates and not may_shrink:
+        return _promote(
+            members, candidates[0], GroupChangeReason.VOTER_REPLACED
+        )
+    is_even = len(members.voters) % 2 == 0
+    if may_shrink and (candidates or is_even or len(absent) > 1):
+        return _demote(members, absent[0], states)
+    return None
+
+
+def _grow(
+    members: Members, states: MemberStates, size: GroupSize
+) -> GroupChange | None:
+    """Make a learner a voter if that lets the group bear more losses."""
+    candidates = _find_candidates(members, states)
+    count = len(members.voters)
+    if not candidates or count >= size.largest:
+        return None
+    is_even = count % 2 == 0
+    if count < size.smallest or is_even or len(candidates) > 1:
+        return _promote(members, candidates[0], GroupChangeReason.CAUGHT_UP)
+    return None
+
+
+def _forget_gone(members: Members, states: MemberStates) -> GroupChange | None:
+    for learner in members.learners:
+        if learner.member in states.gone:
+            learners = _without(members.learners, learner)
+            return GroupChange(
+                Members(members.voters, learners),
+                learner,
+                GroupChangeReason.GONE,
+            )
+    return None
+
+
+def _find_candidates(members: Members, states: MemberStates) -> list[Member]:
+    """Return the learners that may become voters."""
+    return [
+        m
+        for m in members.learners
+        if m.member in states.ready and not states.is_absent(m)
+    ]
+
+
+def _promote(
+    members: Members, learner: Member, reason: GroupChangeReason
+) -> GroupChange:
+    voters = (*members.voters, learner)
+    learners = _without(members.learners, learner)
+    return GroupChange(Members(voters, learners), learner, reason)
+
+
+def _demote(
+    members: Members, voter: Member, states: MemberStates
+) -> GroupChange:
+    # The newest learner of a host is the member of its newest disk.
+    learners = (voter, *members.learners)
+    return GroupChange(
+        Members(_without(members.voters, voter), learners),
+        voter,
+        GroupChangeReason.SILENT
+        if voter.member in states.silent
+        else GroupChangeReason.LEAVING,
+    )
+
+
+def _without(members: tuple[Member, ...], member: Member) -> tuple:
+    return tuple(m for m in members if m != member)
--- a/packages/core/src/wasabitray_core/states.py
+++ b/packages/core/src/wasabitray_core/states.py
@@ -132,6 +132,18 @@
     LEADER = "leader"
 
 
+class GroupChangeReason(Enum):
+    """Why the members of the control group change."""
+
+    JOINED = "joined"
+    CAUGHT_UP = "caught-up"
+    VOTER_REPLACED = "voter-replaced"
+    DISK_REPLACED = "disk-replaced"
+    SILENT = "silent"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
 class AttemptStatus(Enum):
     """How one attempt at a target ended."""
 
--- a/packages/node/src/wasabitray_node/control_assembly.py
+++ b/packages/node/src/wasabitray_node/control_assembly.py
@@ -98,6 +98,7 @@
             state.ballot,
             state.snapshot,
             tuple(state.records),
+            self._settings.tolerated_losses,
             storage=storage,
         )
 
--- a/packages/node/src/wasabitray_node/settings.py
+++ b/packages/node/src/wasabitray_node/settings.py
@@ -197,6 +197,8 @@
         failure_domains: the region of each failure domain.
         startup_wait_s: seconds from the start in which requests wait for the
             first configuration and the first targets.
+        tolerated_losses: control hosts that may be lost at the same time; the
+            group keeps 2 voters for each and one more, if there are as many.
         grace_s: seconds for a planned stop; if not set, it takes as long as
             it needs.
     """
@@ -215,6 +217,7 @@
     trusted_network: bool = False
     failure_domains: dict[str, str] = {}
     startup_wait_s: Duration = Field(default=0.0, ge=0)
+    tolerated_losses: int = Field(default=1, ge=0)
     grace_s: Duration | None = Field(default=None, gt=0)
     addresses: AddressSettings = AddressSettings()
     retries: RetrySettings = RetrySettings()
--- a/tests/core/controllers/consensus/changing_network.py
+++ b/tests/core/controllers/consensus/changing_network.py
@@ -40,7 +40,10 @@
             gone too long ago.
     """
 
-    def __init__(self, size: int, seed: int | str) -> None:
+    def __init__(
+        self, size: int, seed: int | str, tolerated_losses: int
+    ) -> None:
+        self.tolerated_losses = tolerated_losses
         self.removed_at: dict[HostId, float] = {}
         self.known: dict[HostId, set[HostId]] = {}
         self.isolated: set[HostId] = set()
--- a/tests/core/controllers/consensus/schedules.py
+++ b/tests/core/controllers/consensus/schedules.py
@@ -61,7 +61,7 @@
 
     def __init__(self, site: Site, seed: int | str) -> None:
         self.site, self.seed = site, seed
-        self.network = ChangingNetwork(site.size, seed)
+        self.network = ChangingNetwork(site.size, seed, site.tolerated)
         self.random = random.Random(f"schedule {seed}")
         self.lost: dict[HostId, float] = {}
         self.replaced: set[HostId] = set()
--- a/tests/core/controllers/consensus/timed_network.py
+++ b/tests/core/controllers/consensus/timed_network.py
@@ -130,6 +130,7 @@
             disk.ballot,
             disk.snapshot,
             tuple(disk.records),
+            network.tolerated_losses,
         )
         network.after(0.0, self.tick)
 
@@ -209,6 +210,8 @@
         slow_disks: hosts whose disk is slow, with the time of a sync.
     """
 
+    tolerated_losses = 1
+
     def __init__(self, size: int, seed: int) -> None:
         self.random = random.Random(seed)
         self.clock = FakeClock()
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -81,6 +81,7 @@
             else None,
             "listen": listen,
             "port_range": [PEER_PORT, PEER_PORT + 15],
+            "tolerate": {"machines": 1},
             "seeds": [self.registry_address(c) for c in self.contacts],
             "zones": REGION_OF_ZONE,
         }
