Let a control host that is stopped hand its vote to a learner

Cause: a planned stop told the group nothing. A leader handed over its lead, perhaps to a voter that had just ended, and the member stayed a voter.

A member that is stopped asks the leader for a replacement (LeaveRequest) and ends when a learner votes in its place, after 3 s at the latest, and at once if the group has no learner. It stays a voter until then. A leader makes the changes that are due before it hands over, to a voter that replied lately and is not stopped itself.

--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -11,6 +11,7 @@
 from wasabitray_core.controllers.consensus.election import (
     ELECTION_MIN_S,
     NO_MEMBER,
+    UNKNOWN_HOST,
     Election,
 )
 from wasabitray_core.controllers.consensus.group import (
@@ -63,13 +64,13 @@
     GetStatus,
     GroupContact,
     HostView,
+    LeaveGroup,
     Propose,
     ReadDocuments,
     ReplaceTable,
     Restored,
     SetFlag,
     Tick,
-    TransferLeadership,
 )
 from wasabitray_core.messages import (
     AppendReply,
@@ -81,6 +82,7 @@
     ConfigState,
     InstallSnapshot,
     JoinRequest,
+    LeaveRequest,
     LogRecord,
     Member,
     Members,
@@ -106,6 +108,8 @@
 # With an election before it and two commits after it, a lost voter is replaced
 # before the next hosts may be lost.
 SILENT_AFTER_S = 1.5
+# A member that asked to leave either ends or asks again within this time.
+LEAVING_VALID_S = 2.0
 # A learner that has not replied for this long is not expected to return.
 GONE_AFTER_S = 60.0
 # After its own tick came this late, the leader waits as long for replies
@@ -170,6 +174,8 @@
         self._progress: dict[MemberId, Progress] = {}
         self._read_queue = ReadQueue()
         self._has_leader_flag = False
+        self._is_stopping = False
+        self._stop_requests: list[Origin] = []
         self._sent_contact: GroupContact | None = None
         self._logged_members = snapshot.members
         self._silent_voters: frozenset[HostId] = frozenset()
@@ -225,6 +231,7 @@
         elif self._now() >= self._election.timeout:
             self._voting.start_pre_vote()
             self._ask_to_join()
+        self._prepare_stop()
         self._send_group_contact()
         self._log_members()
 
@@ -328,20 +335,59 @@
             },
         )
 
+    # Planned stops
+
     @receive.register
-    def _(self, message: TransferLeadership, origin: Origin) -> None:
-        if self._state.is_leader:
-            successors = [
-                m for m in self._state.peers if m in self._state.voters
-            ]
-            if successors:
-                successor = max(
-                    successors,
-                    key=lambda m: self._progress[m.member].match_index,
-                )
-                campaign = CampaignNow(self.term, self._election.member)
-                self._outbox.send(successor.host, campaign)
-        self._reply(origin, self._state.is_leader)
+    def _(self, message: LeaveGroup, origin: Origin) -> None:
+        self._is_stopping = True
+        self._stop_requests.append(origin)
+        self._prepare_stop()
+
+    def _prepare_stop(self) -> None:
+        """Hand over what this member holds; reply once it holds nothing.
+
+        A leader first makes the changes of the group that are due: other
+        voters may be stopped as well, and an election would delay them.
+        """
+        if not self._stop_requests:
+            return
+        members = self._log.members
+        if self._state.is_leader and len(members.voters) > 1:
+            if self._plan_change() is None:
+                self._hand_over_leadership()
+            return
+        is_voter = self._state.is_voter
+        leader = self._state.leader_host
+        if is_voter and leader != UNKNOWN_HOST:
+            request = LeaveRequest(self._election.member)
+            self._outbox.send(leader, request)
+        if is_voter and members.learners:
+            return  # until one of them votes in this member's place
+        for origin in self._stop_requests:
+            self._reply(origin, True)
+        self._stop_requests.clear()
+
+    def _hand_over_leadership(self) -> None:
+        """Ask the voter that has replicated most to start an election."""
+        now = self._now()
+        successors = [
+            (p.match_index, m.host)
+            for m in self._state.voters
+            if (p := self._progress.get(m.member)) is not None
+            and now - p.last_contact < ELECTION_MIN_S
+            and now > p.leaving_until
+        ]
+        if successors:
+            _, host = max(successors)
+            campaign = CampaignNow(self.term, self._election.member)
+            self._outbox.send(host, campaign)
+
+    @receive.register
+    def _(self, message: LeaveRequest, origin: Origin) -> None:
+        progress = self._progress.get(message.member)
+        if self._state.is_leader and progress is not None:
+            progress.leaving_until = Seconds(self._now() + LEAVING_VALID_S)
+            self._advance_members()
 
     # Elections
 
@@ -359,7 +405,8 @@
 
     @receive.register
     def _(self, message: CampaignNow, origin: Origin) -> None:
-        self._voting.handle_campaign_request(message)
+        if not self._is_stopping:
+            self._voting.handle_campaign_request(message)
 
     def _step_down(self, reason: str) -> None:
         was_leader = self._state.is_leader
@@ -512,12 +559,15 @@
             or self._now() < self._members_due_at
         ):
             return
-        change = plan_change(
-            self._log.members, self._get_member_states(), self._size
-        )
+        change = self._plan_change()
         if change is not None:
             self._append_group_change(change)
 
+    def _plan_change(self) -> GroupChange | None:
+        return plan_change(
+            self._log.members, self._get_member_states(), self._size
+        )
+
     def _append_group_change(self, change: GroupChange) -> None:
         progress = self._progress.get(change.member.member)
         self._outbox.log_event(
@@ -547,6 +597,9 @@
             silent=frozenset(
                 m for m, s in silences.items() if s > SILENT_AFTER_S
             ),
+            leaving=frozenset(
+                m for m, p in self._progress.items() if now <= p.leaving_until
+            ),
             gone=frozenset(m for m, s in silences.items() if s > GONE_AFTER_S),
         )
 
--- a/packages/core/src/wasabitray_core/controllers/consensus/group.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/group.py
@@ -91,7 +91,8 @@
     """
     return (
         _replace_disk(members, states)
-        or _replace_absent(members, states, size)
+        or _replace_silent(members, states, size)
+        or _replace_leaving(members, states, size)
         or _grow(members, states, size)
         or _forget_gone(members, states)
     )
@@ -125,18 +126,16 @@
     return None
 
 
-def _replace_absent(
+def _replace_silent(
     members: Members, states: MemberStates, size: GroupSize
 ) -> GroupChange | None:
-    """Replace a voter that is silent or leaving.
+    """Replace a silent voter.
 
-    The voter goes first if the group is larger than its smallest size.
-    Without a learner to take its place, it goes if the group bears more
-    losses without it: an even number of voters bears no more than the odd
-    number below it.
+    It goes before a learner takes its place, unless the group would be
+    smaller than its smallest size in between.
     """
-    absent = [v for v in members.voters if states.is_absent(v)]
-    if not absent:
+    silent = [v for v in members.voters if v.member in states.silent]
+    if not silent:
         return None
     candidates = _find_candidates(members, states)
     may_shrink = len(members.voters) > size.smallest
@@ -144,12 +143,41 @@
         return _promote(
             members, candidates[0], GroupChangeReason.VOTER_REPLACED
         )
-    is_even = len(members.voters) % 2 == 0
-    if may_shrink and (candidates or is_even or len(absent) > 1):
-        return _demote(members, absent[0], states)
+    if may_shrink and (candidates or _bears_more_without(members, states)):
+        return _demote(members, silent[0], GroupChangeReason.SILENT)
+    return None
+
+
+def _replace_leaving(
+    members: Members, states: MemberStates, size: GroupSize
+) -> GroupChange | None:
+    """Replace a voter whose host is being stopped.
+
+    It stays until a learner has taken its place, since it still votes.
+    """
+    leaving = [v for v in members.voters if v.member in states.leaving]
+    if not leaving:
+        return None
+    count = len(members.voters)
+    candidates = _find_candidates(members, states)
+    if candidates and count <= size.largest:
+        return _promote(
+            members, candidates[0], GroupChangeReason.VOTER_REPLACED
+        )
+    if count > size.smallest and _bears_more_without(members, states):
+        return _demote(members, leaving[0], GroupChangeReason.LEAVING)
     return None
 
 
+def _bears_more_without(members: Members, states: MemberStates) -> bool:
+    """Return whether a group bears more losses without its absent voters.
+
+    An even number of voters bears no more than the odd number below it.
+    """
+    absent = [v for v in members.voters if states.is_absent(v)]
+    return len(members.voters) % 2 == 0 or len(absent) > 1
+
+
 def _grow(
     members: Members, states: MemberStates, size: GroupSize
 ) -> GroupChange | None:
@@ -194,17 +222,12 @@
 
 
 def _demote(
-    members: Members, voter: Member, states: MemberStates
+    members: Members, voter: Member, reason: GroupChangeReason
 ) -> GroupChange:
     # The newest learner of a host is the member of its newest disk.
     learners = (voter, *members.learners)
-    return GroupChange(
-        Members(_without(members.voters, voter), learners),
-        voter,
-        GroupChangeReason.SILENT
-        if voter.member in states.silent
-        else GroupChangeReason.LEAVING,
-    )
+    voters = _without(members.voters, voter)
+    return GroupChange(Members(voters, learners), voter, reason)
 
 
 def _without(members: tuple[Member, ...], member: Member) -> tuple:
--- a/packages/core/src/wasabitray_core/controllers/consensus/progress.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/progress.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from wasabitray_core.controllers.consensus.election import NEVER
 from wasabitray_core.ids import LogIndex, MemberId, Seconds
 from wasabitray_core.messages import Members
 
@@ -18,12 +19,14 @@
         last_contact: when the member last replied.
         confirmed_round: newest round of leadership confirmation that the
             member replied to.
+        leaving_until: until when the member's host counts as being stopped.
     """
 
     match_index: LogIndex
     next_index: LogIndex
     last_contact: Seconds
     confirmed_round: int = 0
+    leaving_until: Seconds = NEVER
 
 
 def is_quorum(members: Members, agreeing: set[MemberId]) -> bool:
--- a/packages/core/src/wasabitray_core/local_messages.py
+++ b/packages/core/src/wasabitray_core/local_messages.py
@@ -238,8 +238,12 @@
     limit: int
 
 
-class TransferLeadership(Struct, frozen=True):
-    """Hands leadership to another voter before a planned stop."""
+class LeaveGroup(Struct, frozen=True):
+    """Prepares a control host's member for a planned stop.
+
+    A leader hands its leadership to another voter, and a voter its vote to a
+    learner, if there is one. The reply is True once that is done.
+    """
 
 
 # Membership and addresses
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -559,6 +559,12 @@
     member: Member
 
 
+class LeaveRequest(Struct, frozen=True):
+    """Asks the leader to give a stopping member's vote to a learner."""
+
+    member: MemberId
+
+
 # Claims
 
 
@@ -732,6 +738,7 @@
     | InstallSnapshot
     | CampaignNow
     | JoinRequest
+    | LeaveRequest
     | ClaimRequest
     | ClaimReply
     | ClaimRelease
--- a/packages/node/src/wasabitray_node/app.py
+++ b/packages/node/src/wasabitray_node/app.py
@@ -14,8 +14,8 @@
 from wasabitray_core.local_messages import (
     ControllerName,
     IsServing,
+    LeaveGroup,
     SetFlag,
-    TransferLeadership,
 )
 from wasabitray_core.states import HostFlag, Role, Topology
 from wasabitray_core.stopping import plan_stop
@@ -51,7 +51,9 @@
 # Higher than the defaults, for fewer collections: their pauses delay the
 # slowest requests.
 GC_THRESHOLDS = (10_000, 20, 50)
-TRANSFER_WAIT_S = 0.5
+# A member of the control group leaves within a few round trips, unless the
+# group has no leader.
+LEAVE_TIMEOUT_S = 3.0
 MAX_LOGGED_REQUESTS = 50
 
 
@@ -175,7 +177,7 @@
         self._stop.wait()
         log_event("stopping")
         if self._settings.role is Role.CONTROL:
-            self._transfer_leadership()
+            self._leave_group()
         elif self._settings.grace_s is None:
             self._drain()
         else:
@@ -188,13 +190,14 @@
         log_event("stopped")
         flush_logs()
 
-    def _transfer_leadership(self) -> None:
-        """Transfer leadership to another control host before the stop."""
-        was_leader = self._router.ask(
-            ControllerName.CONSENSUS, TransferLeadership()
-        )
-        if was_leader:
-            gevent.sleep(TRANSFER_WAIT_S)
+    def _leave_group(self) -> None:
+        """Hand leadership and vote to other control hosts before the stop."""
+        try:
+            self._router.ask(
+                ControllerName.CONSENSUS, LeaveGroup(), LEAVE_TIMEOUT_S
+            )
+        except gevent.Timeout:
+            log_event("group not left", waited_s=LEAVE_TIMEOUT_S)
 
     def _drain(self) -> None:
         """Leave the lists of addresses, then finish the requests in flight.
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -92,6 +92,7 @@
 struct InstallSnapshot { 1: i64 term, 2: string leader, 3: Snapshot snapshot }
 struct CampaignNow { 1: i64 term, 2: string leader }
 struct JoinRequest { 1: Member member }
+struct LeaveRequest { 1: string member }
 
 struct ClaimRequest { 1: string key, 2: string claim, 3: i32 epoch, 4: double ttl_s }
 struct MemberIncarnation { 1: string host, 2: string incarnation }
@@ -143,7 +144,8 @@
   23: CampaignNow campaign_now, 24: LongOccupancy long_occupancy,
   25: Presence presence, 26: Unsubscribe unsubscribe, 27: Feed feed, 28: News news,
   29: EntryWork entry_work, 30: OthersWork others_work,
-  31: TrialRequest trial_request, 32: TrialReply trial_reply
+  31: TrialRequest trial_request, 32: TrialReply trial_reply,
+  33: LeaveRequest leave_request
 }
 
 struct StoredQuarantine { 1: Quarantine record, 2: double stored_at }
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -3548,6 +3548,63 @@
         return not (self == other)
 
 
+class LeaveRequest(object):
+    """
+    Attributes:
+     - member
+
+    """
+
+
+    def __init__(self, member=None,):
+        self.member = member
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.member = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeaveRequest')
+        if self.member is not None:
+            oprot.writeFieldBegin('member', TType.STRING, 1)
+            oprot.writeString(self.member.encode('utf-8') if sys.version_info[0] == 2 else self.member)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ClaimRequest(object):
     """
     Attributes:
@@ -5185,11 +5242,12 @@
      - others_work
      - trial_request
      - trial_reply
+     - leave_request
 
     """
 
 
-    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None, long_occupancy=None, presence=None, unsubscribe=None, feed=None, news=None, entry_work=None, others_work=None, trial_request=None, trial_reply=None,):
+    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None, long_occupancy=None, presence=None, unsubscribe=None, feed=None, news=None, entry_work=None, others_work=None, trial_request=None, trial_reply=None, leave_request=None,):
         self.gossip = gossip
         self.config_pull = config_pull
         self.config_push = config_push
@@ -5221,6 +5279,7 @@
         self.others_work = others_work
         self.trial_request = trial_request
         self.trial_reply = trial_reply
+        self.leave_request = leave_request
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5417,6 +5476,12 @@
                     self.trial_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 33:
+                if ftype == TType.STRUCT:
+                    self.leave_request = LeaveRequest()
+                    self.leave_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5551,6 +5616,10 @@
             oprot.writeFieldBegin('trial_reply', TType.STRUCT, 32)
             self.trial_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.leave_request is not None:
+            oprot.writeFieldBegin('leave_request', TType.STRUCT, 33)
+            self.leave_request.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6046,6 +6115,11 @@
     None,  # 0
     (1, TType.STRUCT, 'member', [Member, None], None, ),  # 1
 )
+all_structs.append(LeaveRequest)
+LeaveRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'member', 'UTF8', None, ),  # 1
+)
 all_structs.append(ClaimRequest)
 ClaimRequest.thrift_spec = (
     None,  # 0
@@ -6215,6 +6289,7 @@
     (30, TType.STRUCT, 'others_work', [OthersWork, None], None, ),  # 30
     (31, TType.STRUCT, 'trial_request', [TrialRequest, None], None, ),  # 31
     (32, TType.STRUCT, 'trial_reply', [TrialReply, None], None, ),  # 32
+    (33, TType.STRUCT, 'leave_request', [LeaveRequest, None], None, ),  # 33
 )
 all_structs.append(StoredQuarantine)
 StoredQuarantine.thrift_spec = (
--- a/tests/core/controllers/consensus/changing_network.py
+++ b/tests/core/controllers/consensus/changing_network.py
@@ -11,8 +11,8 @@
 from wasabitray_core.local_messages import (
     FleetView,
     HostView,
+    LeaveGroup,
     ReadDocuments,
-    TransferLeadership,
 )
 from wasabitray_core.messages import LogRecord, Member, Members
 from wasabitray_core.states import HostFlag
@@ -22,7 +22,7 @@
 # Operators and settings know this long after a change which hosts there are.
 LIST_LAG_S = 3.0
 # The service manager kills a host that has not ended by then.
-STOP_LIMIT_S = 2.0
+STOP_LIMIT_S = 3.0
 PROBE_INTERVAL_S = 0.5
 # A host may send operators to one that is gone for this long.
 REDIRECT_LAG_S = 2.0
@@ -96,7 +96,7 @@
         def end() -> None:
             self.remove(name)
 
-        self.ask(name, TransferLeadership(), lambda _: self.after(0.5, end))
+        self.ask(name, LeaveGroup(), lambda _: end())
         self.after(STOP_LIMIT_S, end)
 
     def show_fleet(self, host: Host) -> None:
--- a/tests/core/controllers/consensus/test_controller.py
+++ b/tests/core/controllers/consensus/test_controller.py
@@ -18,7 +18,7 @@
     ELECTION_JITTER_S,
     ELECTION_MIN_S,
 )
-from wasabitray_core.controllers.controller import Origin
+from wasabitray_core.controllers.controller import Origin, ReplyToken
 from wasabitray_core.documents import FLEET_KEY
 from wasabitray_core.errors import (
     ConflictError,
@@ -26,7 +26,7 @@
     NotLeaderError,
     UnavailableError,
 )
-from wasabitray_core.local_messages import GroupContact, TransferLeadership
+from wasabitray_core.local_messages import GroupContact, LeaveGroup
 from wasabitray_core.messages import (
     Ballot,
     DocumentEdit,
@@ -222,11 +222,40 @@
 
 def test_transfer_changes_the_leader_without_a_timeout():
     network, leader = make_settled_network()
-    leader.receive(TransferLeadership(), Origin(), False)
+    leader.receive(LeaveGroup(), Origin(reply_token="t"), False)
     network.run(0.5)
     assert network.leader().host != leader.host
 
 
+def stop_host(network, host):
+    """Ask a host's member to leave; return the token of its reply."""
+    network.last_token += 1
+    token = ReplyToken(network.last_token)
+    network.nodes[host].receive(LeaveGroup(), Origin(reply_token=token), False)
+    return token
+
+
+def get_voters(network):
+    return {m.host for m in network.leader().controller._log.members.voters}
+
+
+def test_voter_is_stopped_at_once_if_no_learner_can_take_its_place():
+    network, leader = make_settled_network(size=3)
+    follower = next(h for h in network.hosts if h != leader.host)
+    assert network.replies[stop_host(network, follower)] is True
+    assert get_voters(network) == set(network.hosts)
+
+
+def test_leader_that_is_stopped_chooses_a_successor_that_is_not():
+    network, leader = make_settled_network(size=3)
+    first, second = (h for h in network.hosts if h != leader.host)
+    stop_host(network, first)
+    token = stop_host(network, leader.host)
+    network.run(1.0)
+    assert network.replies[token] is True
+    assert network.leader().host == second
+
+
 def test_group_restarted_after_500_changes_has_the_newest_revision():
     network, leader = make_settled_network()
     for number in range(500):
--- a/tests/core/controllers/consensus/test_replaced_hosts.py
+++ b/tests/core/controllers/consensus/test_replaced_hosts.py
@@ -64,3 +64,19 @@
                 schedule.replace(ORDERS[order](schedule), HOWS[how])
             schedule.send_order()
         schedule.check()
+
+
+# Guards against a planned replacement of all hosts that ends the group.
+def test_voters_that_are_all_stopped_hand_their_votes_to_learners():
+    for seed in seeds():
+        schedule = Schedule(FIVE, seed)
+        network = schedule.network
+        old = network.running
+        for _ in old:
+            schedule.start_successor()
+        network.run(FIVE.catchup_s)
+        for host in old:
+            network.stop(host)
+        schedule.disturbed_until = schedule.now
+        schedule.check()
+        assert not set(old) & set(network.running)
