Send operators to no leader that isn't heard any more

Cause: a learner keeps the leader of its term for ever, since only voters have an election timer, and a voter keeps it until its next election. Whoever asked for the leader's host was not told how old that was.

The test fails before, for a voter and a learner.

--- a/packages/core/src/wasabitray_core/controllers/consensus/state.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/state.py
@@ -67,9 +67,11 @@
 
     @property
     def leader_host(self) -> HostId:
-        """The leader's host, empty if the leader is unknown."""
+        """The leader's host, empty if no leader was heard lately."""
         if self.is_leader:
             return self.context.host
+        if not self.election.has_recent_leader_contact(self.now()):
+            return UNKNOWN_HOST
         leader = self.election.leader
         return next(
             (m.host for m in self.peers if m.member == leader), UNKNOWN_HOST
--- a/tests/core/controllers/consensus/test_controller.py
+++ b/tests/core/controllers/consensus/test_controller.py
@@ -26,8 +26,13 @@
     NotLeaderError,
     UnavailableError,
 )
-from wasabitray_core.local_messages import GroupContact, LeaveGroup
+from wasabitray_core.local_messages import (
+    GroupContact,
+    LeaveGroup,
+    ReadDocuments,
+)
 from wasabitray_core.messages import (
+    AppendRequest,
     Ballot,
     DocumentEdit,
     Member,
@@ -176,6 +181,26 @@
     assert contact["voters_heard"] == [leader.host]
 
 
+@pytest.mark.parametrize("is_learner", (False, True))
+def test_operators_are_not_sent_to_a_leader_that_is_gone(is_learner):
+    leader, own = Member("c1.a", "c1"), Member("c2.a", "c2")
+    members = (
+        Members((leader,), (own,)) if is_learner else Members((leader, own))
+    )
+    bed = ControllerBed(
+        ConsensusController,
+        own.member,
+        ("c1",),
+        Ballot(1, leader.member),
+        empty_snapshot(members),
+        host="c2",
+    )
+    bed.receive("c1", AppendRequest(1, leader.member, 0, 0, (), 0, 0))
+    assert bed.ask(ReadDocuments()).err_value.peer == "c1"
+    bed.clock.advance(ELECTION_MIN_S)
+    assert bed.ask(ReadDocuments()).err_value.peer == ""
+
+
 def test_leader_logs_the_voter_that_fell_silent_and_its_return():
     network, leader = make_settled_network()
     lost = next(h for h in network.hosts if h != leader.host)
