--- a/tests/core/controllers/consensus/changing_network.py
+++ b/tests/core/controllers/consensus/changing_network.py
@@ -4,7 +4,7 @@
 
 from core.controllers.consensus.network import Disk, empty_snapshot
 from core.controllers.consensus.timed_network import Host, TimedNetwork
-from result import Err
+from result import Err, Ok
 
 from wasabitray_core.controllers.controller import Origin
 from wasabitray_core.ids import HostId, LogIndex, MemberId, Revision, Term
@@ -24,6 +24,7 @@
 # The service manager kills a host that has not ended by then.
 STOP_LIMIT_S = 2.0
 PROBE_INTERVAL_S = 0.5
+REPLY_S = 0.2
 # A host may send operators to one that is gone for this long.
 REDIRECT_LAG_S = 2.0
 
@@ -116,6 +117,23 @@
             host.put(FleetView(tuple(views)), Origin())
         self.after(VIEW_INTERVAL_S, lambda: self.show_fleet(host))
 
+    def get_named_leaders(self) -> dict[HostId, str]:
+        """Return where each running host sends an operator who reads.
+
+        That is the host itself if it serves the read, and an empty id if it
+        knows no leader.
+        """
+        leaders: dict[HostId, str] = {}
+
+        def note(name: HostId, result: Ok | Err) -> None:
+            is_served = isinstance(result, Ok)
+            leaders[name] = name if is_served else result.err_value.peer
+
+        for name in self.running:
+            self.ask(name, ReadDocuments(), lambda r, n=name: note(n, r))
+        self.run(REPLY_S)
+        return leaders
+
     # Paths
 
     def has_path(self, one: HostId, other: HostId) -> bool:
--- a/tests/core/controllers/consensus/schedules.py
+++ b/tests/core/controllers/consensus/schedules.py
@@ -8,10 +8,8 @@
 
 from core.controllers.consensus.changing_network import ChangingNetwork
 from core.controllers.consensus.operators import Order, Reading
-from result import Err, Ok
 
 from wasabitray_core.ids import HostId
-from wasabitray_core.local_messages import ReadDocuments
 
 SETTLE_S = 12.0
 # A calm group is stable this long after the last fault ended.
@@ -49,6 +47,27 @@
     STOP_AFTER_SUCCESSOR = "stop after its successor's start"
 
 
+PLANNED = (Removal.STOP, Removal.STOP_AFTER_SUCCESSOR)
+
+
+class Trouble(Enum):
+    """Something that happens to a control group."""
+
+    REMOVE_LEADER = "remove leader"
+    REMOVE_FOLLOWER = "remove follower"
+    STOP_LEADER = "stop leader"
+    STOP_FOLLOWER = "stop follower"
+    WIPE = "wipe"
+    CUT = "cut"
+    FREEZE = "freeze"
+    SPLIT = "split"
+    KILL_ALL = "kill all"
+
+
+# Troubles that lose a machine.
+LOSSES = set(Trouble) - {Trouble.SPLIT, Trouble.KILL_ALL}
+
+
 class Schedule:
     """Troubles of a group while an operator sends a version after each.
 
@@ -126,6 +145,11 @@
         names = self.network.names
         return min(self.get_sound_hosts(), key=names.index)
 
+    def find_any(self) -> HostId:
+        """Return the leader or a follower."""
+        find = self.random.choice((self.find_leader, self.find_follower))
+        return find()
+
     # Troubles
 
     def start_successor(self) -> None:
@@ -185,15 +209,39 @@
 
     def kill_all(self) -> None:
         self.log("kill all")
-        names = self.network.running
+        names = [h for h in self.network.running if h not in self.replaced]
         for name in names:
             self.network.kill(name)
+        for name in self.network.running:
+            self.network.remove(name)
         self.network.run(RESTART_S)
         for name in names:
-            if name not in self.network.removed_at:
-                self.network.start(name)
+            self.network.start(name)
         self.disturbed_until = max(self.disturbed_until, self.now)
 
+    def apply(self, trouble: Trouble) -> None:
+        """Begin a trouble as soon as it is allowed."""
+        how = Removal.KILL
+        if trouble in (Trouble.STOP_LEADER, Trouble.STOP_FOLLOWER):
+            how = self.random.choice(PLANNED)
+        if trouble in LOSSES and how is not Removal.STOP_AFTER_SUCCESSOR:
+            self.await_room()
+        match trouble:
+            case Trouble.REMOVE_LEADER | Trouble.STOP_LEADER:
+                self.replace(self.find_leader(), how)
+            case Trouble.REMOVE_FOLLOWER | Trouble.STOP_FOLLOWER:
+                self.replace(self.find_follower(), how)
+            case Trouble.WIPE:
+                self.wipe(self.find_any())
+            case Trouble.CUT:
+                self.cut(self.find_any())
+            case Trouble.FREEZE:
+                self.freeze(self.find_any())
+            case Trouble.SPLIT:
+                self.split()
+            case Trouble.KILL_ALL:
+                self.kill_all()
+
     # Checks
 
     def check(self) -> None:
@@ -206,27 +254,21 @@
         network.run(READ_S)
         self.report(reading)
         assert reading.version is not None, f"nothing read, seed {self.seed}"
-        assert reading.version >= max(versions, default=0)
+        newest = max(versions, default=0)
+        assert reading.version >= newest, f"{reading.version} < {newest}"
         late = [o.version for o in self.orders if not o.acknowledged_at]
         assert not late, f"versions without acknowledgement: {late}"
         self.check_redirects()
 
     def check_redirects(self) -> None:
         """Check that all hosts send operators to the same living leader."""
-        network = self.network
-        answers: dict[HostId, str] = {}
-
-        def note(name: HostId, result: Ok | Err) -> None:
-            is_ok = isinstance(result, Ok)
-            answers[name] = name if is_ok else result.err_value.peer
-
-        for name in network.running:
-            network.ask(name, ReadDocuments(), lambda r, n=name: note(n, r))
-        network.run(0.5)
-        leader = network.find_leader()
-        assert leader is not None
-        assert answers == dict.fromkeys(network.running, leader.name)
-        assert not network.stale_redirects
+        leaders = self.network.get_named_leaders()
+        leader = self.network.find_leader()
+        assert leader is not None, "nobody leads"
+        stale = self.network.stale_redirects
+        assert not stale, f"sent to hosts that are gone: {stale}"
+        expected = dict.fromkeys(self.network.running, leader.name)
+        assert leaders == expected, "sent to hosts that don't lead"
 
     def report(self, reading: Reading) -> None:
         print(f"seed {self.seed}, {self.site}")
--- a/tests/core/controllers/consensus/test_replaced_hosts.py
+++ b/tests/core/controllers/consensus/test_replaced_hosts.py
@@ -1,5 +1,7 @@
 """Control hosts that are replaced by others at new addresses.
 
+The operator's versions must survive, and reads must find the leader.
+
 Set WASABITRAY_SEEDS to run other seeds, for example 100-200.
 """
 
@@ -13,7 +15,10 @@
     Removal,
     Schedule,
 )
+from core.controllers.consensus.timed_network import BETWEEN_REGIONS_S
 
+# A host has given up a silent leader by then.
+LEADER_SILENCE_S = 1.8
 HOWS = {
     "kill": Removal.KILL,
     "stop": Removal.STOP,
@@ -64,3 +69,19 @@
                 schedule.replace(ORDERS[order](schedule), HOWS[how])
             schedule.send_order()
         schedule.check()
+
+
+# Guards against hosts that send operators to a leader that has gone.
+@pytest.mark.parametrize("site", (FIVE, SIX, NINE), ids=lambda s: s.size)
+def test_host_without_a_leader_redirects_to_no_host(site):
+    for seed in seeds():
+        network = Schedule(site, seed).network
+        leader = network.find_leader()
+        voters = [m.host for m in leader.controller._log.members.voters]
+        voters.remove(leader.name)
+        for host in (leader.name, *voters[:2]):
+            network.remove(host)
+        network.run(LEADER_SILENCE_S + BETWEEN_REGIONS_S)
+        assert network.get_named_leaders() == dict.fromkeys(
+            network.running, ""
+        )
