--- a/tests/core/controllers/consensus/schedules.py
+++ b/tests/core/controllers/consensus/schedules.py
@@ -37,6 +37,7 @@
 FIVE = Site(5, 1, 4.0)
 SIX = Site(6, 2, 6.0)
 NINE = Site(9, 2, 6.0)
+FIFTEEN = Site(15, 2, 6.0)
 
 
 class Removal(Enum):
--- a/tests/core/controllers/consensus/test_replaced_hosts.py
+++ b/tests/core/controllers/consensus/test_replaced_hosts.py
@@ -9,6 +9,7 @@
 
 import pytest
 from core.controllers.consensus.schedules import (
+    FIFTEEN,
     FIVE,
     NINE,
     SIX,
@@ -72,14 +73,17 @@
 
 
 # Guards against hosts that send operators to a leader that has gone.
-@pytest.mark.parametrize("site", (FIVE, SIX, NINE), ids=lambda s: s.size)
+@pytest.mark.parametrize(
+    "site", (FIVE, SIX, NINE, FIFTEEN), ids=lambda s: s.size
+)
 def test_host_without_a_leader_redirects_to_no_host(site):
     for seed in seeds():
         network = Schedule(site, seed).network
         leader = network.find_leader()
         voters = [m.host for m in leader.controller._log.members.voters]
         voters.remove(leader.name)
-        for host in (leader.name, *voters[:2]):
+        majority = (leader.name, *voters[: len(voters) // 2])
+        for host in majority:
             network.remove(host)
         network.run(LEADER_SILENCE_S + BETWEEN_REGIONS_S)
         assert network.get_named_leaders() == dict.fromkeys(
