--- a/tests/core/controllers/consensus/test_replaced_hosts.py
+++ b/tests/core/controllers/consensus/test_replaced_hosts.py
@@ -1,5 +1,7 @@
 """Control hosts that are replaced by others at new addresses.
 
+The operator's versions must survive, and reads must find the leader.
+
 Set WASABITRAY_SEEDS to run other seeds, for example 100-200.
 """
 
@@ -7,13 +9,17 @@
 
 import pytest
 from core.controllers.consensus.schedules import (
+    FIFTEEN,
     FIVE,
     NINE,
     SIX,
     Removal,
     Schedule,
 )
+from core.controllers.consensus.timed_network import BETWEEN_REGIONS_S
 
+# A host has given up a silent leader by then.
+LEADER_SILENCE_S = 1.8
 HOWS = {
     "kill": Removal.KILL,
     "stop": Removal.STOP,
@@ -80,3 +86,22 @@
         schedule.disturbed_until = schedule.now
         schedule.check()
         assert not set(old) & set(network.running)
+
+
+# Guards against hosts that send operators to a leader that has gone.
+@pytest.mark.parametrize(
+    "site", (FIVE, SIX, NINE, FIFTEEN), ids=lambda s: s.size
+)
+def test_host_without_a_leader_redirects_to_no_host(site):
+    for seed in seeds():
+        network = Schedule(site, seed).network
+        leader = network.find_leader()
+        voters = [m.host for m in leader.controller._log.members.voters]
+        voters.remove(leader.name)
+        majority = (leader.name, *voters[: len(voters) // 2])
+        for host in majority:
+            network.remove(host)
+        network.run(LEADER_SILENCE_S + BETWEEN_REGIONS_S)
+        assert network.get_named_leaders() == dict.fromkeys(
+            network.running, ""
+        )
