--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -152,6 +152,18 @@
     When i1 announces that it is leaving and is acknowledged
     Then no request reaches i1 later than 2.5 s after that
 
+  Scenario Outline: The configuration is read back after control hosts were replaced one after the other
+    Given c4 and c5 are control hosts as well
+    When all control hosts are replaced one after the other, the <first> first, by <signal>, and a version is sent after each removal
+    Then an operator reads back a version as new as the newest acknowledged one
+
+    Examples:
+      | first  | signal  |
+      | oldest | SIGKILL |
+      | oldest | SIGTERM |
+      | leader | SIGKILL |
+      | leader | SIGTERM |
+
   Scenario Outline: The logs explain a failed request
     When the instances <fault>
     And request <id> to /write/x is sent to e1
--- a/tests/features/steps/platform_replacement_steps.py
+++ b/tests/features/steps/platform_replacement_steps.py
@@ -1,10 +1,21 @@
 """Steps in which control hosts of the platform are replaced."""
 
-from behave import when
+import signal
+
+import gevent
+from behave import given, then, when
 from fleet import wait_for
+from support.platform_controls import (
+    CONTACT_S,
+    CONTACT_SLACK_S,
+    Operator,
+    Replacements,
+)
 from support.platform_fleet import OPERATOR_PORT, start_requests
 from support.platform_standins import call
 
+REPLACED = 5
+GAP_S = 4.5
 # A silent voter gives its place to a learner after 8 s.
 JOIN_TIMEOUT_S = 20
 
@@ -54,3 +65,61 @@
         return False
     voters = response.json()["membership"]["voters"]
     return set(voters) == {fleet.ip(name) for name in names}
+
+
+@given("{names} are control hosts as well")
+def add_controls(context, names):
+    fleet = context.fleet
+    for name in split_names(names):
+        fleet.controls.append(name)
+        fleet.start_host(name)
+    wait_for(
+        lambda: are_voters(fleet, fleet.controls),
+        JOIN_TIMEOUT_S,
+        f"a group of {fleet.controls}",
+    )
+
+
+@when(
+    "all control hosts are replaced one after the other, the {first} first, "
+    "by {signal_name}, and a version is sent after each removal"
+)
+def replace_in_turn(context, first, signal_name):
+    fleet = context.fleet
+    replacements = context.replacements = Replacements(fleet, signal_name)
+    operator = context.operator = Operator(fleet, replacements, first)
+    for number in range(REPLACED):
+        if number:
+            gevent.sleep(GAP_S)
+        leader = find_leader(fleet) if first == "leader" else None
+        removed = leader or fleet.controls[0]
+        replacements.remove(removed, signal.Signals[signal_name])
+        replacements.add_successor(removed)
+        config = {**context.sent_config, "version": f"r{11 + number}"}
+        gevent.spawn(operator.put, config, GAP_S)
+
+
+def find_leader(fleet) -> str | None:
+    """Return who answers a read, or whom it is redirected to."""
+    names = {fleet.registry_address(name): name for name in fleet.controls}
+    for address in names:
+        try:
+            response = call(address, "GET", "/-/config")
+        except (OSError, EOFError):
+            continue
+        if response.status == 200:
+            return names[address]
+        if response.status == 307:
+            leader = response.headers["location"].split("/")[2]
+            if leader in names:
+                return names[leader]
+    return None
+
+
+@then("an operator reads back a version as new as the newest acknowledged one")
+def version_is_read_back(context):
+    operator = context.operator
+    acknowledged = operator.acknowledged
+    version = operator.read_version(CONTACT_S + CONTACT_SLACK_S)
+    problem = f"acknowledged {acknowledged}, calls {operator.outcomes[-12:]}"
+    assert version is not None and version >= acknowledged, problem
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -154,15 +154,24 @@
 
         return wait_for(attempt, 15, "a response to the operator").status
 
-    def follow(self, name: str, method: str, body=None):
-        """Call the configuration resource; follow up to two redirections."""
+    def follow(self, name: str, method: str, body=None, timeout_s=10.0):
+        """Call the configuration resource; follow up to two redirections.
+
+        Args:
+            name: the control host to call first.
+            method: GET or PUT.
+            body: the configuration to put.
+            timeout_s: seconds after which a call is given up.
+        """
         address = self.registry_address(name)
         for _ in range(3):
+            response = None
             try:
-                response = call(address, method, "/-/config", body)
+                with gevent.Timeout(timeout_s, False):
+                    response = call(address, method, "/-/config", body)
             except (OSError, EOFError):
                 return None
-            if response.status != 307:
+            if response is None or response.status != 307:
                 return response
             address = response.headers["location"].split("/")[2]
         return response
