--- a/tests/features/steps/platform_replacement_steps.py
+++ b/tests/features/steps/platform_replacement_steps.py
@@ -91,7 +91,7 @@
     for number in range(REPLACED):
         if number:
             gevent.sleep(GAP_S)
-        leader = find_leader(fleet) if first == "leader" else None
+        leader = fleet.find_leader() if first == "leader" else None
         removed = leader or fleet.controls[0]
         replacements.remove(removed, signal.Signals[signal_name])
         replacements.add_successor(removed)
@@ -99,27 +99,7 @@
         gevent.spawn(operator.put, config, GAP_S)
 
 
-def find_leader(fleet) -> str | None:
-    """Return who answers a read, or whom it is redirected to."""
-    names = {fleet.registry_address(name): name for name in fleet.controls}
-    for address in names:
-        try:
-            response = call(address, "GET", "/-/config")
-        except (OSError, EOFError):
-            continue
-        if response.status == 200:
-            return names[address]
-        if response.status == 307:
-            leader = response.headers["location"].split("/")[2]
-            if leader in names:
-                return names[leader]
-    return None
-
-
 @then("an operator reads back a version as new as the newest acknowledged one")
 def version_is_read_back(context):
-    operator = context.operator
-    acknowledged = operator.acknowledged
-    version = operator.read_version(CONTACT_S + CONTACT_SLACK_S)
-    problem = f"acknowledged {acknowledged}, calls {operator.outcomes[-12:]}"
-    assert version is not None and version >= acknowledged, problem
+    problem = context.operator.read_back(CONTACT_S + CONTACT_SLACK_S)
+    assert problem is None, problem
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -645,18 +645,7 @@
 @when("the leading control host is killed")
 def kill_leader(context):
     fleet = context.fleet
-    response = next(
-        r
-        for r in (
-            call(fleet.registry_address(c), "GET", "/-/config")
-            for c in fleet.controls
-        )
-        if r.status == 307
-    )
-    address = response.headers["location"].split("/")[2]
-    leader = next(
-        c for c in fleet.controls if fleet.registry_address(c) == address
-    )
+    leader = wait_for(fleet.find_leader, READ_TIMEOUT_S, "a leader")
     fleet.processes[leader].kill()
     fleet.controls.remove(leader)
     start_requests(context)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -31,7 +31,9 @@
 def run(options: argparse.Namespace, folder: Path) -> list[str]:
     """Run one soak; return a description of each broken promise."""
     fleet = PlatformFleet(folder, options.controls, options.entries)
-    changes = Changes(fleet, f"{options.seed}-changes")
+    changes = Changes(
+        fleet, f"{options.seed}-changes", options.replace_controls
+    )
     requests: list[Sent] = []
     busy = [
         subprocess.Popen([sys.executable, "-c", BUSY_LOOP])
@@ -65,6 +67,7 @@
         for process in busy:
             process.kill()
             process.wait()
+    gevent.joinall(tasks, raise_error=True)
     report(requests, changes)
     instances = list(fleet.instances.values())
     return find_problems(requests, instances, changes.history)
@@ -84,6 +87,7 @@
                 "answered": sum(map(is_answered_by_instance, ended)),
                 "statuses": dict(statuses),
                 "stops": len(history.stops),
+                "replacements": len(history.replacements),
                 "reloads": len(history.reloads),
                 "versions": len(history.route_acks),
                 "departures": len(history.departures),
@@ -102,6 +106,11 @@
     parser.add_argument("--entries", type=int, default=4)
     parser.add_argument("--instances", type=int, default=6)
     parser.add_argument("--callers", type=int, default=24)
+    parser.add_argument(
+        "--replace-controls",
+        action="store_true",
+        help="remove control hosts for good, for five or more of them",
+    )
     parser.add_argument("--busy", type=int, default=0, help="busy loops")
     parser.add_argument(
         "--transfer",
--- a/tests/soak/changes.py
+++ b/tests/soak/changes.py
@@ -12,9 +12,19 @@
 
 import gevent
 from fleet import wait_for
+from gevent.event import Event
+from gevent.lock import BoundedSemaphore
+from support.platform_controls import (
+    CATCHUP_S,
+    CONTACT_S,
+    CONTACT_SLACK_S,
+    GRACE_S,
+    Operator,
+    Replacements,
+)
+from support.platform_fleet import CALL_TIMEOUT_S
 from support.platform_standins import make_config
 
-GRACE_S = 6.0
 # Longer than what callers wait for.
 TIMEOUT = "8000ms"
 STOP_PAUSE_S = (0.0, 2.0)
@@ -24,6 +34,11 @@
 DEPARTURE_PAUSE_S = (2.0, 5.0)
 READY_TIMEOUT_S = 20.0
 CONTROL_PAUSE_S = (4.0, 8.0)
+KILLED_SHARE = 0.3
+# How long a successor runs before the next control host is removed.
+REPLACEMENT_PAUSE_S = (CATCHUP_S, CATCHUP_S + 2.0)
+READ_PAUSE_S = (15.0, 20.0)
+READ_TIMEOUT_S = CONTACT_S + CONTACT_SLACK_S
 LEAVING_S = 5.0
 MAX_ADDED_ROUTES = 20
 # Routes are used for as long as no later version can have dropped them.
@@ -39,44 +54,56 @@
         stops: when each entry got SIGTERM.
         starts: when each entry was started.
         control_changes: when a control host was stopped or started.
+        replacements: the control hosts that were removed for good.
         reloads: when an entry got SIGHUP.
         route_acks: when the version that added a route was acknowledged.
         departures: an instance, when its departure was acknowledged, and
             when it registered again.
         killed: processes that did not exit within the grace time.
         ended: processes that exited without a stop.
+        unread: what was wrong when the configuration was read back.
     """
 
     stops: list[tuple[str, float]] = field(default_factory=list)
     starts: list[tuple[str, float]] = field(default_factory=list)
     control_changes: list[float] = field(default_factory=list)
+    replacements: list[str] = field(default_factory=list)
     reloads: list[tuple[str, float]] = field(default_factory=list)
     route_acks: dict[str, float] = field(default_factory=dict)
     departures: list[tuple[str, float, float]] = field(default_factory=list)
     killed: list[str] = field(default_factory=list)
     ended: list[str] = field(default_factory=list)
+    unread: list[str] = field(default_factory=list)
 
 
 class Changes:
     """Makes changes in series that overlap each other."""
 
-    def __init__(self, fleet, seed: str) -> None:
+    def __init__(self, fleet, seed: str, is_replacing: bool) -> None:
         self.history = History()
-        self._is_ending = False
+        self._ending = Event()
         self._stopping: set[str] = set()
         self._fleet = fleet
         self._random = random.Random(seed)
         self._version = 1
+        self._replacements = Replacements(fleet, f"{seed}-contacts")
+        self._operator = Operator(fleet, self._replacements, f"{seed}-calls")
+        self._control_tasks = [self._restart_controls]
+        if is_replacing:
+            self._control_tasks.append(self._replace_controls)
+        # Each change to a control host takes one; a reader takes all.
+        self._permits = BoundedSemaphore(len(self._control_tasks))
 
     def get_tasks(self) -> list:
         """Return the functions that make changes without end."""
         return [
             self._restart_entries,
             self._restart_entries,
-            self._restart_controls,
+            *self._control_tasks,
             self._reload_entries,
             self._change_configuration,
             self._replace_instances,
+            self._read_back,
         ]
 
     def list_added_paths(self) -> list[str]:
@@ -87,7 +114,7 @@
 
     def put_first_configuration(self) -> None:
         """Send the first configuration and wait until all serve it."""
-        assert self._put([]) == 200
+        assert self._put([], READY_TIMEOUT_S)
         for entry in self._fleet.entries:
             wait_for(
                 lambda e=entry: (
@@ -97,7 +124,7 @@
                 entry,
             )
 
-    def _put(self, added: list[str]) -> int:
+    def _put(self, added: list[str], timeout_s: float) -> bool:
         self._version += 1
         routes = {
             "/read/": {"service": "rota", "timeout": TIMEOUT},
@@ -109,25 +136,24 @@
             **{p: {"service": "rota", "timeout": TIMEOUT} for p in added},
         }
         config = make_config(self._version, routes, ["rota"])
-        first = self._random.choice(self._fleet.controls)
-        return self._fleet.put_configuration(config, first)
+        return self._operator.put(config, timeout_s)
 
     def end(self) -> None:
         """Let the tasks end, each after the change that it makes now."""
-        self._is_ending = True
+        self._ending.set()
 
     def record_ended(self) -> None:
         """Record which processes exited by themselves; all should run."""
         self.history.ended = [
             name
-            for name in self._fleet.processes
+            for name in (*self._fleet.controls, *self._fleet.entries)
             if not self._is_running(name)
         ]
+        self.history.killed += self._replacements.overdue
 
     def _pause(self, bounds: tuple[float, float]) -> bool:
         """Wait; return whether further changes are due."""
-        gevent.sleep(self._random.uniform(*bounds))
-        return not self._is_ending
+        return not self._ending.wait(self._random.uniform(*bounds))
 
     def _restart_entries(self) -> None:
         while self._pause(STOP_PAUSE_S):
@@ -150,12 +176,74 @@
 
     def _restart_controls(self) -> None:
         while self._pause(CONTROL_PAUSE_S):
-            control = self._random.choice(self._fleet.controls)
-            self.history.control_changes.append(time.monotonic())
-            self._stop(control)
-            self._await_exit(control)
-            self._fleet.start_host(control)
-            self.history.control_changes.append(time.monotonic())
+            with self._permits:
+                control = self._random.choice(self._list_free_controls())
+                self._stopping.add(control)
+                self._record_control_change()
+                if self._random.random() < KILLED_SHARE:
+                    self._fleet.processes[control].kill()
+                else:
+                    self._stop(control)
+                    self._await_exit(control)
+                self._fleet.start_host(control)
+                self._record_control_change()
+                self._stopping.discard(control)
+
+    def _replace_controls(self) -> None:
+        while self._pause(REPLACEMENT_PAUSE_S):
+            with self._permits:
+                free = self._list_free_controls()
+                leader = self._fleet.find_leader()
+                candidates = [free[0], self._random.choice(free)]
+                if leader in free:
+                    candidates.append(leader)
+                self._replace(self._random.choice(candidates))
+
+    def _replace(self, control: str) -> None:
+        """Remove a control host for good; the next one takes its place."""
+        self._stopping.add(control)
+        self.history.replacements.append(control)
+        way = self._random.choice(["planned", "stopped", "killed"])
+        number = signal.SIGKILL if way == "killed" else signal.SIGTERM
+        if way == "planned":
+            self._start_successor(control)
+            gevent.sleep(CATCHUP_S)
+        self._replacements.remove(control, number)
+        self._record_control_change()
+        if way != "planned":
+            self._pause(START_PAUSE_S)
+            self._start_successor(control)
+
+    def _start_successor(self, control: str) -> None:
+        """Start a control host and leave it alone until it has caught up."""
+        successor = self._replacements.add_successor(control)
+        self._record_control_change()
+        self._stopping.add(successor)
+        gevent.spawn_later(CATCHUP_S, self._stopping.discard, successor)
+
+    def _list_free_controls(self) -> list[str]:
+        """Return the control hosts that nothing is done to, oldest first."""
+        return [c for c in self._fleet.controls if c not in self._stopping]
+
+    def _record_control_change(self) -> None:
+        self.history.control_changes.append(time.monotonic())
+
+    def _read_back(self) -> None:
+        """Read the configuration now and then, and once at the end."""
+        is_going_on = True
+        while is_going_on:
+            is_going_on = self._pause(READ_PAUSE_S)
+            for _ in self._control_tasks:
+                self._permits.acquire()
+            changed_at = max(self.history.control_changes, default=0.0)
+            remaining_s = changed_at + READ_TIMEOUT_S - time.monotonic()
+            problem = self._operator.read_back(
+                max(remaining_s, CALL_TIMEOUT_S)
+            )
+            if problem is not None:
+                self.history.unread.append(problem)
+            for _ in self._control_tasks:
+                self._permits.release()
 
     def _is_running(self, name: str) -> bool:
         child = self._fleet.processes[name].child
@@ -195,11 +283,7 @@
         while self._pause(VERSION_PAUSE_S):
             path = f"/added{self._version}/"
             added = [*added, path][-MAX_ADDED_ROUTES:]
-            try:
-                status = self._put(added)
-            except AssertionError:
-                continue
-            if status == 200:
+            if self._put(added, READ_TIMEOUT_S):
                 self.history.route_acks[path] = time.monotonic()
 
     def _replace_instances(self) -> None:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Iterator
 
+from support.platform_controls import GRACE_S
 from support.platform_standins import Instance, ReceivedRequest
 
-from soak.changes import CHANGE_BOUND_S, GRACE_S, History
+from soak.changes import CHANGE_BOUND_S, History
 from soak.traffic import DEADLINE_S, Sent
 
 # The last part of the grace time, in which an instance that is at work may be
@@ -38,6 +39,7 @@
         *find_missing_routes(requests),
         *(f"{name} did not exit in time" for name in history.killed),
         *(f"{name} exited by itself" for name in history.ended),
+        *history.unread,
     ]
 
 
--- a/tests/support/platform_controls.py
+++ b/tests/support/platform_controls.py
@@ -2,27 +2,28 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 import signal
 import time
 
 import gevent
 
-from support.platform_fleet import PlatformFleet
+from support.platform_fleet import CALL_TIMEOUT_S, PlatformFleet
 
 # The users' bounds for a control host that is removed for good.
 GRACE_S = 6.0
 CATCHUP_S = 4.0
-# An operator finds a control host that answers within this time.
+# An operator finds a control host that serves it within this time.
 CONTACT_S = 4.0
 CONTACT_SLACK_S = 1.0
 # Everybody learns the list of control hosts this late.
 LIST_LAG_S = 3.0
 CONTACTS = 3
-# Successors keep the zone, which is that of the number modulo 2.
+# An even one, since the zone is that of the number modulo 2.
 SUCCESSOR_OFFSET = 10
-CALL_TIMEOUT_S = 1.0
 BACKOFF_S = (0.1, 0.2, 0.4, 0.8)
+SHOWN_CALLS = 12
 
 
 class Replacements:
@@ -30,12 +31,12 @@
 
     Attributes:
         known: the control hosts as everybody knows them by now.
-        changed_at: when a successor was started last.
+        overdue: hosts that did not exit within the grace time.
     """
 
     def __init__(self, fleet: PlatformFleet, seed: str) -> None:
         self.known = list(fleet.controls)
-        self.changed_at = 0.0
+        self.overdue: list[str] = []
         self._fleet = fleet
         self._random = random.Random(seed)
 
@@ -43,17 +44,25 @@
         """Send a signal to a host; kill it once its grace time is over."""
         self._fleet.controls.remove(name)
         self._announce()
+        self._fleet.processes[name].signal(number)
+        gevent.spawn_later(GRACE_S, self._end, name)
+
+    def _end(self, name: str) -> None:
         process = self._fleet.processes[name]
-        process.signal(number)
-        gevent.spawn_later(GRACE_S, process.kill)
+        if process.child.poll() is None:
+            self.overdue.append(name)
+            process.kill()
 
     def add_successor(self, name: str) -> str:
-        """Start a host with an empty disk at a new address."""
+        """Start a host with an empty disk at a new address.
+
+        Returns:
+            Its name.
+        """
         successor = f"c{int(name[1:]) + SUCCESSOR_OFFSET}"
         self._fleet.controls.append(successor)
         self._announce()
         self._fleet.start_host(successor)
-        self.changed_at = time.monotonic()
         return successor
 
     def _announce(self) -> None:
@@ -73,14 +82,13 @@
 
     Attributes:
         acknowledged: the newest version that was acknowledged.
-        outcomes: which host was called last, when, and with what status.
     """
 
     def __init__(
         self, fleet: PlatformFleet, replacements: Replacements, seed: str
     ) -> None:
         self.acknowledged = 0
-        self.outcomes: list[tuple[float, str, int | None]] = []
+        self._calls: list[str] = []
         self._fleet, self._replacements = fleet, replacements
         self._random = random.Random(seed)
 
@@ -91,23 +99,37 @@
         self.acknowledged = max(self.acknowledged, parse_version(config))
         return True
 
-    def read_version(self, timeout_s: float) -> int | None:
-        """Return the version that is read, None without a response."""
+    def read_back(self, timeout_s: float) -> str | None:
+        """Read the configuration; return what is wrong with it, if anything.
+
+        It must be as new as the newest one that was acknowledged before.
+        """
+        expected = self.acknowledged
         response = self._call("GET", None, timeout_s)
-        return parse_version(response.json()) if response else None
+        if response is None:
+            calls = ", ".join(self._calls[-SHOWN_CALLS:])
+            return f"no configuration read within {timeout_s:.1f} s: {calls}"
+        version = parse_version(response.json())
+        if version < expected:
+            return f"read version {version}, acknowledged was {expected}"
+        return None
 
     def _call(self, method: str, config: dict | None, timeout_s: float):
         with gevent.Timeout(timeout_s, False):
-            for attempt in range(1_000):
+            for pause_s in itertools.chain(
+                BACKOFF_S, itertools.repeat(BACKOFF_S[-1])
+            ):
                 host = self._random.choice(self._replacements.known)
+                started = time.monotonic()
                 response = self._fleet.follow(
                     host, method, config, CALL_TIMEOUT_S
                 )
-                status = response.status if response else None
-                self.outcomes.append((time.monotonic(), host, status))
+                status = response.status if response else "none"
+                elapsed_s = time.monotonic() - started
+                self._calls.append(f"{host} {status} in {elapsed_s:.3f} s")
                 if status == 200:
                     return response
-                gevent.sleep(BACKOFF_S[min(attempt, len(BACKOFF_S) - 1)])
+                gevent.sleep(pause_s)
         return None
 
 
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -21,6 +21,8 @@
 REGISTRY_PORT, DIRECTORY_PORT, INSTANCE_PORT = 8382, 8383, 8407
 REGION_OF_ZONE = {"hobart": "south", "launceston": "north"}
 ZONES = tuple(REGION_OF_ZONE)
+# An operator gives up a call after this time.
+CALL_TIMEOUT_S = 1.0
 
 
 class PlatformFleet:
@@ -176,6 +178,24 @@
             address = response.headers["location"].split("/")[2]
         return response
 
+    def find_leader(self) -> str | None:
+        """Return who answers a read, or whom it is redirected to."""
+        names = {self.registry_address(name): name for name in self.controls}
+        for address in names:
+            response = None
+            try:
+                with gevent.Timeout(CALL_TIMEOUT_S, False):
+                    response = call(address, "GET", "/-/config")
+            except (OSError, EOFError):
+                continue
+            if response is not None and response.status == 307:
+                address = response.headers["location"].split("/")[2]
+            elif response is None or response.status != 200:
+                continue
+            if address in names:
+                return names[address]
+        return None
+
     def send(self, entry: str, method: str, path: str, **options):
         headers = {
             "Request-Id": options.pop("id", os.urandom(8).hex()),
