Split what a leader knows of its members from the controller

consensus/controller.py had grown to 921 lines: elections, replication, membership and planned stops. The other members' progress, silence and stops, and the next change that follows from them, are a class of their own (peers.py, tests in test_peers.py; each of three decisions was broken once and its test failed). No change of behaviour: the tests of the controllers pass as before.

--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -9,7 +9,6 @@
 from result import Err, Ok
 
 from wasabitray_core.controllers.consensus.election import (
-    ELECTION_MIN_S,
     NO_MEMBER,
     UNKNOWN_HOST,
     Election,
@@ -17,12 +16,10 @@
 from wasabitray_core.controllers.consensus.group import (
     GroupChange,
     GroupSize,
-    MemberStates,
-    plan_change,
 )
 from wasabitray_core.controllers.consensus.log import ReplicatedLog
+from wasabitray_core.controllers.consensus.peers import Peers
 from wasabitray_core.controllers.consensus.progress import (
-    Progress,
     get_quorum_index,
     is_quorum,
 )
@@ -104,19 +101,6 @@
 MAX_RECORDS_PER_APPEND = 64
 SNAPSHOT_INTERVAL_RECORDS = 1_000
 RECORDS_KEPT_AFTER_SNAPSHOT = 200
-# A voter that has not replied for this long gives its place to a learner.
-# With an election before it and two commits after it, a lost voter is replaced
-# before the next hosts may be lost.
-SILENT_AFTER_S = 1.5
-# A member that asked to leave either ends or asks again within this time.
-LEAVING_VALID_S = 2.0
-# A learner that has not replied for this long is not expected to return.
-GONE_AFTER_S = 60.0
-# After its own tick came this late, the leader waits as long for replies
-# before it judges the silence of others.
-STALL_S = 0.5
-# A learner may become a voter if it lags behind the log's end by at most this.
-MAX_CAUGHT_UP_LAG_RECORDS = 10
 
 _LEADER = ConsensusRole.LEADER
 
@@ -155,8 +139,6 @@
             tolerated_losses: control hosts that may be lost at the same time.
         """
         super().__init__(context)
-        self._size = GroupSize(tolerated_losses)
-        self._last_run = self._members_due_at = context.clock()
         self._control_hosts = control_hosts
         self._machine = ConfigurationStateMachine()
         self._machine.restore(snapshot)
@@ -171,14 +153,13 @@
         )
         self._commit_index = self._applied_index = snapshot.index
         self._proposals = Proposals(self._machine)
-        self._progress: dict[MemberId, Progress] = {}
+        self._peers = Peers(self._state, GroupSize(tolerated_losses))
         self._read_queue = ReadQueue()
         self._has_leader_flag = False
         self._is_stopping = False
         self._stop_requests: list[Origin] = []
         self._sent_contact: GroupContact | None = None
         self._logged_members = snapshot.members
-        self._silent_voters: frozenset[HostId] = frozenset()
         self._state.reset_election_timeout()
         if snapshot.revision:
             self._outbox.tell(ControllerName.CONFIGURATION, Restored(snapshot))
@@ -299,7 +280,7 @@
         this member was the leader when it arrived ("ReadIndex" in section
         6.4 of Ongaro's thesis).
         """
-        rounds = {m: p.confirmed_round for m, p in self._progress.items()}
+        rounds = {m: p.confirmed_round for m, p in self._peers.items()}
         for origin in self._read_queue.pop_confirmed(
             self._log.members, self._election.member, rounds
         ):
@@ -328,9 +309,9 @@
                 "learners": [m.member for m in members.learners],
                 "lag": {
                     member: self._log.last_index - progress.match_index
-                    for member, progress in self._progress.items()
+                    for member, progress in self._peers.items()
                 },
-                "silent_s": self._get_silences(),
+                "silent_s": self._peers.silences,
                 "contact": self._state.describe_contact(),
             },
         )
@@ -353,7 +334,7 @@
             return
         members = self._log.members
         if self._state.is_leader and len(members.voters) > 1:
-            if self._plan_change() is None:
+            if self._peers.plan_change() is None:
                 self._hand_over_leadership()
             return
         is_voter = self._state.is_voter
@@ -368,25 +349,15 @@
         self._stop_requests.clear()
 
     def _hand_over_leadership(self) -> None:
-        """Ask the voter that has replicated most to start an election."""
-        now = self._now()
-        successors = [
-            (p.match_index, m.host)
-            for m in self._state.voters
-            if (p := self._progress.get(m.member)) is not None
-            and now - p.last_contact < ELECTION_MIN_S
-            and now > p.leaving_until
-        ]
-        if successors:
-            _, host = max(successors)
+        successor = self._peers.find_successor()
+        if successor != UNKNOWN_HOST:
             campaign = CampaignNow(self.term, self._election.member)
-            self._outbox.send(host, campaign)
+            self._outbox.send(successor, campaign)
 
     @receive.register
     def _(self, message: LeaveRequest, origin: Origin) -> None:
-        progress = self._progress.get(message.member)
-        if self._state.is_leader and progress is not None:
-            progress.leaving_until = Seconds(self._now() + LEAVING_VALID_S)
+        if self._state.is_leader:
+            self._peers.record_leaving(message.member)
             self._advance_members()
 
     # Elections
@@ -426,55 +397,31 @@
     def _become_leader(self) -> None:
         self._election.role = _LEADER
         self._election.leader = self._election.member
-        self._progress = {}
-        self._last_run = self._members_due_at = self._now()
+        self._peers.start_term()
         self._append(Noop())
-        self._backdate_former_leader()
         self._outbox.log_event("lead taken", term=self.term)
         self._run_as_leader()
 
     # Leader
 
     def _run_as_leader(self) -> None:
-        now = self._now()
-        if now - self._last_run > STALL_S:
-            self._members_due_at = Seconds(now + STALL_S)
-        self._last_run = now
-        self._track_peers()
-        reachable = {
-            m
-            for m, progress in self._progress.items()
-            if now - progress.last_contact < ELECTION_MIN_S
-        }
-        if not is_quorum(
-            self._log.members, reachable | {self._election.member}
-        ):
+        self._peers.record_run()
+        self._peers.track()
+        reachable = self._peers.reachable | {self._election.member}
+        if not is_quorum(self._log.members, reachable):
             self._step_down("no contact with a majority")
             return
         for member in self._state.peers:
             self._send_append(member)
         self._advance_commit()
         self._advance_members()
-        self._log_silent_voters()
+        self._peers.log_silent_voters()
         self._reply_to_completed_changes()
         self._process_queued_proposals()
 
-    def _track_peers(self) -> None:
-        """Track the progress of all current members and of no others."""
-        start = Progress(LogIndex(0), self._log.last_index, self._now())
-        self._progress = {
-            m.member: self._progress.get(m.member) or replace(start)
-            for m in self._state.peers
-        }
-
-    def _backdate_former_leader(self) -> None:
-        """Count the former leader's silence from its last message here."""
-        former = self._progress.get(self._election.last_leader)
-        if former is not None:
-            former.last_contact = self._election.last_leader_contact
-
     def _send_append(self, member: Member) -> None:
-        progress = self._progress[member.member]
+        progress = self._peers.find(member.member)
+        assert progress is not None
         previous = LogIndex(progress.next_index - 1)
         previous_term = self._log.find_term(previous)
         if previous_term is None:
@@ -507,7 +454,7 @@
     def _(self, message: AppendReply, origin: Origin) -> None:
         self._state.record_peer(origin.peer)
         self._voting.observe_term(message.term)
-        progress = self._progress.get(message.member)
+        progress = self._peers.find(message.member)
         if not self._state.is_leader or progress is None:
             return
         if message.term != self.term:
@@ -536,7 +483,7 @@
                 self._send_append(member)
 
     def _advance_commit(self) -> None:
-        matches = {m: p.match_index for m, p in self._progress.items()}
+        matches = {m: p.match_index for m, p in self._peers.items()}
         matches[self._election.member] = self._log.last_index
         index = get_quorum_index(self._log.members, matches)
         # Records of earlier terms are committed only together with a record
@@ -556,53 +503,16 @@
             not self._state.is_leader
             or self._log.members_index > self._commit_index
             or not self._has_committed_own_term()
-            or self._now() < self._members_due_at
         ):
             return
-        change = self._plan_change()
+        change = self._peers.plan_change()
         if change is not None:
             self._append_group_change(change)
 
-    def _plan_change(self) -> GroupChange | None:
-        return plan_change(
-            self._log.members, self._get_member_states(), self._size
-        )
-
     def _append_group_change(self, change: GroupChange) -> None:
-        progress = self._progress.get(change.member.member)
-        self._outbox.log_event(
-            "group change",
-            peer=change.member.host,
-            member=change.member.member,
-            reason=change.reason.value,
-            silent_s=None
-            if progress is None
-            else round(self._now() - progress.last_contact, 3),
-        )
+        self._peers.log_change(change)
         self._append(change.members)
 
-    def _get_member_states(self) -> MemberStates:
-        caught_up_index = max(
-            1, self._log.last_index - MAX_CAUGHT_UP_LAG_RECORDS
-        )
-        now = self._now()
-        silences = {m: now - p.last_contact for m, p in self._progress.items()}
-        return MemberStates(
-            ready=frozenset(
-                m
-                for m, p in self._progress.items()
-                if p.match_index >= caught_up_index
-                and silences[m] < ELECTION_MIN_S
-            ),
-            silent=frozenset(
-                m for m, s in silences.items() if s > SILENT_AFTER_S
-            ),
-            leaving=frozenset(
-                m for m, p in self._progress.items() if now <= p.leaving_until
-            ),
-            gone=frozenset(m for m, s in silences.items() if s > GONE_AFTER_S),
-        )
-
     @receive.register
     def _(self, message: JoinRequest, origin: Origin) -> None:
         if self._state.is_leader:
@@ -648,7 +558,7 @@
         record = LogRecord(index, self.term, command)
         self._log.append(record)
         self._outbox.persist(record)
-        self._track_peers()
+        self._peers.track()
         for member in self._state.peers:
             self._send_append(member)
 
@@ -802,34 +712,6 @@
             self._sent_contact = contact
             self._outbox.tell(ControllerName.TRIALS, contact)
 
-    # Logs
-
-    def _get_silences(self) -> dict[HostId, float]:
-        """Return the seconds since each other member replied to the leader."""
-        now = self._now()
-        return {
-            m.host: round(now - self._progress[m.member].last_contact, 3)
-            for m in self._state.peers
-            if m.member in self._progress
-        }
-
-    def _log_silent_voters(self) -> None:
-        """Log which voters fell silent or are heard again."""
-        voters = {m.host for m in self._state.voters}
-        silences = self._get_silences()
-        silent = frozenset(
-            host
-            for host, silent_s in silences.items()
-            if host in voters and silent_s >= ELECTION_MIN_S
-        )
-        for host in sorted(silent - self._silent_voters):
-            self._outbox.log_event(
-                "voter silent", peer=host, silent_s=silences[host]
-            )
-        for host in sorted((self._silent_voters - silent) & voters):
-            self._outbox.log_event("voter heard", peer=host)
-        self._silent_voters = silent
-
     def _log_members(self) -> None:
         """Log the group in this member's log after each change of it."""
         members = self._log.members
@@ -844,7 +726,7 @@
             committed=self._log.members_index <= self._commit_index,
             role=self.role.value,
             term=self.term,
-            silent_s=self._get_silences(),
+            silent_s=self._peers.silences,
         )
 
     # Applying
