--- a/tests/core/controllers/consensus/schedules.py
+++ b/tests/core/controllers/consensus/schedules.py
@@ -19,6 +19,7 @@
 OUTAGE_S = 4.0
 SPLIT_S = 5.0
 RESTART_S = 0.5
+PAUSE_S = 2.5
 
 
 class Site(NamedTuple):
@@ -63,10 +64,12 @@
     FREEZE = "freeze"
     SPLIT = "split"
     KILL_ALL = "kill all"
+    PAUSE = "pause"
+    """Nothing, for a while."""
 
 
 # Troubles that lose a machine.
-LOSSES = set(Trouble) - {Trouble.SPLIT, Trouble.KILL_ALL}
+LOSSES = set(Trouble) - {Trouble.SPLIT, Trouble.KILL_ALL, Trouble.PAUSE}
 
 
 class Schedule:
@@ -242,6 +245,8 @@
                 self.split()
             case Trouble.KILL_ALL:
                 self.kill_all()
+            case Trouble.PAUSE:
+                self.network.run(PAUSE_S)
 
     # Checks
 
