Leave silent voters in a group that has nobody to replace them

Cause: one of two silent voters left a group without a learner, since the rest bears more losses. In a split the silent ones come back.

A silent voter without a learner goes only from an even number of voters. Two that are leaving still go.

--- a/packages/core/src/wasabitray_core/controllers/consensus/group.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/group.py
@@ -1,10 +1,8 @@
 """Which membership change of the control group is due next.
 
-A voter that is gone for good weakens the group until it is replaced: with
-each further loss the majority comes nearer to its end, and a group without a
-majority can't change its members any more. So a voter that is silent gives
-its place to a learner soon, and it is not removed but becomes a learner
-itself: if it was only cut off or frozen, it catches up and votes again.
+A group without a majority can't change its members any more, so a silent
+voter is replaced before more can be lost. It becomes a learner: if it was only
+cut off or frozen, it catches up and votes again.
 
 Members change one at a time, and each change is committed by a majority of
 the new group ("Cluster membership changes" in Ongaro's thesis). A minority
@@ -61,9 +59,9 @@
     leaving: frozenset[MemberId] = frozenset()
     gone: frozenset[MemberId] = frozenset()
 
-    def is_absent(self, member: Member) -> bool:
-        """Return whether a voter's place should go to another member."""
-        return member.member in self.silent | self.leaving
+    def may_vote(self, member: Member) -> bool:
+        """Return whether a learner may become a voter."""
+        return member.member in self.ready - self.silent - self.leaving
 
 
 class GroupChange(Struct, frozen=True):
@@ -132,7 +130,9 @@
     """Replace a silent voter.
 
     It goes before a learner takes its place, unless the group would be
-    smaller than its smallest size in between.
+    smaller than its smallest size in between. Without a learner it goes only
+    if an odd number of voters is left, which bears as many losses: the silent
+    voters may be the sound half of a split, which returns as it ends.
     """
     silent = [v for v in members.voters if v.member in states.silent]
     if not silent:
@@ -143,7 +143,7 @@
         return _promote(
             members, candidates[0], GroupChangeReason.VOTER_REPLACED
         )
-    if may_shrink and (candidates or _bears_more_without(members, states)):
+    if may_shrink and (candidates or len(members.voters) % 2 == 0):
         return _demote(members, silent[0], GroupChangeReason.SILENT)
     return None
 
@@ -154,6 +154,7 @@
     """Replace a voter whose host is being stopped.
 
     It stays until a learner has taken its place, since it still votes.
+    Without a learner it goes if the rest bears more losses.
     """
     leaving = [v for v in members.voters if v.member in states.leaving]
     if not leaving:
@@ -164,20 +165,11 @@
         return _promote(
             members, candidates[0], GroupChangeReason.VOTER_REPLACED
         )
-    if count > size.smallest and _bears_more_without(members, states):
+    if count > size.smallest and (count % 2 == 0 or len(leaving) > 1):
         return _demote(members, leaving[0], GroupChangeReason.LEAVING)
     return None
 
 
-def _bears_more_without(members: Members, states: MemberStates) -> bool:
-    """Return whether a group bears more losses without its absent voters.
-
-    An even number of voters bears no more than the odd number below it.
-    """
-    absent = [v for v in members.voters if states.is_absent(v)]
-    return len(members.voters) % 2 == 0 or len(absent) > 1
-
-
 def _grow(
     members: Members, states: MemberStates, size: GroupSize
 ) -> GroupChange | None:
@@ -206,11 +198,7 @@
 
 def _find_candidates(members: Members, states: MemberStates) -> list[Member]:
     """Return the learners that may become voters."""
-    return [
-        m
-        for m in members.learners
-        if m.member in states.ready and not states.is_absent(m)
-    ]
+    return [m for m in members.learners if states.may_vote(m)]
 
 
 def _promote(
