End a planned stop only when the group can spare the host

A learner that was gone made each stop take 3 s. A new leader took a former one that had just voted for silent, or for gone after a minute; two voters elected each other without end.

The leader answers a stopping member once no change is due and the members that stay are a majority that replied in this term, and makes no change that such a majority can't commit. Replies to it say that a host is being stopped, so a new leader knows, too. A stopping leader takes no orders and joins, hands over only to a voter with its whole log, and campaigns no more. The former leader's silence counts from its last message only if it didn't vote and that message is recent, and never for the check of a majority. A reply that is handled before a late timer plans nothing.

--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -79,6 +79,7 @@
     ConfigState,
     InstallSnapshot,
     JoinRequest,
+    LeaveReply,
     LeaveRequest,
     LogRecord,
     Member,
@@ -209,7 +210,7 @@
             self._run_as_leader()
         elif not self._state.is_voter:
             self._ask_to_join()
-        elif self._now() >= self._election.timeout:
+        elif self._now() >= self._election.timeout and not self._is_stopping:
             self._voting.start_pre_vote()
             self._ask_to_join()
         self._prepare_stop()
@@ -325,40 +326,68 @@
         self._prepare_stop()
 
     def _prepare_stop(self) -> None:
-        """Hand over what this member holds; reply once it holds nothing.
+        """Hand over what this member holds; reply once it holds nothing."""
+        if not self._stop_requests:
+            return
+        if self._state.is_leader:
+            self._hand_over_leadership()
+        elif not self._is_voter_in_any_group():
+            self._finish_stop()
+        elif self._state.leader_host != UNKNOWN_HOST:
+            request = LeaveRequest(self._election.member)
+            self._outbox.send(self._state.leader_host, request)
 
-        A leader first makes the changes of the group that are due: other
-        voters may be stopped as well, and an election would delay them.
+    def _is_voter_in_any_group(self) -> bool:
+        """Return whether the newest group or the committed one needs it."""
+        committed = self._log.get_members_at(self._commit_index)
+        return self._state.is_voter or self._state.own_member in (
+            committed.voters
+        )
+
+    def _hand_over_leadership(self) -> None:
+        """Ask a voter that has the whole log to start an election.
+
+        The changes of the group that are due come first: other voters may be
+        stopped as well, and an election would delay them.
         """
-        if not self._stop_requests:
+        successors = self._peers.find_successors()
+        if not successors:
+            self._finish_stop()
             return
-        members = self._log.members
-        if self._state.is_leader and len(members.voters) > 1:
-            if self._peers.plan_change() is None:
-                self._hand_over_leadership()
+        is_settled = self._log.members_index <= self._commit_index
+        if not is_settled or self._peers.plan_change() is not None:
             return
-        is_voter = self._state.is_voter
-        leader = self._state.leader_host
-        if is_voter and leader != UNKNOWN_HOST:
-            request = LeaveRequest(self._election.member)
-            self._outbox.send(leader, request)
-        if is_voter and members.learners:
-            return  # until one of them votes in this member's place
+        for successor in successors:
+            if self._peers.has_whole_log(successor):
+                campaign = CampaignNow(self.term, self._election.member)
+                self._outbox.send(successor.host, campaign)
+                return
+
+    def _finish_stop(self) -> None:
         for origin in self._stop_requests:
             self._reply(origin, True)
         self._stop_requests.clear()
 
-    def _hand_over_leadership(self) -> None:
-        successor = self._peers.find_successor()
-        if successor != UNKNOWN_HOST:
-            campaign = CampaignNow(self.term, self._election.member)
-            self._outbox.send(successor, campaign)
-
     @receive.register
     def _(self, message: LeaveRequest, origin: Origin) -> None:
-        if self._state.is_leader:
-            self._peers.record_leaving(message.member)
-            self._advance_members()
+        if not self._state.is_leader:
+            return
+        self._peers.record_leaving(message.member)
+        self._advance_members()
+        assert origin.peer is not None
+        if (
+            self._log.members_index <= self._commit_index
+            and self._has_committed_own_term()
+            and not self._is_stopping
+            and self._peers.plan_change() is None
+            and self._peers.can_spare_stopping()
+        ):
+            self._outbox.send(origin.peer, LeaveReply(self.term))
+
+    @receive.register
+    def _(self, message: LeaveReply, origin: Origin) -> None:
+        if message.term == self.term and not self._state.is_leader:
+            self._finish_stop()
 
     # Elections
 
@@ -459,7 +488,9 @@
             return
         if message.term != self.term:
             return
-        progress.last_contact = self._now()
+        progress.record_contact(self._now())
+        if message.stopping:
+            self._peers.record_leaving(message.member)
         progress.confirmed_round = max(progress.confirmed_round, message.round)
         self._serve_confirmed_reads()
         if message.accepted:
@@ -475,6 +506,8 @@
             is_behind = True
         if is_behind and self._state.is_leader:
             self._send_next_records(message.member)
+        if self._state.is_leader:
+            self._prepare_stop()
 
     def _send_next_records(self, member_id: MemberId) -> None:
         """Immediately send the next records to a member that lags behind."""
@@ -540,6 +573,7 @@
         if (
             self._log.members_index <= self._commit_index
             and self._has_committed_own_term()
+            and not self._is_stopping
         ):
             learners = (*members.learners, member)
             self._append_group_change(
@@ -564,7 +598,7 @@
 
     def _process_queued_proposals(self) -> None:
         """Append the next valid change, unless one is still uncommitted."""
-        if not self._state.is_leader:
+        if not self._state.is_leader or self._is_stopping:
             return
         while (
             self._has_committed_own_term()
@@ -669,7 +703,12 @@
         confirmed_round: int = 0,
     ) -> None:
         reply = AppendReply(
-            self.term, self._election.member, accepted, index, confirmed_round
+            self.term,
+            self._election.member,
+            accepted,
+            index,
+            confirmed_round,
+            self._is_stopping,
         )
         self._outbox.send(host, reply)
 
--- a/packages/core/src/wasabitray_core/controllers/consensus/peers.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/peers.py
@@ -4,19 +4,20 @@
 
 from collections.abc import ItemsView
 
-from wasabitray_core.controllers.consensus.election import (
-    ELECTION_MIN_S,
-    UNKNOWN_HOST,
-)
+from wasabitray_core.controllers.consensus.election import ELECTION_MIN_S
 from wasabitray_core.controllers.consensus.group import (
     GroupChange,
     GroupSize,
     MemberStates,
     plan_change,
 )
-from wasabitray_core.controllers.consensus.progress import Progress
+from wasabitray_core.controllers.consensus.progress import (
+    Progress,
+    is_quorum,
+)
 from wasabitray_core.controllers.consensus.state import MemberState
 from wasabitray_core.ids import HostId, LogIndex, MemberId, Seconds
+from wasabitray_core.messages import Member, Members
 
 # A voter that has not replied for this long gives its place to a learner.
 # With an election before it and two commits after it, a lost voter is replaced
@@ -29,6 +30,9 @@
 # A leader whose own timer was this late waits as long for replies before it
 # judges the silence of others.
 STALL_S = 0.5
+# The former leader's last message tells of its silence only in the election
+# that followed it.
+MAX_ELECTION_S = 10.0
 # A learner may become a voter if it lags behind the log's end by at most this.
 MAX_CAUGHT_UP_LAG_RECORDS = 10
 
@@ -60,12 +64,21 @@
             if now - progress.last_contact < ELECTION_MIN_S
         }
 
+    @property
+    def responsive(self) -> set[MemberId]:
+        """The reachable members that have replied to this leader.
+
+        All others count as reachable for a moment after its election.
+        """
+        replied = {m for m, p in self.items() if p.has_replied}
+        return self.reachable & replied
+
     @property
     def silences(self) -> dict[HostId, float]:
         """The seconds since each member replied."""
         now = self._state.now()
         return {
-            m.host: round(now - self._progress[m.member].last_contact, 3)
+            m.host: round(now - self._progress[m.member].silent_since, 3)
             for m in self._state.peers
             if m.member in self._progress
         }
@@ -81,23 +94,28 @@
     def start_term(self) -> None:
         """Start anew as the leader of a term.
 
-        The silence of all members counts from now, but that of the former
-        leader from its last message.
+        The silence of all members counts from now, but that of a former
+        leader that did not vote from its last message.
         """
+        now = self._state.now()
         self._progress = {}
-        self._last_run = self._judged_from = self._state.now()
+        self._last_run = self._judged_from = now
         self.track()
         election = self._state.election
         former = self._progress.get(election.last_leader)
-        if former is not None:
-            former.last_contact = election.last_leader_contact
+        if (
+            former is not None
+            and election.last_leader not in election.votes
+            and now - election.last_leader_contact < MAX_ELECTION_S
+        ):
+            former.silent_since = election.last_leader_contact
 
     def track(self) -> None:
         """Track the progress of all current members and of no others."""
         next_index, now = self._state.log.last_index, self._state.now()
         self._progress = {
             m.member: self._progress.get(m.member)
-            or Progress(LogIndex(0), next_index, now)
+            or Progress(LogIndex(0), next_index, now, now)
             for m in self._state.peers
         }
 
@@ -119,17 +137,26 @@
 
     def plan_change(self) -> GroupChange | None:
         """Return the next membership change, None if none is due now."""
-        if self._state.now() < self._judged_from:
+        now = self._state.now()
+        if now < self._judged_from or now - self._last_run > STALL_S:
             return None
-        return plan_change(
+        change = plan_change(
             self._state.log.members, self._get_states(), self._size
         )
+        if change is None or not self._can_commit(change.members):
+            return None
+        return change
+
+    def _can_commit(self, members: Members) -> bool:
+        """Return whether a majority of a group replied lately."""
+        own = self._state.election.member
+        return is_quorum(members, self.responsive | {own})
 
     def _get_states(self) -> MemberStates:
         last_index = self._state.log.last_index
         caught_up_index = max(1, last_index - MAX_CAUGHT_UP_LAG_RECORDS)
         now = self._state.now()
-        silences = {m: now - p.last_contact for m, p in self.items()}
+        silences = {m: now - p.silent_since for m, p in self.items()}
         caught_up = {
             m for m, p in self.items() if p.match_index >= caught_up_index
         }
@@ -144,22 +171,37 @@
             gone=frozenset(m for m, s in silences.items() if s > GONE_AFTER_S),
         )
 
-    def find_successor(self) -> HostId:
-        """Return the voter that should lead next, empty if there is none.
-
-        It is the one that has replicated most, of those that replied lately
-        and are not being stopped.
-        """
+    def find_successors(self) -> list[Member]:
+        """Return the voters that replied lately and are not being stopped."""
         now = self._state.now()
-        reachable = self.reachable
-        successors = [
-            (progress.match_index, m.host)
+        responsive = self.responsive
+        return [
+            m
             for m in self._state.voters
-            if (progress := self._progress.get(m.member)) is not None
-            and m.member in reachable
-            and now > progress.leaving_until
+            if m.member in responsive
+            and now > self._progress[m.member].leaving_until
         ]
-        return max(successors)[1] if successors else UNKNOWN_HOST
+
+    def has_whole_log(self, member: Member) -> bool:
+        """Return whether a member has all records of the leader."""
+        progress = self._progress[member.member]
+        return progress.match_index == self._state.log.last_index
+
+    def can_spare_stopping(self) -> bool:
+        """Return whether the group goes on without the stopping members.
+
+        They are still needed if the others are no majority, and may soon be
+        replaced if a learner is catching up.
+        """
+        if self._state.now() < self._judged_from:
+            return False
+        states = self._get_states()
+        staying = self.responsive - states.leaving
+        learners = self._state.log.members.learners
+        if any(m.member in staying - states.ready for m in learners):
+            return False
+        own = self._state.election.member
+        return is_quorum(self._state.log.members, staying | {own})
 
     # Logs
 
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -529,6 +529,7 @@
     Attributes:
         index: last matching record, or a hint which index to try next.
         round: round of the request.
+        stopping: whether the follower's host is being stopped.
     """
 
     term: Term
@@ -536,6 +537,7 @@
     accepted: bool
     index: LogIndex
     round: int = 0
+    stopping: bool = False
 
 
 class InstallSnapshot(Struct, frozen=True):
@@ -565,6 +567,12 @@
     member: MemberId
 
 
+class LeaveReply(Struct, frozen=True):
+    """Tells a stopping member that the group has no change left for it."""
+
+    term: Term
+
+
 # Claims
 
 
@@ -739,6 +747,7 @@
     | CampaignNow
     | JoinRequest
     | LeaveRequest
+    | LeaveReply
     | ClaimRequest
     | ClaimReply
     | ClaimRelease
--- a/packages/node/src/wasabitray_node/app.py
+++ b/packages/node/src/wasabitray_node/app.py
@@ -52,8 +52,10 @@
 # slowest requests.
 GC_THRESHOLDS = (10_000, 20, 50)
 # A member of the control group leaves within a few round trips, unless the
-# group has no leader.
-LEAVE_TIMEOUT_S = 3.0
+# group has no leader. The rest of the time for a stop is for the process to
+# end.
+LEAVE_TIMEOUT_S = 5.0
+LEAVE_TIME_SHARE = 0.8
 MAX_LOGGED_REQUESTS = 50
 
 
@@ -192,12 +194,13 @@
 
     def _leave_group(self) -> None:
         """Hand leadership and vote to other control hosts before the stop."""
+        timeout_s = LEAVE_TIMEOUT_S
+        if self._settings.grace_s is not None:
+            timeout_s = LEAVE_TIME_SHARE * self._settings.grace_s
         try:
-            self._router.ask(
-                ControllerName.CONSENSUS, LeaveGroup(), LEAVE_TIMEOUT_S
-            )
+            self._router.ask(ControllerName.CONSENSUS, LeaveGroup(), timeout_s)
         except gevent.Timeout:
-            log_event("group not left", waited_s=LEAVE_TIMEOUT_S)
+            log_event("group not left", waited_s=timeout_s)
 
     def _drain(self) -> None:
         """Leave the lists of addresses, then finish the requests in flight.
--- a/packages/node/src/wasabitray_node/tasks.py
+++ b/packages/node/src/wasabitray_node/tasks.py
@@ -43,6 +43,7 @@
     m.CampaignNow: ControllerName.CONSENSUS,
     m.JoinRequest: ControllerName.CONSENSUS,
     m.LeaveRequest: ControllerName.CONSENSUS,
+    m.LeaveReply: ControllerName.CONSENSUS,
     m.ClaimRequest: ControllerName.GRANTS,
     m.ClaimReply: ControllerName.CLAIMS,
     m.ClaimRelease: ControllerName.GRANTS,
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -87,12 +87,14 @@
   5: list<LogRecord> records, 6: i64 commit, 7: i64 round
 }
 struct AppendReply {
-  1: i64 term, 2: string member, 3: bool accepted, 4: i64 index, 5: i64 round
+  1: i64 term, 2: string member, 3: bool accepted, 4: i64 index, 5: i64 round,
+  6: bool stopping
 }
 struct InstallSnapshot { 1: i64 term, 2: string leader, 3: Snapshot snapshot }
 struct CampaignNow { 1: i64 term, 2: string leader }
 struct JoinRequest { 1: Member member }
 struct LeaveRequest { 1: string member }
+struct LeaveReply { 1: i64 term }
 
 struct ClaimRequest { 1: string key, 2: string claim, 3: i32 epoch, 4: double ttl_s }
 struct MemberIncarnation { 1: string host, 2: string incarnation }
@@ -145,7 +147,7 @@
   25: Presence presence, 26: Unsubscribe unsubscribe, 27: Feed feed, 28: News news,
   29: EntryWork entry_work, 30: OthersWork others_work,
   31: TrialRequest trial_request, 32: TrialReply trial_reply,
-  33: LeaveRequest leave_request
+  33: LeaveRequest leave_request, 34: LeaveReply leave_reply
 }
 
 struct StoredQuarantine { 1: Quarantine record, 2: double stored_at }
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -3249,16 +3249,18 @@
      - accepted
      - index
      - round
+     - stopping
 
     """
 
 
-    def __init__(self, term=None, member=None, accepted=None, index=None, round=None,):
+    def __init__(self, term=None, member=None, accepted=None, index=None, round=None, stopping=None,):
         self.term = term
         self.member = member
         self.accepted = accepted
         self.index = index
         self.round = round
+        self.stopping = stopping
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3294,6 +3296,11 @@
                     self.round = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.stopping = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3324,6 +3331,10 @@
             oprot.writeFieldBegin('round', TType.I64, 5)
             oprot.writeI64(self.round)
             oprot.writeFieldEnd()
+        if self.stopping is not None:
+            oprot.writeFieldBegin('stopping', TType.BOOL, 6)
+            oprot.writeBool(self.stopping)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3605,6 +3616,63 @@
         return not (self == other)
 
 
+class LeaveReply(object):
+    """
+    Attributes:
+     - term
+
+    """
+
+
+    def __init__(self, term=None,):
+        self.term = term
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeaveReply')
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 1)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ClaimRequest(object):
     """
     Attributes:
@@ -5243,11 +5311,12 @@
      - trial_request
      - trial_reply
      - leave_request
+     - leave_reply
 
     """
 
 
-    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None, long_occupancy=None, presence=None, unsubscribe=None, feed=None, news=None, entry_work=None, others_work=None, trial_request=None, trial_reply=None, leave_request=None,):
+    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None, long_occupancy=None, presence=None, unsubscribe=None, feed=None, news=None, entry_work=None, others_work=None, trial_request=None, trial_reply=None, leave_request=None, leave_reply=None,):
         self.gossip = gossip
         self.config_pull = config_pull
         self.config_push = config_push
@@ -5280,6 +5349,7 @@
         self.trial_request = trial_request
         self.trial_reply = trial_reply
         self.leave_request = leave_request
+        self.leave_reply = leave_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5482,6 +5552,12 @@
                     self.leave_request.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 34:
+                if ftype == TType.STRUCT:
+                    self.leave_reply = LeaveReply()
+                    self.leave_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5620,6 +5696,10 @@
             oprot.writeFieldBegin('leave_request', TType.STRUCT, 33)
             self.leave_request.write(oprot)
             oprot.writeFieldEnd()
+        if self.leave_reply is not None:
+            oprot.writeFieldBegin('leave_reply', TType.STRUCT, 34)
+            self.leave_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6096,6 +6176,7 @@
     (3, TType.BOOL, 'accepted', None, None, ),  # 3
     (4, TType.I64, 'index', None, None, ),  # 4
     (5, TType.I64, 'round', None, None, ),  # 5
+    (6, TType.BOOL, 'stopping', None, None, ),  # 6
 )
 all_structs.append(InstallSnapshot)
 InstallSnapshot.thrift_spec = (
@@ -6120,6 +6201,11 @@
     None,  # 0
     (1, TType.STRING, 'member', 'UTF8', None, ),  # 1
 )
+all_structs.append(LeaveReply)
+LeaveReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'term', None, None, ),  # 1
+)
 all_structs.append(ClaimRequest)
 ClaimRequest.thrift_spec = (
     None,  # 0
@@ -6290,6 +6376,7 @@
     (31, TType.STRUCT, 'trial_request', [TrialRequest, None], None, ),  # 31
     (32, TType.STRUCT, 'trial_reply', [TrialReply, None], None, ),  # 32
     (33, TType.STRUCT, 'leave_request', [LeaveRequest, None], None, ),  # 33
+    (34, TType.STRUCT, 'leave_reply', [LeaveReply, None], None, ),  # 34
 )
 all_structs.append(StoredQuarantine)
 StoredQuarantine.thrift_spec = (
