--- a/tests/core/controllers/consensus/test_schedules.py
+++ b/tests/core/controllers/consensus/test_schedules.py
@@ -77,3 +77,13 @@
 )
 def test_majority_survives_losses_after_a_split(troubles, seed):
     check(FIVE, tuple(Trouble(t) for t in troubles.split(", ")), seed)
+
+
+# Guards against a successor whose log is too old when the lead is handed over.
+def test_majority_survives_planned_stops_of_one_leader_after_another():
+    troubles = (
+        Trouble.STOP_LEADER,
+        Trouble.STOP_LEADER,
+        Trouble.REMOVE_LEADER,
+    )
+    check(FIVE, troubles, seed=1)
