Send the rest of an upload while its response is streamed

What callers saw: an instance that sent the start of a long response before it had read the upload got no more of the upload once the entry began to forward that response. It waited for the rest until the entry broke off the request after the idle time of a stream; the caller's answer was cut off.

Cause: the task that sends a long body ended with the part of the response that is buffered, not with the response. A streamed response that was closed before its first piece was read also kept its connection open, since closing a generator that hasn't started runs none of its cleanup.

Evidence: on the code before, upload_goes_on_while_its_response_is_streamed failed with "timed out", sized and in chunks, and upload_ends_with_a_streamed_response_that_is_not_read failed as the target saw no end of its connection.

Why this works: the sender belongs to the exchange and ends with it, where its connection is returned or closed. The generator of a stream is started when it is handed over.

--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -126,6 +126,9 @@
             result = self._build_failure(
                 exchange, str(error), timed_out=no_reply
             )
+        except BaseException:
+            exchange.abandon()
+            raise
         finally:
             exchange.release_held()
         elapsed = Seconds(self._clock() - started)
@@ -196,11 +199,14 @@
             self._return_connection(exchange)
         else:
             rest = result.response.chunks
-            result.response.chunks = self._stream(exchange, rest, watch)
+            chunks = self._stream(exchange, rest, watch)
+            next(chunks)  # closing it has no effect before it has started
+            result.response.chunks = chunks
 
     def _return_connection(self, exchange: _HttpExchange) -> None:
         connection = exchange.connection
         assert connection is not None
+        exchange.stop_sending()
         if exchange.is_reusable:
             connection.socket.settimeout(None)
             self._send_to_pool(ReturnConnection(connection))
@@ -213,13 +219,17 @@
         rest: Generator[bytes, None, None],
         watch: CallerWatch,
     ) -> Generator[bytes, None, None]:
-        """Yield the rest of a body; close the connection if it ends early."""
+        """Yield nothing, then the rest of a body.
+
+        The connection is closed if the body ends early.
+        """
         is_complete = False
         connection = exchange.connection
         assert connection is not None
         connection.socket.settimeout(self._limits.stream_idle_s)
         deadline = self._clock() + self._limits.stream_timeout_s
         try:
+            yield b""
             while True:
                 with watch:
                     piece = next(rest, b"")
@@ -291,7 +301,7 @@
         """Send the request and read the response.
 
         A target may respond before it has read all of a long body, so a
-        long body is sent while the response is read.
+        long body is sent while the response is read, up to the end of both.
         """
         request = self._attempt.request
         if (
@@ -308,8 +318,6 @@
             if isinstance(self._send_error, CallerGoneError):
                 raise self._send_error from error
             raise
-        finally:
-            self._sender.kill()
 
     def _send_in_background(self) -> None:
         """Send the request; end the read if the caller's body fails."""
@@ -465,10 +473,14 @@
                 peer=self._attempt.target.target,
             ) from error
 
+    def stop_sending(self) -> None:
+        """Stop sending what is left of the request."""
+        if self._sender is not None:
+            self._sender.kill()
+
     def abandon(self) -> None:
         """Close the connection, on which a late response may still come."""
-        if self._sender is not None:
-            self._sender.kill(block=False)
+        self.stop_sending()
         if self.connection is not None:
             self.connection.close()
 
--- /dev/null
+++ b/tests/node/test_upstream_uploads.py
@@ -0,0 +1,197 @@
+"""Responses of targets that end while a long upload is being written."""
+
+import itertools
+import socket
+import sys
+import time
+
+import gevent
+import gevent.socket
+import pytest
+from gevent.event import Event
+
+from wasabitray_core.filters.chain import Attempt
+from wasabitray_core.requests import Request, Target
+from wasabitray_core.states import AttemptStatus
+from wasabitray_node.connections import ConnectionPool
+from wasabitray_node.dialects import NativeTargetDialect
+from wasabitray_node.settings import Limits
+from wasabitray_node.upstream import Upstream
+from wasabitray_node.watch import CallerWatch
+
+PIECE = b"a" * 20_000
+PIECES = 4
+BODY = b"b" * 3_000
+# Longer than what is read before a response is forwarded as it arrives.
+LONG_RESPONSE = b"b" * 100_000
+WITHOUT_LENGTH = {
+    "close": b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+    "keep-alive": b"HTTP/1.1 200 OK\r\n\r\n",
+    "HTTP/1.0": b"HTTP/1.0 200 OK\r\n\r\n",
+}
+CLOSE = b"HTTP/1.1 200 OK\r\nConnection: close\r\n"
+FRAMED = {
+    "length": CLOSE + b"Content-Length: 3000\r\n\r\n" + BODY,
+    "chunked": CLOSE
+    + b"Transfer-Encoding: chunked\r\n\r\nbb8\r\n"
+    + BODY
+    + b"\r\n0\r\n\r\n",
+}
+# Closes a socket with a reset instead of an end.
+LINGER_RESET = b"\1\0\0\0\0\0\0\0"
+# Time in which the other side of a connection handles what has arrived.
+PAUSE_S = 0.1
+TIMEOUT_S = 5.0
+
+
+class EarlyTarget:
+    """Responds once it has the head of a request; then it is steered."""
+
+    def __init__(self, response):
+        self.response = response
+        self.responded = Event()
+        self.received = bytearray()
+        self.listener = gevent.socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen()
+        self.socket = None
+        self.greenlet = gevent.spawn(self.serve)
+        address = "{}:{}".format(*self.listener.getsockname())
+        self.target = Target("t1", "rota", "south", "south-a", 2, address)
+
+    def serve(self):
+        self.socket, _address = self.listener.accept()
+        while b"\r\n\r\n" not in self.received:
+            self.received += self.socket.recv(1)
+        self.socket.sendall(self.response)
+        self.responded.set()
+
+    def end(self):
+        self.socket.shutdown(socket.SHUT_WR)
+
+    def reset(self):
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
+        )
+        self.socket.close()
+
+    def read_rest(self, until=sys.maxsize):
+        self.socket.settimeout(TIMEOUT_S)
+        while self.received.count(b"a") < until:
+            piece = self.socket.recv(65_536)
+            if not piece:
+                return
+            self.received += piece
+
+    def close(self):
+        self.greenlet.kill()
+        self.listener.close()
+        if self.socket is not None:
+            self.socket.close()
+
+
+@pytest.fixture
+def early():
+    targets = []
+
+    def build(response):
+        targets.append(EarlyTarget(response))
+        return targets[-1]
+
+    yield build
+    for target in targets:
+        target.close()
+
+
+def upload(target, stream=None, body=b"", length=None, **limits):
+    limits = Limits(**limits)
+    pool = ConnectionPool(limits, time.monotonic)
+    upstream = Upstream(pool, limits, time.monotonic, NativeTargetDialect())
+    request = Request(
+        "hobart", "POST", "/", body=body, stream=stream, length=length
+    )
+    effect = Attempt(target.target, request, TIMEOUT_S, True)
+    return upstream.attempt(effect, CallerWatch(None))
+
+
+def write_around(target, action, pause_s=0.0):
+    """Yield a body; after its first piece, the target does something."""
+    yield PIECE
+    target.responded.wait()
+    action()
+    if pause_s:
+        gevent.sleep(pause_s)
+    yield from itertools.repeat(PIECE, PIECES - 1)
+
+
+def read_all(response):
+    return response.body + b"".join(response.chunks or ())
+
+
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["sized", "chunks"])
+@pytest.mark.parametrize("kind", WITHOUT_LENGTH)
+def test_response_without_a_length_that_ends_during_an_upload_is_whole(
+    early, kind, is_chunked
+):
+    target = early(WITHOUT_LENGTH[kind] + BODY)
+
+    def end():
+        target.end()
+        gevent.spawn(target.read_rest)
+        gevent.sleep(PAUSE_S)
+
+    length = None if is_chunked else PIECES * len(PIECE)
+    result = upload(target, write_around(target, end), length=length)
+    assert result.status is AttemptStatus.ANSWERED
+    assert read_all(result.response) == BODY
+
+
+@pytest.mark.parametrize("pause_s", [0.0, PAUSE_S], ids=["sender", "reader"])
+@pytest.mark.parametrize("kind", FRAMED)
+def test_reset_after_a_whole_early_response_leaves_it_whole(
+    early, kind, pause_s
+):
+    target = early(FRAMED[kind])
+    stream = write_around(target, target.reset, pause_s)
+    result = upload(target, stream)
+    assert result.status is AttemptStatus.ANSWERED
+    assert read_all(result.response) == BODY
+
+
+@pytest.mark.parametrize("kind", FRAMED)
+def test_reset_within_an_early_response_cuts_it(early, kind):
+    target = early(FRAMED[kind][:-1])
+    result = upload(target, write_around(target, target.reset))
+    assert result.status is AttemptStatus.TRUNCATED
+
+
+# Guards against an upload that ends once the response is forwarded as it
+# arrives: the target waited for the rest of the request it was serving.
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["sized", "chunks"])
+def test_upload_goes_on_while_its_response_is_streamed(early, is_chunked):
+    target = early(CLOSE + b"Content-Length: 200000\r\n\r\n" + LONG_RESPONSE)
+    size = PIECES * len(PIECE)
+
+    def finish():
+        target.read_rest(until=size)
+        target.socket.sendall(LONG_RESPONSE)
+
+    result = upload(
+        target,
+        write_around(target, lambda: gevent.spawn(finish), PAUSE_S),
+        length=None if is_chunked else size,
+        hold_bytes=1_024,
+        stream_idle_s=1.0,
+    )
+    assert read_all(result.response) == LONG_RESPONSE * 2
+
+
+# Guards against an upload that goes on after the response was given up.
+def test_upload_ends_with_a_streamed_response_that_is_not_read(early):
+    target = early(CLOSE + b"Content-Length: 200000\r\n\r\n" + LONG_RESPONSE)
+    stream = write_around(target, Event().wait)
+    result = upload(target, stream, hold_bytes=1_024)
+    result.response.chunks.close()
+    gevent.sleep(PAUSE_S)
+    assert next(stream, None) is None
+    target.read_rest()
