Cut a response that ends while its upload is being written

What callers saw: an instance answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a whole answer. The same came of a connection that the kernel gave up, because the instance had not read the upload for two seconds, and of an instance that ended its connection and then refused the rest of the upload.

Cause: the task that sends a request and the one that reads the response share a socket, and the kernel gives its error once, to whichever asks first. The sender dropped it. The reader then saw the end of the stream, and that ends a response without a length as it should end.

Why this works: a response that only the end of its connection ends is whole if the whole request was sent. The sender then has had no error, as one ends it for good, and whatever comes later only the reader can get. A target that ends only its side of the connection may still be reading, so the reader waits for the sender. The parser closed the socket at that end; now its owner does, as in all other cases. If the sender has the error that says why a connection went silent, the attempt counts as silent rather than as a crash.

--- a/packages/node/src/wasabitray_node/target_responses.py
+++ b/packages/node/src/wasabitray_node/target_responses.py
@@ -34,6 +34,7 @@
     def __init__(self, *args: Any, **options: Any) -> None:
         """Read the head of the response."""
         self._is_complete = False
+        self._ended_with_connection = False
         self._overhead = 0
         self._field_count = 0
         super().__init__(*args, **options)
@@ -43,6 +44,18 @@
         """Whether the response has arrived up to its end."""
         return self._is_complete
 
+    @property
+    def ended_with_connection(self) -> bool:
+        """Whether only the end of the connection ended the response.
+
+        It is no end if the connection failed.
+        """
+        return self._ended_with_connection
+
+    def release(self) -> None:
+        """Drop the socket, which the owner of the connection closes."""
+        self._sock = None
+
     def _on_message_begin(self) -> None:
         if self._is_complete:
             raise ExtraBytesError("bytes after the end of the response")
@@ -84,3 +97,4 @@
             if not self._is_complete:
                 raise
             self._trailing_data_dropped = True
+        self._ended_with_connection = not data and self._is_complete
--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -122,9 +122,8 @@
                 AttemptStatus.UNREACHABLE, detail=str(error)
             )
         except _TRANSPORT_ERRORS as error:
-            no_reply = getattr(error, "errno", None) in _NO_REPLY_ERRORS
             result = self._build_failure(
-                exchange, str(error), timed_out=no_reply
+                exchange, str(error), timed_out=_is_no_reply(error)
             )
         except BaseException:
             exchange.abandon()
@@ -249,6 +248,11 @@
     return connect(split_address(target.address or target.target), timeout)
 
 
+def _is_no_reply(error: BaseException) -> bool:
+    """Return whether the kernel gave up a connection without a reply."""
+    return getattr(error, "errno", None) in _NO_REPLY_ERRORS
+
+
 class _ConnectError(Exception):
     """No connection could be made, so nothing was sent."""
 
@@ -315,8 +319,11 @@
         try:
             self._receive()
         except _TRANSPORT_ERRORS as error:
-            if isinstance(self._send_error, CallerGoneError):
-                raise self._send_error from error
+            cause = self._send_error
+            if isinstance(cause, CallerGoneError):
+                raise cause from error
+            if cause is not None and _is_no_reply(cause):
+                raise cause from error
             raise
 
     def _send_in_background(self) -> None:
@@ -328,7 +335,7 @@
             self._send_error = error
             self._shut_down_socket()
         except OSError as error:
-            self._send_error = error  # the read fails on the same connection
+            self._send_error = error  # the response may still be complete
 
     def _shut_down_socket(self) -> None:
         assert self.connection is not None
@@ -368,9 +375,6 @@
         """Read the head, and the body up to the size that is buffered."""
         assert self.connection is not None
         method = self._attempt.request.method
-        # The parser drops its reference to the socket at the end of the
-        # response and closes it only if the response ends the connection.
-        # Otherwise the owner of the connection keeps or closes it.
         response = SingleResponse(
             self.connection.socket, READ_SIZE_BYTES, method
         )
@@ -390,10 +394,29 @@
             piece = response.read(READ_SIZE_BYTES)
         except HTTPParseError as error:
             raise TruncatedBodyError(str(error)) from error
+        if response.ended_with_connection:
+            self._check_sent()
         if not piece and not response.is_complete:
             raise TruncatedBodyError("the response body ended early")
         return piece
 
+    def _check_sent(self) -> None:
+        """Check that the end of the connection was the target's own.
+
+        If sending failed, the sender may have got the connection's error in
+        place of the reader. A target that ends only its side of the
+        connection still reads the rest of the request.
+
+        Raises:
+            TruncatedBodyError: the request was not sent to its end.
+        """
+        if self._sender is not None:
+            self._sender.join(self._limits.stream_timeout_s)
+        if not self._is_sent:
+            raise TruncatedBodyError(
+                "the connection ended before the request was sent"
+            )
+
     def build_result(self) -> AttemptResult:
         """Return how the attempt ended, with its response and the load."""
         parsed = self._response
--- a/tests/node/test_upstream_uploads.py
+++ b/tests/node/test_upstream_uploads.py
@@ -10,6 +10,7 @@
 import pytest
 from gevent.event import Event
 
+from wasabitray_core.errors import TruncatedAnswerError
 from wasabitray_core.filters.chain import Attempt
 from wasabitray_core.requests import Request, Target
 from wasabitray_core.states import AttemptStatus
@@ -17,10 +18,12 @@
 from wasabitray_node.dialects import NativeTargetDialect
 from wasabitray_node.settings import Limits
 from wasabitray_node.upstream import Upstream
-from wasabitray_node.watch import CallerWatch
+from wasabitray_node.watch import CallerGoneError, CallerWatch
 
 PIECE = b"a" * 20_000
 PIECES = 4
+# More than the buffers of two sockets.
+LONG_BODY = b"a" * 32 * 1_048_576
 BODY = b"b" * 3_000
 # Longer than what is read before a response is forwarded as it arrives.
 LONG_RESPONSE = b"b" * 100_000
@@ -114,10 +117,10 @@
     return upstream.attempt(effect, CallerWatch(None))
 
 
-def write_around(target, action, pause_s=0.0):
+def write_around(target, action, pause_s=0.0, event=None):
     """Yield a body; after its first piece, the target does something."""
     yield PIECE
-    target.responded.wait()
+    (event or target.responded).wait()
     action()
     if pause_s:
         gevent.sleep(pause_s)
@@ -128,6 +131,82 @@
     return response.body + b"".join(response.chunks or ())
 
 
+# The sender or the reader gets the error, whichever asks first.
+@pytest.mark.parametrize("pause_s", [0.0, PAUSE_S], ids=["sender", "reader"])
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["sized", "chunks"])
+@pytest.mark.parametrize("kind", WITHOUT_LENGTH)
+def test_reset_during_an_upload_cuts_a_response_without_a_length(
+    early, kind, is_chunked, pause_s
+):
+    target = early(WITHOUT_LENGTH[kind] + BODY)
+    length = None if is_chunked else PIECES * len(PIECE)
+    stream = write_around(target, target.reset, pause_s)
+    result = upload(target, stream, length=length)
+    assert result.status is AttemptStatus.TRUNCATED
+    assert result.response is None
+
+
+@pytest.mark.parametrize("pause_s", [0.0, PAUSE_S], ids=["sender", "reader"])
+@pytest.mark.parametrize("kind", WITHOUT_LENGTH)
+def test_reset_during_an_upload_cuts_a_streamed_response(early, kind, pause_s):
+    target = early(WITHOUT_LENGTH[kind] + LONG_RESPONSE)
+    stream = write_around(target, target.reset, pause_s, streamed := Event())
+    result = upload(target, stream, hold_bytes=1_024, stream_idle_s=1.0)
+    assert result.status is AttemptStatus.ANSWERED
+    streamed.set()
+    with pytest.raises(TruncatedAnswerError):
+        read_all(result.response)
+
+
+@pytest.mark.parametrize("kind", WITHOUT_LENGTH)
+def test_reset_during_a_buffered_upload_cuts_a_response(early, kind):
+    target = early(WITHOUT_LENGTH[kind] + BODY)
+
+    def reset():
+        target.responded.wait()
+        gevent.sleep(PAUSE_S)
+        target.reset()
+
+    gevent.spawn(reset)
+    result = upload(target, body=LONG_BODY, length=len(LONG_BODY))
+    assert result.status is AttemptStatus.TRUNCATED
+
+
+# A process that is killed may end its connections before it resets them.
+@pytest.mark.parametrize("kind", WITHOUT_LENGTH)
+def test_end_before_a_refused_upload_cuts_a_response(early, kind):
+    target = early(WITHOUT_LENGTH[kind] + BODY)
+
+    def end():
+        target.end()
+        gevent.sleep(PAUSE_S)
+        target.reset()
+
+    result = upload(target, write_around(target, end))
+    assert result.status is AttemptStatus.TRUNCATED
+
+
+# The target does not read, so the kernel gives the connection up.
+def test_timeout_of_an_upload_is_no_end_of_a_response(early):
+    target = early(WITHOUT_LENGTH["close"] + BODY)
+    result = upload(target, body=LONG_BODY, length=len(LONG_BODY))
+    assert result.response is None
+    assert result.is_silent
+    assert not result.may_be_crash
+
+
+# The entry itself ends the connection to the target.
+@pytest.mark.parametrize("kind", WITHOUT_LENGTH)
+def test_invalid_upload_is_no_end_of_a_response(early, kind):
+    target = early(WITHOUT_LENGTH[kind] + BODY)
+
+    def fail():
+        raise CallerGoneError("the body is malformed")
+
+    result = upload(target, write_around(target, fail))
+    assert result.status is AttemptStatus.CANCELLED
+
+
 @pytest.mark.parametrize("is_chunked", [False, True], ids=["sized", "chunks"])
 @pytest.mark.parametrize("kind", WITHOUT_LENGTH)
 def test_response_without_a_length_that_ends_during_an_upload_is_whole(
@@ -165,8 +244,6 @@
     assert result.status is AttemptStatus.TRUNCATED
 
 
-# Guards against an upload that ends once the response is forwarded as it
-# arrives: the target waited for the rest of the request it was serving.
 @pytest.mark.parametrize("is_chunked", [False, True], ids=["sized", "chunks"])
 def test_upload_goes_on_while_its_response_is_streamed(early, is_chunked):
     target = early(CLOSE + b"Content-Length: 200000\r\n\r\n" + LONG_RESPONSE)
@@ -186,7 +263,6 @@
     assert read_all(result.response) == LONG_RESPONSE * 2
 
 
-# Guards against an upload that goes on after the response was given up.
 def test_upload_ends_with_a_streamed_response_that_is_not_read(early):
     target = early(CLOSE + b"Content-Length: 200000\r\n\r\n" + LONG_RESPONSE)
     stream = write_around(target, Event().wait)
