Keep the end of a response that exceeds the held bytes

What callers saw: a response somewhat longer than the bytes that are held back (from 327,681 up to about 390,000 bytes with the default of 262,144), or than one read (65,537 and more) while the entry held too many bytes in all, was cut off at 327,680 or 65,536 bytes. It came with the length of that part, so it looked complete. Responses with a length and chunked ones were concerned.

Cause: the parser reads up to twice as much as it is asked for and keeps the rest. Reading stopped at the limit. If the parser had reached the end of the response by then, the response was taken as complete, without that rest.

Why this works: a complete response is read until the parser has no more of it; that is less than one more read. Only an incomplete one is streamed.

--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -379,14 +379,14 @@
             self.connection.socket, READ_SIZE_BYTES, method
         )
         self._response = response
-        while self._size <= self._limits.hold_bytes:
-            piece = self._read(response)
-            if not piece:
-                break
+        while piece := self._read(response):
             self._pieces.append(piece)
             self._size += len(piece)
             self._held.add(len(piece))
-            if self._held.is_full:
+            # The parser may hold the last bytes of a complete response.
+            if not response.is_complete and (
+                self._size > self._limits.hold_bytes or self._held.is_full
+            ):
                 break
 
     def _read(self, response: SingleResponse) -> bytes:
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -207,6 +207,43 @@
     assert read <= 2 * 1_048_576
 
 
+HELD = Limits().hold_bytes
+# Beyond what is read at once, and beyond what is held.
+LONG_SIZES = [
+    start + extra
+    for start in (65_536, HELD)
+    for extra in range(1, 140_000, 7_919)
+]
+
+
+@pytest.mark.parametrize("hold_total", [HELD * 2, 1_024], ids=["held", "full"])
+@pytest.mark.parametrize("framing", ["length", "chunked", "end"])
+def test_response_that_exceeds_the_held_bytes_loses_none_of_its_end(
+    framing, hold_total
+):
+    def serve(sock, _address):
+        sock.recv(65_536)
+        sock.sendall(responses[0])
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    address = f"127.0.0.1:{server.server_port}"
+    target = Target("t1", "rota", "south", "south-a", 2, address)
+    for size in LONG_SIZES:
+        body = b"b" * size
+        responses = [
+            {
+                "length": HEAD + b"Content-Length: %d\r\n\r\n" % size + body,
+                "chunked": CHUNKED + b"%x\r\n%b\r\n0\r\n\r\n" % (size, body),
+                "end": HEAD + b"\r\n" + body,
+            }[framing]
+        ]
+        response = exchange(target, hold_total_bytes=hold_total).response
+        read = response.body + b"".join(response.chunks or ())
+        assert len(read) == size
+    server.stop(timeout=0)
+
+
 OK = b"HTTP/1.1 200 OK\r\nServer-Stamp: s-1\r\n"
 EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
 CUT_HEADS = {
