Read a response after an interim one to its end

What callers saw: an instance sent an interim response, such as 103 Early Hints, and its response in more than one piece. The attempt failed as cut off, although the whole response was sent: 502, and a request that seemed to break its connection. A response without a length always failed so.

Cause: the parser drops its socket at the end of each message, and an interim response is one. What was still to be read of the response after it was never read.

Why this works: the socket is dropped at the end of the response only.

--- a/packages/node/src/wasabitray_node/target_responses.py
+++ b/packages/node/src/wasabitray_node/target_responses.py
@@ -53,8 +53,12 @@
         return self._ended_with_connection
 
     def release(self) -> None:
-        """Drop the socket, which the owner of the connection closes."""
-        self._sock = None
+        """Drop the socket after the response, not after an interim one.
+
+        The owner of the connection closes it.
+        """
+        if self._is_complete:
+            self._sock = None
 
     def _on_message_begin(self) -> None:
         if self._is_complete:
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -309,3 +309,89 @@
         result = upstream.attempt(effect, CallerWatch(None))
         assert result.response is None, cut
         assert result.may_be_crash, cut
+
+
+class KeepingTarget:
+    """Sends the parts of a response and keeps the connection."""
+
+    def __init__(self):
+        self.parts = []
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+        address = f"127.0.0.1:{self.server.server_port}"
+        self.target = Target("t1", "rota", "south", "south-a", 2, address)
+
+    def serve(self, sock, _address):
+        sock.recv(65_536)
+        for part in self.parts:
+            sock.sendall(part)
+            gevent.sleep(0.05)
+        sock.recv(1)
+
+
+@pytest.fixture
+def keeping():
+    target = KeepingTarget()
+    yield target
+    target.server.stop(timeout=0)
+
+
+FRAMED = b"Content-Length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize("status", ["200", "299", "404", "500", "599"])
+def test_status_within_the_protocol_is_a_response(keeping, status):
+    keeping.parts = [b"HTTP/1.1 %b X\r\n" % status.encode() + FRAMED]
+    assert exchange(keeping.target).response.status == int(status)
+
+
+INTERIM_STATUSES = ["100", "102", "103", "199"]
+
+
+@pytest.mark.parametrize("split", [False, True], ids=["at once", "in parts"])
+@pytest.mark.parametrize("interim", INTERIM_STATUSES)
+def test_response_after_an_interim_one_is_read_to_its_end(
+    keeping, interim, split
+):
+    head = b"HTTP/1.1 %b X\r\n\r\n" % interim.encode()
+    parts = [head, HEAD + b"Content-Length: 4\r\n\r\nok", b"ok"]
+    keeping.parts = parts if split else [head + parts[1], b"ok"]
+    response = exchange(keeping.target).response
+    assert (response.status, response.body) == (200, b"okok")
+
+
+@pytest.mark.parametrize("interim", INTERIM_STATUSES)
+def test_response_after_an_interim_one_may_end_with_its_connection(
+    cutting, interim
+):
+    head = b"HTTP/1.1 %b X\r\n\r\n" % interim.encode()
+    cutting.responses = [head + HEAD + b"\r\nok"]
+    assert exchange(cutting.target).response.body == b"ok"
+    cutting.resets = True
+    cutting.responses = [head + HEAD + b"\r\nok"]
+    assert exchange(cutting.target).response is None
+
+
+@pytest.mark.parametrize("fields", [b"", b"Upgrade: x\r\n"])
+def test_switch_of_protocols_is_no_response(keeping, fields):
+    keeping.parts = [b"HTTP/1.1 101 X\r\n" + fields + b"\r\nok"]
+    result = exchange(keeping.target)
+    assert result.response is None
+    assert result.status is AttemptStatus.FAILED
+
+
+BODYLESS = {
+    "204": b"HTTP/1.1 204 No Content\r\n\r\n",
+    "204 with a length": b"HTTP/1.1 204 X\r\nContent-Length: 2\r\n\r\n",
+    "304": b"HTTP/1.1 304 X\r\nContent-Length: 2\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("extra", [b"", b"ok"], ids=["bare", "with bytes"])
+@pytest.mark.parametrize("kind", BODYLESS)
+def test_response_without_a_body_has_none(keeping, kind, extra):
+    keeping.parts = [BODYLESS[kind] + extra]
+    response = exchange(keeping.target).response
+    assert response.status in (204, 304)
+    assert response.body == b""
+    assert response.chunks is None
