Take a status outside the protocol for no response

What callers saw: an instance sent a response whose status was 600 or 999. The caller got it as a whole answer, "600 Unknown". After one with the status 000 or 099 the entry went on waiting, and the caller got 504 at the timeout.

Cause: the parser takes any three digits for a status, and everything below 200 for an interim response, after which the response follows.

Evidence: 10 of the new cases failed before: 000, 001 and 099 as TIMED_OUT, 600 and 999 with a response. The others (none, 20, 2000, 2x0, abc and -10) were parse errors before as well.

Why this works: a status outside of 100 to 599 (RFC 9110 section 15) is a parse error, as any other bytes that are no HTTP: the request may have run, so it is retried only if that is safe, else the caller gets 502.

--- a/packages/node/src/wasabitray_node/target_responses.py
+++ b/packages/node/src/wasabitray_node/target_responses.py
@@ -7,6 +7,8 @@
 from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
 LAST_INTERIM_STATUS = 199
+# RFC 9110 section 15: all others are invalid.
+VALID_STATUSES = range(100, 600)
 # Bytes of heads, chunk framing and trailers that may arrive without a byte
 # of a body in between. The parser keeps most of them in memory.
 MAX_OVERHEAD_BYTES = 65_536
@@ -23,6 +25,10 @@
     """Too many bytes or fields arrived that belong to no body."""
 
 
+class InvalidStatusError(HTTPParseError):
+    """The status is none of the protocol's."""
+
+
 class SingleResponse(HTTPSocketResponse):
     """Parses one response and nothing after it.
 
@@ -65,6 +71,12 @@
             raise ExtraBytesError("bytes after the end of the response")
         super()._on_message_begin()
 
+    def _on_headers_complete(self) -> int | bool | None:
+        status = self.get_code()
+        if status not in VALID_STATUSES:
+            raise InvalidStatusError(f"status {status:03}")
+        return super()._on_headers_complete()
+
     def _on_message_complete(self) -> None:
         if self.get_code() > LAST_INTERIM_STATUS:
             self._is_complete = True
@@ -88,6 +100,7 @@
 
         Raises:
             ExcessOverheadError: a head, framing or trailer is too long.
+            InvalidStatusError: the status is invalid.
         """
         self._overhead += len(data)
         if self._overhead > MAX_OVERHEAD_BYTES:
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -339,6 +339,19 @@
 FRAMED = b"Content-Length: 2\r\n\r\nok"
 
 
+@pytest.mark.parametrize("framing", [FRAMED, b"\r\n"], ids=["sized", "open"])
+@pytest.mark.parametrize(
+    "status",
+    ["000", "001", "099", "600", "999", "", "20", "2000", "2x0", "abc", "-10"],
+)
+def test_status_outside_the_protocol_is_no_response(keeping, status, framing):
+    keeping.parts = [b"HTTP/1.1 %b X\r\n" % status.encode() + framing]
+    result = exchange(keeping.target)
+    assert result.response is None
+    assert result.status is AttemptStatus.FAILED
+    assert not result.is_silent
+
+
 @pytest.mark.parametrize("status", ["200", "299", "404", "500", "599"])
 def test_status_within_the_protocol_is_a_response(keeping, status):
     keeping.parts = [b"HTTP/1.1 %b X\r\n" % status.encode() + FRAMED]
