Reset a caller's connection if its end would complete a cut response

What callers saw: a caller that speaks HTTP/1.0 got a part of a long response as a whole one. Its instance had broken off while the entry forwarded the response without a length.

Cause: such a caller knows no chunks, so the response ends with the connection. After an error the server ended that connection as it does after a complete response.

Evidence: test_cut_response_does_not_end_for_a_caller_that_knows_no_chunks failed before in 3 of 3 cases, as no reset came, and passes now. The same cut with a length and in chunks was visible before.

Why this works: a reset is what tells a caller that an end of the connection is not the end of the response. Nothing is read from such a connection first, as that would send the end before the reset.

--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -7,6 +7,7 @@
 import logging
 import re
 import socket
+import struct
 from email.parser import HeaderParser
 from typing import Any
 
@@ -45,6 +46,8 @@
 LINGER_TIMEOUT_S = 30.0
 LINGER_IDLE_S = 5.0
 LINGER_READ_BYTES = 65_536
+# Closes a socket with a reset instead of an end.
+_LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 # The token of RFC 9110 section 5.6.2.
@@ -107,6 +110,7 @@
 
     path: str
     wsgi_input: RequestInput | None = None
+    _is_cut = False
 
     def MessageClass(self, file: Any, *_: Any) -> Any:  # noqa: N802
         """Read and parse the header fields.
@@ -201,6 +205,8 @@
         self.environ = self.get_environ()
         self.application = self.server.application
         self.handle_one_response()
+        if self._is_cut:
+            return None
         if self.wsgi_input is not None and not self.wsgi_input.is_complete:
             self._linger()
             return None
@@ -235,6 +241,23 @@
             self.socket.sendall(response)
             self._linger()
 
+    def handle_error(self, *exc_info: Any) -> None:
+        """End the response; reset a connection whose end would complete it.
+
+        So it is if the caller knows no chunks and the length is not stated.
+        """
+        super().handle_error(*exc_info)
+        self._is_cut = (
+            self.headers_sent
+            and not self.response_use_chunked
+            and self.provided_content_length is None
+        )
+        if self._is_cut:
+            with contextlib.suppress(OSError):
+                self.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
+                )
+
     def log_error(self, msg: str, *args: Any) -> None:
         """Log an error of the listener as one kind of event."""
         detail = msg % args if args else msg
--- a/tests/node/test_callers.py
+++ b/tests/node/test_callers.py
@@ -403,3 +403,85 @@
     received = exchange(entry, *pieces, pause_s=0.001)
     assert received.count(b"HTTP/1.1 200") == 1
     assert entry.upload_target.targets == [target]
+
+
+LONG_FILE = FILE * 10
+
+
+class StreamingTarget:
+    """Sends the start of a long response, then its rest or a reset."""
+
+    def __init__(self):
+        self.head = b""
+        self.is_cut = False
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+        address = f"127.0.0.1:{self.server.server_port}"
+        self.target = Target("t1", "rota", "south", "south-a", 2, address)
+
+    def serve(self, sock, _address):
+        file = sock.makefile("rb")
+        names = b""
+        while (line := file.readline()) != b"\r\n":
+            if line.lower().startswith((b"request-id:", b"connection:")):
+                names += line
+        sock.sendall(b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n" + names)
+        sock.sendall(self.head + LONG_FILE[: len(LONG_FILE) // 2])
+        gevent.sleep(0.1)
+        if self.is_cut:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        else:
+            sock.sendall(LONG_FILE[len(LONG_FILE) // 2 :] + b"\r\n0\r\n\r\n")
+        file.close()
+
+
+@pytest.fixture
+def streaming(entry):
+    target = StreamingTarget()
+    target.head = b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(LONG_FILE)
+    entry.filter.target = target.target
+    yield target
+    target.server.stop(timeout=0)
+
+
+OLD_REQUESTS = {
+    "plain": b"GET /a HTTP/1.0\r\nHost: x\r\nRequest-Id: id-a\r\n\r\n",
+    "keep-alive": (
+        b"GET /a HTTP/1.0\r\nHost: x\r\nRequest-Id: id-a\r\n"
+        b"Connection: keep-alive\r\n\r\n"
+    ),
+    "unread upload": (
+        b"POST /a HTTP/1.0\r\nHost: x\r\nRequest-Id: id-a\r\n"
+        b"Content-Length: 100000\r\n\r\n" + b"u" * 50_000
+    ),
+}
+
+
+def read_to_end(entry, request):
+    received = b""
+    with gevent.socket.create_connection(entry.address) as sock:
+        sock.settimeout(MAX_PAUSE_S)
+        sock.sendall(request)
+        while piece := sock.recv(65_536):
+            received += piece
+    return received.partition(b"\r\n\r\n")[2]
+
+
+@pytest.mark.parametrize("kind", OLD_REQUESTS)
+def test_cut_response_does_not_end_for_a_caller_that_knows_no_chunks(
+    entry, streaming, kind
+):
+    streaming.is_cut = True
+    with pytest.raises(ConnectionResetError):
+        read_to_end(entry, OLD_REQUESTS[kind])
+
+
+@pytest.mark.parametrize("framing", ["sized", "chunks"])
+def test_cut_response_is_incomplete_for_a_caller(entry, streaming, framing):
+    streaming.is_cut = True
+    if framing == "sized":
+        streaming.head = b"Content-Length: %d\r\n\r\n" % len(LONG_FILE)
+    request = OLD_REQUESTS["plain"].replace(b"HTTP/1.0", b"HTTP/1.1")
+    received = read_to_end(entry, request)
+    assert len(received) < len(LONG_FILE)
+    assert not received.endswith(b"0\r\n\r\n")
