Close an HTTP/1.0 caller's connection after a response without a length

What callers saw: a caller that speaks HTTP/1.0 and asks to keep its connection got a long response whose instance had stated no length, and then waited for more: nothing ended the response.

Cause: the server kept the connection, as asked, though it sent neither a length nor chunks, which such a caller doesn't know.

Evidence: the new keep-alive case of test_response_in_chunks_ends_for_a_caller_that_knows_none timed out before and passes now; its two other cases passed before.

Why this works: the response says that it is the last one on its connection, whose end then ends it.

--- a/packages/node/src/wasabitray_node/http.py
+++ b/packages/node/src/wasabitray_node/http.py
@@ -297,8 +297,18 @@
     def start_response(
         self, status: str, headers: list[tuple[str, str]], exc_info: Any = None
     ) -> Any:
-        """Begin the response; it is the last one if the body wasn't read."""
-        if self.wsgi_input is not None and not self.wsgi_input.is_complete:
+        """Begin the response.
+
+        It is the last one if the body wasn't read, or if only the end of the
+        connection ends it.
+        """
+        is_unread = (
+            self.wsgi_input is not None and not self.wsgi_input.is_complete
+        )
+        is_unframed = self.request_version == "HTTP/1.0" and not any(
+            name.lower() == "content-length" for name, _ in headers
+        )
+        if is_unread or is_unframed:
             others = [h for h in headers if h[0].lower() != "connection"]
             headers = [*others, ("Connection", "close")]
         return super().start_response(status, headers, exc_info)
--- a/tests/node/test_callers.py
+++ b/tests/node/test_callers.py
@@ -467,6 +467,13 @@
     return received.partition(b"\r\n\r\n")[2]
 
 
+@pytest.mark.parametrize("kind", OLD_REQUESTS)
+def test_response_in_chunks_ends_for_a_caller_that_knows_none(
+    entry, streaming, kind
+):
+    assert read_to_end(entry, OLD_REQUESTS[kind]) == LONG_FILE
+
+
 @pytest.mark.parametrize("kind", OLD_REQUESTS)
 def test_cut_response_does_not_end_for_a_caller_that_knows_no_chunks(
     entry, streaming, kind
