--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -93,6 +93,14 @@
     When the instances respond before they have read the body
     Then an upload of 600000 bytes gets the instance's own 413
 
+  Scenario: Answers that end early or are none
+    When the instances reset long uploads that they have begun to answer
+    Then no answer of an instance to 4 uploads reaches its caller
+    When the instances answer with the status 000
+    Then no answer of an instance to 2 uploads reaches its caller
+    When the instances answer with the status 600
+    Then no answer of an instance to 2 uploads reaches its caller
+
   Scenario: A caller that leaves
     When a request takes 3 s and its caller leaves after 0.3 s
     Then the connection to the instance is closed within 0.5 s
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -556,6 +556,38 @@
     set_mode(context, "early")
 
 
+@when("the instances reset long uploads that they have begun to answer")
+def reset_early(context):
+    set_mode(context, "early-reset")
+
+
+@when("the instances answer with the status {status}")
+def answer_with_status(context, status):
+    set_mode(context, f"status-{status}")
+
+
+@then("no answer of an instance to {count:d} uploads reaches its caller")
+def no_answer_to_uploads(context, count):
+    context.uploads = getattr(context, "uploads", 0)
+    reached = count_started(context)
+    for number in range(count):
+        context.uploads += 1
+        response = context.fleet.send(
+            "e1",
+            "POST",
+            f"/write/{context.uploads}",
+            body=bytes(2_000_000),
+            chunked=number % 2 == 0,
+        )
+        assert response.status >= 500, response
+        assert "server-stamp" not in response.headers, response
+    assert count_started(context) > reached
+
+
+def count_started(context):
+    return sum(len(i.requests) for i in context.fleet.instances.values())
+
+
 @when("the instances refuse requests as overloaded")
 def refuse_as_overloaded(context):
     set_mode(context, "full")
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -19,6 +19,7 @@
 REGISTRATION_INTERVAL_S = 0.5
 HOST = "rota.example"
 READ_BYTES = 65_536
+EARLY_BYTES = 3_000
 # The connection is idle in the pool of its entry by then.
 ENDLESS_AFTER_S = 0.05
 
@@ -105,11 +106,13 @@
 
     Attributes:
         mode: what it does with requests: `serve`; `reset` the connection;
-            respond `early`, before the body is read; `unframed`, without a
-            length; send `extra` bytes after the response; `full`, refuse
-            them as not executed; `other`, respond as an instance other
-            than the expected one does; `endless-head`, `endless-after`, send
-            header lines without end, or bytes after a complete response.
+            respond `early`, before the body is read; `early-reset`, without
+            a length, and reset the connection; `unframed`, without a length;
+            `status-000` and others, with such a status; send `extra` bytes
+            after the response; `full`, refuse them as not executed; `other`,
+            respond as an instance other than the expected one does;
+            `endless-head`, `endless-after`, send header lines without end,
+            or bytes after a complete response.
         delay_s: time that each request takes.
         transfer_s: time that each response takes to reach the entry.
         overrun_s: how long after the deadline of a request it gives up;
@@ -218,11 +221,15 @@
         if self.mode == "early":
             sock.sendall(build_response(413, response_headers, b"too long"))
             return False
+        if self.mode == "early-reset":
+            head = build_response(200, response_headers)
+            head = head.replace(b"Content-Length: 0\r\n", b"")
+            sock.sendall(head + b"b" * EARLY_BYTES)
+            reset_at_close(sock)
+            return False
         request.body = reader.read_body(headers)
         if self.mode == "reset" or target == self.crash_path:
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
-            )
+            reset_at_close(sock)
             return False
         try:
             is_done = self.wait_for_delay(sock, request)
@@ -240,6 +247,11 @@
             )
             sock.sendall(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode() + body)
             return False
+        status = self.mode.removeprefix("status-")
+        if status != self.mode:
+            response = build_response(200, response_headers, body)
+            sock.sendall(response.replace(b"200", status.encode(), 1))
+            return True
         complete_response = build_response(200, response_headers, body)
         if self.mode == "extra":
             sock.sendall(
@@ -282,6 +294,11 @@
         return delay_s <= limit_s
 
 
+def reset_at_close(sock) -> None:
+    """Make the close of a socket reset its connection."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+
+
 def send_endlessly(sock, start: bytes, filler: bytes) -> None:
     """Send bytes until the connection is closed, which raises OSError."""
     sock.sendall(start)
