Record that a target which reads a long upload late is broken off

The kernel ends a connection whose peer keeps its window closed for two seconds. Found beside the early answers that are reset; the test is red.

--- a/tests/node/test_upstream_uploads.py
+++ b/tests/node/test_upstream_uploads.py
@@ -45,6 +45,8 @@
 # Time in which the other side of a connection handles what has arrived.
 PAUSE_S = 0.1
 TIMEOUT_S = 5.0
+# Within the timeout of the attempt.
+LATE_S = 3.0
 
 
 class EarlyTarget:
@@ -80,11 +82,13 @@
 
     def read_rest(self, until=sys.maxsize):
         self.socket.settimeout(TIMEOUT_S)
-        while self.received.count(b"a") < until:
+        count = self.received.count(b"a")
+        while count < until:
             piece = self.socket.recv(65_536)
             if not piece:
                 return
             self.received += piece
+            count += piece.count(b"a")
 
     def close(self):
         self.greenlet.kill()
@@ -271,3 +275,19 @@
     gevent.sleep(PAUSE_S)
     assert next(stream, None) is None
     target.read_rest()
+
+
+# An instance at work on other requests may read an upload late.
+def test_target_that_reads_a_long_upload_late_is_waited_for(early):
+    target = early(b"")
+
+    def respond_late():
+        target.responded.wait()
+        gevent.sleep(LATE_S)
+        target.read_rest(until=len(LONG_BODY))
+        target.socket.sendall(FRAMED["length"])
+
+    late = gevent.spawn(respond_late)
+    result = upload(target, body=LONG_BODY, length=len(LONG_BODY))
+    late.kill()
+    assert result.status is AttemptStatus.ANSWERED
