--- a/packages/node/src/wasabitray_node/upstream.py
+++ b/packages/node/src/wasabitray_node/upstream.py
@@ -122,10 +122,12 @@
                 AttemptStatus.UNREACHABLE, detail=str(error)
             )
         except _TRANSPORT_ERRORS as error:
-            no_reply = getattr(error, "errno", None) in _NO_REPLY_ERRORS
             result = self._build_failure(
-                exchange, str(error), timed_out=no_reply
+                exchange, str(error), timed_out=_is_no_reply(error)
             )
+        except BaseException:
+            exchange.abandon()
+            raise
         finally:
             exchange.release_held()
         elapsed = Seconds(self._clock() - started)
@@ -196,11 +198,14 @@
             self._return_connection(exchange)
         else:
             rest = result.response.chunks
-            result.response.chunks = self._stream(exchange, rest, watch)
+            chunks = self._stream(exchange, rest, watch)
+            next(chunks)  # closing it has no effect before it has started
+            result.response.chunks = chunks
 
     def _return_connection(self, exchange: _HttpExchange) -> None:
         connection = exchange.connection
         assert connection is not None
+        exchange.stop_sending()
         if exchange.is_reusable:
             connection.socket.settimeout(None)
             self._send_to_pool(ReturnConnection(connection))
@@ -213,13 +218,17 @@
         rest: Generator[bytes, None, None],
         watch: CallerWatch,
     ) -> Generator[bytes, None, None]:
-        """Yield the rest of a body; close the connection if it ends early."""
+        """Yield nothing, then the rest of a body.
+
+        The connection is closed if the body ends early.
+        """
         is_complete = False
         connection = exchange.connection
         assert connection is not None
         connection.socket.settimeout(self._limits.stream_idle_s)
         deadline = self._clock() + self._limits.stream_timeout_s
         try:
+            yield b""
             while True:
                 with watch:
                     piece = next(rest, b"")
@@ -239,6 +248,11 @@
     return connect(split_address(target.address or target.target), timeout)
 
 
+def _is_no_reply(error: BaseException) -> bool:
+    """Return whether the kernel gave up a connection without a reply."""
+    return getattr(error, "errno", None) in _NO_REPLY_ERRORS
+
+
 class _ConnectError(Exception):
     """No connection could be made, so nothing was sent."""
 
@@ -291,7 +305,7 @@
         """Send the request and read the response.
 
         A target may respond before it has read all of a long body, so a
-        long body is sent while the response is read.
+        long body is sent while the response is read, up to the end of both.
         """
         request = self._attempt.request
         if (
@@ -305,11 +319,12 @@
         try:
             self._receive()
         except _TRANSPORT_ERRORS as error:
-            if isinstance(self._send_error, CallerGoneError):
-                raise self._send_error from error
+            cause = self._send_error
+            if isinstance(cause, CallerGoneError):
+                raise cause from error
+            if cause is not None and _is_no_reply(cause):
+                raise cause from error
             raise
-        finally:
-            self._sender.kill()
 
     def _send_in_background(self) -> None:
         """Send the request; end the read if the caller's body fails."""
@@ -320,7 +335,7 @@
             self._send_error = error
             self._shut_down_socket()
         except OSError as error:
-            self._send_error = error  # the read fails on the same connection
+            self._send_error = error  # the response may still be complete
 
     def _shut_down_socket(self) -> None:
         assert self.connection is not None
@@ -360,21 +375,18 @@
         """Read the head, and the body up to the size that is buffered."""
         assert self.connection is not None
         method = self._attempt.request.method
-        # The parser drops its reference to the socket at the end of the
-        # response and closes it only if the response ends the connection.
-        # Otherwise the owner of the connection keeps or closes it.
         response = SingleResponse(
             self.connection.socket, READ_SIZE_BYTES, method
         )
         self._response = response
-        while self._size <= self._limits.hold_bytes:
-            piece = self._read(response)
-            if not piece:
-                break
+        while piece := self._read(response):
             self._pieces.append(piece)
             self._size += len(piece)
             self._held.add(len(piece))
-            if self._held.is_full:
+            # The parser may hold the last bytes of a complete response.
+            if not response.is_complete and (
+                self._size > self._limits.hold_bytes or self._held.is_full
+            ):
                 break
 
     def _read(self, response: SingleResponse) -> bytes:
@@ -382,10 +394,29 @@
             piece = response.read(READ_SIZE_BYTES)
         except HTTPParseError as error:
             raise TruncatedBodyError(str(error)) from error
+        if response.ended_with_connection:
+            self._check_sent()
         if not piece and not response.is_complete:
             raise TruncatedBodyError("the response body ended early")
         return piece
 
+    def _check_sent(self) -> None:
+        """Check that the end of the connection was the target's own.
+
+        If sending failed, the sender may have got the connection's error in
+        place of the reader. A target that ends only its side of the
+        connection still reads the rest of the request.
+
+        Raises:
+            TruncatedBodyError: the request was not sent to its end.
+        """
+        if self._sender is not None:
+            self._sender.join(self._limits.stream_timeout_s)
+        if not self._is_sent:
+            raise TruncatedBodyError(
+                "the connection ended before the request was sent"
+            )
+
     def build_result(self) -> AttemptResult:
         """Return how the attempt ended, with its response and the load."""
         parsed = self._response
@@ -465,10 +496,14 @@
                 peer=self._attempt.target.target,
             ) from error
 
+    def stop_sending(self) -> None:
+        """Stop sending what is left of the request."""
+        if self._sender is not None:
+            self._sender.kill()
+
     def abandon(self) -> None:
         """Close the connection, on which a late response may still come."""
-        if self._sender is not None:
-            self._sender.kill(block=False)
+        self.stop_sending()
         if self.connection is not None:
             self.connection.close()
 
