Let a follower start before its disk refuses to write

Its log held one byte, "T": the limit on the size of files came while the follower was still starting, since two of three control hosts are enough for the change before, and its start ended with a traceback.

--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -335,9 +335,16 @@
     wait_for(is_refused, seconds, f"{reason} at {entry}")
 
 
+def has_started(context, name):
+    """Return whether a control host's tasks run; a start may take longer."""
+    log = (context.folder / f"{name}.log").read_text()
+    return '"message": "started"' in log
+
+
 @when("a follower's files can no longer grow")
 def limit_file_size(context):
     name = pick_follower(context)
+    wait_for(lambda: has_started(context, name), 10, f"{name} has started")
     process_id = context.fleet.processes[name].child.pid
     resource.prlimit(process_id, resource.RLIMIT_FSIZE, (1, 1))
 
