State once when a leader may change its group

The condition (the last change and a record of the own term are committed) stood three times in the controller, the removal of a learner twice in group.py. Now a property and a function.

--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -199,6 +199,17 @@
         """The state machine with the committed configuration."""
         return self._machine
 
+    @property
+    def _may_change_members(self) -> bool:
+        """Whether the leader may change the group.
+
+        The last change and a record of its own term must be committed.
+        """
+        return (
+            self._log.members_index <= self._commit_index
+            and self._has_committed_own_term()
+        )
+
     @singledispatchmethod
     def receive(self, message: Any, origin: Origin) -> None:
         """Handle one message."""
@@ -376,8 +387,7 @@
         self._advance_members()
         assert origin.peer is not None
         if (
-            self._log.members_index <= self._commit_index
-            and self._has_committed_own_term()
+            self._may_change_members
             and not self._is_stopping
             and self._peers.plan_change() is None
             and self._peers.can_spare_stopping()
@@ -532,11 +542,7 @@
 
     def _advance_members(self) -> None:
         """Make the next membership change, once the last is committed."""
-        if (
-            not self._state.is_leader
-            or self._log.members_index > self._commit_index
-            or not self._has_committed_own_term()
-        ):
+        if not self._state.is_leader or not self._may_change_members:
             return
         change = self._peers.plan_change()
         if change is not None:
@@ -570,11 +576,7 @@
         members = self._log.members
         if member in (*members.voters, *members.learners):
             return
-        if (
-            self._log.members_index <= self._commit_index
-            and self._has_committed_own_term()
-            and not self._is_stopping
-        ):
+        if self._may_change_members and not self._is_stopping:
             learners = (*members.learners, member)
             self._append_group_change(
                 GroupChange(
--- a/packages/core/src/wasabitray_core/controllers/consensus/group.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/group.py
@@ -106,11 +106,8 @@
     newest = {m.host: m for m in members.learners}
     for learner in members.learners:
         if newest[learner.host] != learner:
-            learners = _without(members.learners, learner)
-            return GroupChange(
-                Members(members.voters, learners),
-                learner,
-                GroupChangeReason.DISK_REPLACED,
+            return _remove_learner(
+                members, learner, GroupChangeReason.DISK_REPLACED
             )
     for voter in members.voters:
         successor = newest.get(voter.host)
@@ -187,12 +184,7 @@
 def _forget_gone(members: Members, states: MemberStates) -> GroupChange | None:
     for learner in members.learners:
         if learner.member in states.gone:
-            learners = _without(members.learners, learner)
-            return GroupChange(
-                Members(members.voters, learners),
-                learner,
-                GroupChangeReason.GONE,
-            )
+            return _remove_learner(members, learner, GroupChangeReason.GONE)
     return None
 
 
@@ -218,5 +210,12 @@
     return GroupChange(Members(voters, learners), voter, reason)
 
 
+def _remove_learner(
+    members: Members, learner: Member, reason: GroupChangeReason
+) -> GroupChange:
+    learners = _without(members.learners, learner)
+    return GroupChange(Members(members.voters, learners), learner, reason)
+
+
 def _without(members: tuple[Member, ...], member: Member) -> tuple:
     return tuple(m for m in members if m != member)
