--- a/tests/core/controllers/consensus/schedules.py
+++ b/tests/core/controllers/consensus/schedules.py
@@ -1,4 +1,4 @@
-"""Troubles of a simulated control group, as close together as is allowed."""
+"""Faults of a simulated control group, as close together as is allowed."""
 
 from __future__ import annotations
 
@@ -27,12 +27,12 @@
 
     Attributes:
         tolerated: machines with a disk that may be lost at the same time.
-        catchup_s: a machine counts as lost for this long after its return.
+        catch_up_s: a machine counts as lost for this long after its return.
     """
 
     size: int
     tolerated: int
-    catchup_s: float
+    catch_up_s: float
 
 
 FIVE = Site(5, 1, 4.0)
@@ -52,7 +52,7 @@
 PLANNED = (Removal.STOP, Removal.STOP_AFTER_SUCCESSOR)
 
 
-class Trouble(Enum):
+class Fault(Enum):
     """Something that happens to a control group."""
 
     REMOVE_LEADER = "remove leader"
@@ -68,12 +68,12 @@
     """Nothing, for a while."""
 
 
-# Troubles that lose a machine.
-LOSSES = set(Trouble) - {Trouble.SPLIT, Trouble.KILL_ALL, Trouble.PAUSE}
+# Faults that lose a machine.
+LOSSES = set(Fault) - {Fault.SPLIT, Fault.KILL_ALL, Fault.PAUSE}
 
 
 class Schedule:
-    """Troubles of a group while an operator sends a version after each.
+    """Faults of a group while an operator sends a version after each.
 
     Attributes:
         lost: until when a host counts as lost.
@@ -122,7 +122,7 @@
 
     def lose(self, host: HostId, back_in_s: float) -> None:
         back_at = self.now + back_in_s
-        self.lost[host] = back_at + self.site.catchup_s
+        self.lost[host] = back_at + self.site.catch_up_s
         self.disturbed_until = max(self.disturbed_until, back_at)
 
     # Hosts
@@ -154,7 +154,7 @@
         find = self.random.choice((self.find_leader, self.find_follower))
         return find()
 
-    # Troubles
+    # Faults
 
     def start_successor(self) -> None:
         network = self.network
@@ -169,7 +169,7 @@
         self.replaced.add(host)
         if how is Removal.STOP_AFTER_SUCCESSOR:
             self.start_successor()
-            network.run(self.site.catchup_s)
+            network.run(self.site.catch_up_s)
             network.stop(host)
             self.disturbed_until = max(self.disturbed_until, self.now)
             return
@@ -223,29 +223,29 @@
             self.network.start(name)
         self.disturbed_until = max(self.disturbed_until, self.now)
 
-    def apply(self, trouble: Trouble) -> None:
-        """Begin a trouble as soon as it is allowed."""
+    def apply(self, fault: Fault) -> None:
+        """Begin a fault as soon as it is allowed."""
         how = Removal.KILL
-        if trouble in (Trouble.STOP_LEADER, Trouble.STOP_FOLLOWER):
+        if fault in (Fault.STOP_LEADER, Fault.STOP_FOLLOWER):
             how = self.random.choice(PLANNED)
-        if trouble in LOSSES and how is not Removal.STOP_AFTER_SUCCESSOR:
+        if fault in LOSSES and how is not Removal.STOP_AFTER_SUCCESSOR:
             self.await_room()
-        match trouble:
-            case Trouble.REMOVE_LEADER | Trouble.STOP_LEADER:
+        match fault:
+            case Fault.REMOVE_LEADER | Fault.STOP_LEADER:
                 self.replace(self.find_leader(), how)
-            case Trouble.REMOVE_FOLLOWER | Trouble.STOP_FOLLOWER:
+            case Fault.REMOVE_FOLLOWER | Fault.STOP_FOLLOWER:
                 self.replace(self.find_follower(), how)
-            case Trouble.WIPE:
+            case Fault.WIPE:
                 self.wipe(self.find_any())
-            case Trouble.CUT:
+            case Fault.CUT:
                 self.cut(self.find_any())
-            case Trouble.FREEZE:
+            case Fault.FREEZE:
                 self.freeze(self.find_any())
-            case Trouble.SPLIT:
+            case Fault.SPLIT:
                 self.split()
-            case Trouble.KILL_ALL:
+            case Fault.KILL_ALL:
                 self.kill_all()
-            case Trouble.PAUSE:
+            case Fault.PAUSE:
                 self.network.run(PAUSE_S)
 
     # Checks
--- a/tests/core/controllers/consensus/test_planned_stops.py
+++ b/tests/core/controllers/consensus/test_planned_stops.py
@@ -44,7 +44,7 @@
     old = network.running
     for _ in old:
         schedule.start_successor()
-    network.run(FIVE.catchup_s)
+    network.run(FIVE.catch_up_s)
     for host in old:
         network.stop(host)
     schedule.disturbed_until = schedule.now
@@ -58,7 +58,7 @@
 def test_host_that_is_stopped_ends_only_once_another_votes(seed):
     schedule = Schedule(FIVE, seed)
     schedule.start_successor()
-    schedule.network.run(FIVE.catchup_s)
+    schedule.network.run(FIVE.catch_up_s)
     host = schedule.find_follower()
     ends = note_end(schedule, host)
     stop(schedule, host)
@@ -72,7 +72,7 @@
 def test_two_hosts_that_are_stopped_at_once_leave_a_majority(site, seed):
     schedule = Schedule(site, seed)
     schedule.start_successor()
-    schedule.network.run(site.catchup_s)
+    schedule.network.run(site.catch_up_s)
     leader, follower = schedule.find_leader(), schedule.find_follower()
     stop(schedule, leader)
     schedule.replace(follower, Removal.STOP)
@@ -92,7 +92,7 @@
     schedule.start_successor()
     network.run(0.1)
     schedule.start_successor()
-    network.run(THREE.catchup_s)
+    network.run(THREE.catch_up_s)
     stop(schedule, schedule.find_leader())
     network.run(0.2)
     schedule.replace(schedule.find_follower(), Removal.STOP)
@@ -163,5 +163,5 @@
         network.half.discard(new)
         if not is_with_leader:
             network.half.add(new)
-        network.run(FIVE.catchup_s)
+        network.run(FIVE.catch_up_s)
     schedule.check()
--- a/tests/core/controllers/consensus/test_schedules.py
+++ b/tests/core/controllers/consensus/test_schedules.py
@@ -1,4 +1,4 @@
-"""Sequences of troubles of the control group, as close as is allowed.
+"""Sequences of faults of the control group, as close as is allowed.
 
 A sample runs by default. Set WASABITRAY_LENGTH to run all sequences up to
 that length instead, and WASABITRAY_SEEDS to run each with other seeds, for
@@ -14,13 +14,13 @@
     FIVE,
     NINE,
     SIX,
+    Fault,
     Schedule,
-    Trouble,
 )
 
 SAMPLE = 24
 SAMPLE_LENGTHS = (4, 5)
-EVENTS = tuple(t for t in Trouble if t is not Trouble.PAUSE)
+EVENTS = tuple(t for t in Fault if t is not Fault.PAUSE)
 
 
 def seeds():
@@ -39,35 +39,35 @@
         return
     for site in (FIVE, SIX, NINE):
         for count in range(1, int(length) + 1):
-            for troubles in itertools.product(Trouble, repeat=count):
-                if Trouble.PAUSE not in (troubles[0], troubles[-1]):
-                    yield site, troubles
+            for faults in itertools.product(Fault, repeat=count):
+                if Fault.PAUSE not in (faults[0], faults[-1]):
+                    yield site, faults
 
 
-def describe(site, troubles):
-    return f"{site.size}: {', '.join(t.value for t in troubles)}"
+def describe(site, faults):
+    return f"{site.size}: {', '.join(t.value for t in faults)}"
 
 
-def check(site, troubles, seed):
-    schedule = Schedule(site, f"{describe(site, troubles)} {seed}")
-    for trouble in troubles:
-        schedule.apply(trouble)
+def check(site, faults, seed):
+    schedule = Schedule(site, f"{describe(site, faults)} {seed}")
+    for fault in faults:
+        schedule.apply(fault)
         schedule.send_order()
     schedule.check()
 
 
 @pytest.mark.parametrize(
-    ("site", "troubles"),
+    ("site", "faults"),
     [pytest.param(s, t, id=describe(s, t)) for s, t in schedules()],
 )
-def test_configuration_is_read_back_after_troubles(site, troubles):
+def test_configuration_is_read_back_after_faults(site, faults):
     for seed in seeds():
-        check(site, troubles, seed)
+        check(site, faults, seed)
 
 
 # Guards against a group that is made smaller while it is split.
 @pytest.mark.parametrize(
-    ("troubles", "seed"),
+    ("faults", "seed"),
     (
         ("split, pause, remove follower, remove follower", 1),
         ("split, pause, stop leader, remove follower", 1),
@@ -75,15 +75,15 @@
         ("stop leader, split, pause, wipe", 5),
     ),
 )
-def test_majority_survives_losses_after_a_split(troubles, seed):
-    check(FIVE, tuple(Trouble(t) for t in troubles.split(", ")), seed)
+def test_majority_survives_losses_after_a_split(faults, seed):
+    check(FIVE, tuple(Fault(t) for t in faults.split(", ")), seed)
 
 
 # Guards against a successor whose log is too old when the lead is handed over.
 def test_majority_survives_planned_stops_of_one_leader_after_another():
-    troubles = (
-        Trouble.STOP_LEADER,
-        Trouble.STOP_LEADER,
-        Trouble.REMOVE_LEADER,
+    faults = (
+        Fault.STOP_LEADER,
+        Fault.STOP_LEADER,
+        Fault.REMOVE_LEADER,
     )
-    check(FIVE, troubles, seed=1)
+    check(FIVE, faults, seed=1)
--- a/tests/soak/changes.py
+++ b/tests/soak/changes.py
@@ -15,7 +15,7 @@
 from gevent.event import Event
 from gevent.lock import BoundedSemaphore
 from support.platform_controls import (
-    CATCHUP_S,
+    CATCH_UP_S,
     CONTACT_S,
     CONTACT_SLACK_S,
     GRACE_S,
@@ -36,7 +36,7 @@
 CONTROL_PAUSE_S = (4.0, 8.0)
 KILLED_SHARE = 0.3
 # How long a successor runs before the next control host is removed.
-REPLACEMENT_PAUSE_S = (CATCHUP_S, CATCHUP_S + 2.0)
+REPLACEMENT_PAUSE_S = (CATCH_UP_S, CATCH_UP_S + 2.0)
 READ_PAUSE_S = (15.0, 20.0)
 READ_TIMEOUT_S = CONTACT_S + CONTACT_SLACK_S
 LEAVING_S = 5.0
@@ -207,7 +207,7 @@
         number = signal.SIGKILL if way == "killed" else signal.SIGTERM
         if way == "planned":
             self._start_successor(control)
-            gevent.sleep(CATCHUP_S)
+            gevent.sleep(CATCH_UP_S)
         self._replacements.remove(control, number)
         self._record_control_change()
         if way != "planned":
@@ -219,7 +219,7 @@
         successor = self._replacements.add_successor(control)
         self._record_control_change()
         self._stopping.add(successor)
-        gevent.spawn_later(CATCHUP_S, self._stopping.discard, successor)
+        gevent.spawn_later(CATCH_UP_S, self._stopping.discard, successor)
 
     def _list_free_controls(self) -> list[str]:
         """Return the control hosts that nothing is done to, oldest first."""
--- a/tests/support/platform_controls.py
+++ b/tests/support/platform_controls.py
@@ -13,7 +13,7 @@
 
 # The users' bounds for a control host that is removed for good.
 GRACE_S = 6.0
-CATCHUP_S = 4.0
+CATCH_UP_S = 4.0
 # An operator finds a control host that serves it within this time.
 CONTACT_S = 4.0
 CONTACT_SLACK_S = 1.0
