--- a/tests/core/controllers/consensus/schedules.py
+++ b/tests/core/controllers/consensus/schedules.py
@@ -35,6 +35,7 @@
     catch_up_s: float
 
 
+THREE = Site(3, 1, 4.0)
 FIVE = Site(5, 1, 4.0)
 SIX = Site(6, 2, 6.0)
 NINE = Site(9, 2, 6.0)
--- a/tests/core/controllers/consensus/test_planned_stops.py
+++ b/tests/core/controllers/consensus/test_planned_stops.py
@@ -4,12 +4,12 @@
 from core.controllers.consensus import schedules
 from core.controllers.consensus.schedules import (
     FIVE,
+    THREE,
     Removal,
     Schedule,
     Site,
 )
 
-THREE = Site(3, 1, 4.0)
 FIVE_OF_WHICH_TWO = Site(5, 2, 6.0)
 STEP_S = 0.01
 SEEDS = range(1, 7)
--- a/tests/core/controllers/consensus/test_replaced_hosts.py
+++ b/tests/core/controllers/consensus/test_replaced_hosts.py
@@ -13,6 +13,7 @@
     FIVE,
     NINE,
     SIX,
+    THREE,
     Removal,
     Schedule,
 )
@@ -37,6 +38,36 @@
 
 
 # Guards against voters that are gone and make up a majority of the group.
+@pytest.mark.parametrize("site", (THREE, FIVE), ids=lambda s: s.size)
+@pytest.mark.parametrize("how", HOWS)
+def test_configuration_is_read_back_after_the_leader_was_replaced_last(
+    how, site
+):
+    for seed in seeds():
+        schedule = Schedule(site, seed)
+        leader = schedule.find_leader()
+        others = [h for h in schedule.network.names if h != leader]
+        for host in (*others, leader):
+            schedule.await_room()
+            schedule.replace(host, HOWS[how])
+            schedule.send_order()
+        schedule.check()
+
+
+@pytest.mark.parametrize("order", ORDERS)
+@pytest.mark.parametrize("how", HOWS)
+def test_configuration_is_read_back_after_three_hosts_were_replaced(
+    how, order
+):
+    for seed in seeds():
+        schedule = Schedule(THREE, seed)
+        for _ in range(THREE.size):
+            schedule.await_room()
+            schedule.replace(ORDERS[order](schedule), HOWS[how])
+            schedule.send_order()
+        schedule.check()
+
+
 @pytest.mark.parametrize("count", (3, 4, 5))
 @pytest.mark.parametrize("order", ORDERS)
 @pytest.mark.parametrize("how", HOWS)
