--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -379,13 +379,7 @@
 
 
 class Instance:
-    """An instance of a service.
-
-    Attributes:
-        port: the port that it registers.
-    """
-
-    port = INSTANCE
+    """An instance of a service."""
 
     def __init__(
         self, deployment: Deployment, number: int, service: str
@@ -410,7 +404,7 @@
         self._sequence += 1
         body = {
             "service": self.service,
-            "address": f"{self.ip}:{self.port}",
+            "address": f"{self.ip}:{INSTANCE}",
             "zone": self.zone,
             "version": "v1",
             "slots": 6,
