Bound the replicated log by its size

Callers saw 503 from all entries after a kill of all processes, and the acknowledged configuration was not read back: control hosts exceeded their memory whenever they loaded their log (review/6).

--- a/packages/core/src/wasabitray_core/controllers/configuration.py
+++ b/packages/core/src/wasabitray_core/controllers/configuration.py
@@ -230,7 +230,6 @@
     def _(self, message: Restored, origin: Origin) -> None:
         snapshot = message.snapshot
         self._replace(snapshot.revision, snapshot.documents)
-        self._recent_changes.extend(snapshot.recent)
 
     @receive.register
     def _(self, message: ConfigPush, origin: Origin) -> None:
--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -9,6 +9,9 @@
 from result import Err, Ok
 
 from wasabitray_core.access.messages import RevisionQuery
+from wasabitray_core.controllers.consensus.compaction import (
+    SnapshotSchedule,
+)
 from wasabitray_core.controllers.consensus.election import (
     NO_MEMBER,
     UNKNOWN_HOST,
@@ -96,6 +99,7 @@
     VoteRequest,
 )
 from wasabitray_core.route_table import diff_documents
+from wasabitray_core.sizes import get_size
 from wasabitray_core.states import (
     ConsensusRole,
     GroupChangeReason,
@@ -106,8 +110,7 @@
 # A member that has not reported its contact for this long is not in contact.
 CONTACT_VALID_S = 1.0
 MAX_RECORDS_PER_APPEND = 64
-SNAPSHOT_INTERVAL_RECORDS = 1_000
-RECORDS_KEPT_AFTER_SNAPSHOT = 200
+MAX_BYTES_PER_APPEND = 1_048_576
 
 _LEADER = ConsensusRole.LEADER
 
@@ -153,6 +156,7 @@
             snapshot.index, snapshot.term, snapshot.members
         )
         self._log.load(records)
+        self._schedule = SnapshotSchedule(snapshot)
         self._election = Election(member, ballot)
         self._state = MemberState(context, self._election, self._log)
         self._voting = Voting(
@@ -167,6 +171,7 @@
         self._voter_history = VoterHistory()
         self._voter_history.record(self._log.members, context.clock())
         self._has_leader_flag = False
+        self._installable_snapshot: InstallSnapshot | None = None
         self._is_stopping = False
         self._stop_requests: list[Origin] = []
         self._sent_contact: GroupContact | None = None
@@ -353,7 +358,7 @@
 
     @receive.register
     def _(self, message: GetHistory, origin: Origin) -> None:
-        self._reply(origin, self._machine.recent[-message.limit :])
+        self._reply(origin, self._machine.history[-message.limit :])
 
     @receive.register
     def _(self, message: GetStatus, origin: Origin) -> None:
@@ -367,6 +372,8 @@
                 "leader": self._state.leader_host,
                 "commit": self._commit_index,
                 "last_index": self._log.last_index,
+                "log_bytes": self._log.size,
+                "bytes_since_snapshot": self._schedule.applied_bytes,
                 "revision": self._machine.revision,
                 "voters": [m.member for m in members.voters],
                 "learners": [m.member for m in members.learners],
@@ -517,7 +524,14 @@
         if previous_term is None:
             self._send_snapshot(member)
             return
-        records = self._log.get_records_after(previous, MAX_RECORDS_PER_APPEND)
+        now = self._now()
+        records: tuple[LogRecord, ...] = ()
+        if not progress.is_awaiting_reply(now):
+            records = self._log.get_records_after(
+                previous, MAX_RECORDS_PER_APPEND, MAX_BYTES_PER_APPEND
+            )
+        if records:
+            progress.record_sent(records[-1].index, get_size(records), now)
         request = AppendRequest(
             self.term,
             self._election.member,
@@ -530,15 +544,44 @@
         self._outbox.send(member.host, request)
 
     def _send_snapshot(self, member: Member) -> None:
+        """Send a snapshot, or a heartbeat while one is in transit."""
+        progress = self._peers.find(member.member)
+        assert progress is not None
+        now = self._now()
+        if progress.is_awaiting_reply(now):
+            self._outbox.send(member.host, self._build_empty_append())
+            return
+        install = self._installable_snapshot
+        if (
+            install is None
+            or install.term != self.term
+            or install.snapshot.index != self._applied_index
+        ):
+            install = InstallSnapshot(
+                self.term, self._election.member, self._build_snapshot()
+            )
+            self._installable_snapshot = install
+        snapshot = install.snapshot
+        progress.record_sent(snapshot.index, get_size(snapshot), now)
+        self._outbox.send(member.host, install)
+
+    def _build_empty_append(self) -> AppendRequest:
+        """Return a heartbeat that any log matches."""
+        return AppendRequest(
+            self.term,
+            self._election.member,
+            LogIndex(0),
+            Term(0),
+            (),
+            LogIndex(0),
+            self._read_queue.round,
+        )
+
+    def _build_snapshot(self) -> Snapshot:
         term = self._log.find_term(self._applied_index)
         assert term is not None
-        snapshot = self._machine.snapshot(
-            self._applied_index,
-            term,
-            self._log.get_members_at(self._applied_index),
-        )
-        install = InstallSnapshot(self.term, self._election.member, snapshot)
-        self._outbox.send(member.host, install)
+        members = self._log.get_members_at(self._applied_index)
+        return self._machine.snapshot(self._applied_index, term, members)
 
     @receive.register
     def _(self, message: AppendReply, origin: Origin) -> None:
@@ -564,8 +607,10 @@
             progress.next_index = max(
                 LogIndex(1), min(hint, progress.next_index)
             )
+            progress.record_rejected()
             is_behind = True
-        if is_behind and self._state.is_leader:
+        is_awaiting_reply = progress.is_awaiting_reply(self._now())
+        if is_behind and self._state.is_leader and not is_awaiting_reply:
             self._send_next_records(message.member)
         if self._state.is_leader:
             self._prepare_stop()
@@ -736,6 +781,7 @@
             self._outbox.persist(snapshot)
             self._machine.restore(snapshot)
             self._log.reset(snapshot.index, snapshot.term, snapshot.members)
+            self._schedule.record_snapshot(snapshot)
             self._commit_index = self._applied_index = snapshot.index
             self._outbox.tell(ControllerName.CONFIGURATION, Restored(snapshot))
         self._reply_append(origin.peer, True, snapshot.index)
@@ -830,6 +876,9 @@
         committed = []
         while self._applied_index < self._commit_index:
             self._applied_index = LogIndex(self._applied_index + 1)
+            self._schedule.record_applied(
+                self._log.get_record_size(self._applied_index)
+            )
             command = self._log.get(self._applied_index).command
             if isinstance(command, Change):
                 committed += self._apply_change(command)
@@ -838,10 +887,7 @@
             self._outbox.tell(ControllerName.CONFIGURATION, message)
         if self._state.is_leader and self._has_committed_own_term():
             self._set_leader_flag(True)
-        if (
-            self._applied_index - self._log.base_index
-            >= SNAPSHOT_INTERVAL_RECORDS
-        ):
+        if self._schedule.is_due(self._log, self._applied_index):
             self._take_snapshot()
 
     def _apply_change(self, change: Change) -> list:
@@ -865,14 +911,16 @@
         return [committed]
 
     def _take_snapshot(self) -> None:
-        term = self._log.find_term(self._applied_index)
-        assert term is not None
-        members = self._log.get_members_at(self._applied_index)
-        snapshot = self._machine.snapshot(self._applied_index, term, members)
+        snapshot = self._build_snapshot()
         self._outbox.persist(snapshot)
-        self._log.compact(
-            LogIndex(self._applied_index - RECORDS_KEPT_AFTER_SNAPSHOT)
+        self._outbox.log_event(
+            "snapshot taken",
+            index=snapshot.index,
+            revision=snapshot.revision,
+            replaced_bytes=self._schedule.applied_bytes,
         )
+        self._schedule.record_snapshot(snapshot)
+        self._schedule.compact(self._log, self._applied_index)
 
     # Leadership
 
--- a/packages/core/src/wasabitray_core/controllers/consensus/log.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/log.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable, Sequence
 
 from wasabitray_core.ids import LogIndex, Term
 from wasabitray_core.messages import LogRecord, Members
+from wasabitray_core.sizes import get_size
 
 
 class ReplicatedLog:
@@ -25,6 +27,8 @@
             members: the group as of that record.
         """
         self._records: list[LogRecord] = []
+        self._sizes: list[int] = []
+        self._size = 0
         self._base_index = base_index
         self._base_term = base_term
         self._base_members = members
@@ -34,6 +38,11 @@
         """Index of the last record that the snapshot covers."""
         return self._base_index
 
+    @property
+    def size(self) -> int:
+        """Bytes that the records take."""
+        return self._size
+
     @property
     def last_index(self) -> LogIndex:
         """Index of the newest record."""
@@ -76,17 +85,56 @@
         """Return a record that the log has."""
         return self._records[index - self._base_index - 1]
 
+    def get_record_size(self, index: LogIndex) -> int:
+        """Return the bytes that a record of the log takes."""
+        return self._sizes[index - self._base_index - 1]
+
     def get_records_after(
-        self, index: LogIndex, limit: int
+        self, index: LogIndex, limit: int, max_bytes: int
     ) -> tuple[LogRecord, ...]:
-        """Return up to `limit` records after an index."""
+        """Return the next records after an index.
+
+        Args:
+            index: the index.
+            limit: the number of records.
+            max_bytes: the size of all of them; the first one is returned
+                whatever its size.
+        """
         start = index - self._base_index
-        return tuple(self._records[start : start + limit])
+        sizes = itertools.accumulate(self._sizes[start : start + limit])
+        count = sum(1 for size in sizes if size <= max_bytes)
+        return tuple(self._records[start : start + max(1, count)])
+
+    def find_compaction_index(
+        self, index: LogIndex, max_records: int, max_bytes: int
+    ) -> LogIndex:
+        """Return the index up to which records can be removed.
+
+        Args:
+            index: the last record that a snapshot covers.
+            max_records: how many records before it are kept.
+            max_bytes: the size of those records.
+        """
+        end = index - self._base_index
+        newest = reversed(self._sizes[max(0, end - max_records) : end])
+        sizes = itertools.accumulate(newest)
+        kept = sum(1 for size in sizes if size <= max_bytes)
+        return LogIndex(index - kept)
 
     def append(self, record: LogRecord) -> None:
         """Add the next record."""
         assert record.index == self.last_index + 1
+        size = get_size(record)
         self._records.append(record)
+        self._sizes.append(size)
+        self._size += size
+
+    def _truncate(self, index: LogIndex) -> None:
+        """Remove a record and all after it."""
+        start = index - self._base_index - 1
+        self._size -= sum(self._sizes[start:])
+        del self._records[start:]
+        del self._sizes[start:]
 
     def merge(self, records: Iterable[LogRecord]) -> list[LogRecord]:
         """Append a leader's records that are new; return those.
@@ -102,7 +150,7 @@
             if term == record.term:
                 continue
             if term is not None:
-                del self._records[record.index - self._base_index - 1 :]
+                self._truncate(record.index)
             self.append(record)
             appended.append(record)
         return appended
@@ -112,7 +160,10 @@
         term = self.find_term(index)
         assert term is not None
         members = self.get_members_at(index)
-        del self._records[: index - self._base_index]
+        count = index - self._base_index
+        self._size -= sum(self._sizes[:count])
+        del self._records[:count]
+        del self._sizes[:count]
         self._base_index, self._base_term = index, term
         self._base_members = members
 
@@ -124,6 +175,8 @@
         self._base_term = base_term
         self._base_members = members
         self._records.clear()
+        self._sizes.clear()
+        self._size = 0
 
     def is_not_newer_than(self, last_term: Term, last_index: LogIndex) -> bool:
         """Return whether another log is at least as new as this one.
@@ -143,7 +196,7 @@
         for record in records:
             if record.index <= self._base_index:
                 continue
-            del self._records[record.index - self._base_index - 1 :]
+            self._truncate(record.index)
             self.append(record)
 
     def __repr__(self) -> str:
--- a/packages/core/src/wasabitray_core/controllers/consensus/state_machine.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/state_machine.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import hashlib
-from collections import OrderedDict, deque
+from collections import OrderedDict
 
 from result import Err, Ok, Result
 
+from wasabitray_core.controllers.consensus.history import ChangeHistory
 from wasabitray_core.documents import (
     FLEET_KEY,
     Fleet,
@@ -28,6 +29,7 @@
 from wasabitray_core.messages import (
     AnsweredChange,
     Change,
+    ChangeSummary,
     CommittedChange,
     DocumentEdit,
     Members,
@@ -36,7 +38,6 @@
 from wasabitray_core.route_table import VERSION_KEY, get_table_version
 
 MAX_KEPT_RESULTS = 10_000
-MAX_RECENT_CHANGES = 512
 
 
 def compute_digest(change: Change) -> str:
@@ -65,7 +66,7 @@
         self._results_by_change: OrderedDict[ChangeId, AnsweredChange] = (
             OrderedDict()
         )
-        self._recent: deque[CommittedChange] = deque(maxlen=MAX_RECENT_CHANGES)
+        self._history = ChangeHistory()
 
     @property
     def revision(self) -> Revision:
@@ -83,9 +84,9 @@
         return self._documents
 
     @property
-    def recent(self) -> tuple[CommittedChange, ...]:
+    def history(self) -> tuple[ChangeSummary, ...]:
         """The newest changes, oldest first."""
-        return tuple(self._recent)
+        return self._history.summaries
 
     @property
     def fleet(self) -> Fleet | None:
@@ -160,7 +161,7 @@
         self._version = get_table_version(self._documents)
         self._revision = Revision(self._revision + 1)
         committed = CommittedChange(self._revision, change)
-        self._recent.append(committed)
+        self._history.add(committed)
         self._results_by_change[change.change] = AnsweredChange(
             change.change, compute_digest(change), self._revision
         )
@@ -179,7 +180,7 @@
             self._revision,
             dict(self._documents),
             tuple(self._results_by_change.values()),
-            self.recent,
+            history=self.history,
         )
 
     def restore(self, snapshot: Snapshot) -> None:
@@ -190,7 +191,9 @@
         self._results_by_change = OrderedDict(
             (a.change, a) for a in snapshot.answered
         )
-        self._recent = deque(snapshot.recent, maxlen=MAX_RECENT_CHANGES)
+        self._history = ChangeHistory(snapshot.history)
+        for committed in snapshot.recent:
+            self._history.add(committed)
 
 
 def _apply_edits(
--- a/packages/core/src/wasabitray_core/local_messages.py
+++ b/packages/core/src/wasabitray_core/local_messages.py
@@ -315,7 +315,7 @@
 
 
 class GetHistory(Struct, frozen=True):
-    """Asks for the newest changes; the reply is a tuple of changes."""
+    """Asks for the newest changes; the reply is a tuple of summaries."""
 
     limit: int
 
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -414,6 +414,22 @@
     change: Change
 
 
+class ChangeSummary(Struct, frozen=True):
+    """A committed change without the content of its documents.
+
+    Attributes:
+        written: keys of the documents that it wrote.
+        deleted: keys of the documents that it deleted.
+    """
+
+    revision: Revision
+    change: ChangeId
+    author: str
+    wall_time: str
+    written: tuple[str, ...]
+    deleted: tuple[str, ...]
+
+
 class ConfigPull(Struct, frozen=True):
     """Asks for the changes after a revision."""
 
@@ -482,7 +498,12 @@
 
 
 class Snapshot(Struct, frozen=True):
-    """The state of the replicated log up to and including `index`."""
+    """The state of the replicated log up to and including `index`.
+
+    Attributes:
+        recent: the newest changes, as earlier versions stored them.
+        history: the newest changes, oldest first.
+    """
 
     index: LogIndex
     term: Term
@@ -490,7 +511,8 @@
     revision: Revision
     documents: dict[str, str]
     answered: tuple[AnsweredChange, ...]
-    recent: tuple[CommittedChange, ...]
+    recent: tuple[CommittedChange, ...] = ()
+    history: tuple[ChangeSummary, ...] = ()
 
     def __repr__(self) -> str:  # the documents may contain keys
         return f"<Snapshot [{self.index}]>"
--- a/packages/node/src/wasabitray_node/operators.py
+++ b/packages/node/src/wasabitray_node/operators.py
@@ -27,7 +27,7 @@
     GetStatus,
     Propose,
 )
-from wasabitray_core.messages import Change, CommittedChange, DocumentEdit
+from wasabitray_core.messages import Change, ChangeSummary, DocumentEdit
 from wasabitray_node.http import build_bad_request, read_body
 from wasabitray_node.metrics import Metrics
 from wasabitray_node.tasks import Router
@@ -148,15 +148,14 @@
         resp.media = {"changes": [_describe_change(c) for c in changes]}
 
 
-def _describe_change(committed: CommittedChange) -> dict[str, Any]:
-    change = committed.change
+def _describe_change(summary: ChangeSummary) -> dict[str, Any]:
     return {
-        "revision": committed.revision,
-        "change": change.change,
-        "author": change.author,
-        "wall_time": change.wall_time,
-        "written": [e.key for e in change.edits if e.body is not None],
-        "deleted": [e.key for e in change.edits if e.body is None],
+        "revision": summary.revision,
+        "change": summary.change,
+        "author": summary.author,
+        "wall_time": summary.wall_time,
+        "written": list(summary.written),
+        "deleted": list(summary.deleted),
     }
 
 
--- a/packages/node/src/wasabitray_node/storage.py
+++ b/packages/node/src/wasabitray_node/storage.py
@@ -14,14 +14,17 @@
 
 from __future__ import annotations
 
+import io
 import os
 import struct
 import zlib
+from collections.abc import Iterator
 from pathlib import Path
-from typing import TypeVar
+from typing import BinaryIO, TypeVar
 
 from msgspec import Struct, field
 
+from wasabitray_core.controllers.consensus.compaction import LogReplay
 from wasabitray_core.errors import CorruptLogError, WasabitrayError
 from wasabitray_core.ids import LogIndex, MemberId, Revision, Term
 from wasabitray_core.messages import (
@@ -37,6 +40,9 @@
 _HEADER_CHECKSUM = struct.Struct("<I")
 HEADER_BYTES = _LENGTH_AND_CHECKSUM.size + _HEADER_CHECKSUM.size
 
+# Bytes that are read at once after a header of zeros.
+ZERO_READ_BYTES = 65_536
+
 _Item = TypeVar("_Item", Member, Snapshot)
 
 EMPTY_BALLOT = Ballot(Term(0), MemberId(""))
@@ -75,30 +81,77 @@
         CorruptLogError: a damaged record that can't be an incomplete last
             one.
     """
-    payloads = []
-    position = 0
-    while position < len(data):
-        header = data[position : position + HEADER_BYTES]
-        if len(header) < HEADER_BYTES or not any(data[position:]):
-            break
+    reader = FrameReader(io.BytesIO(data), len(data), path)
+    return list(reader), reader.position
+
+
+class FrameReader:
+    """Reads the payloads of a segment one by one.
+
+    Attributes:
+        position: bytes that the records read so far take; bytes after the
+            last one are an incomplete record.
+    """
+
+    def __init__(self, file: BinaryIO, size: int, path: str) -> None:
+        """Start at the beginning of a file.
+
+        Args:
+            file: the open file.
+            size: the number of its bytes.
+            path: its name in errors.
+        """
+        self.position = 0
+        self._file = file
+        self._size = size
+        self._path = path
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Return the payloads.
+
+        Raises:
+            CorruptLogError: a damaged record that can't be an incomplete last
+                one.
+        """
+        while (payload := self._read_payload()) is not None:
+            self.position += HEADER_BYTES + len(payload)
+            yield payload
+
+    def _read_payload(self) -> bytes | None:
+        """Return the next payload, None if no whole one is left."""
+        header = self._file.read(HEADER_BYTES)
+        if len(header) < HEADER_BYTES or self._is_zero_from(header):
+            return None
         fields, header_checksum = (
             header[: _LENGTH_AND_CHECKSUM.size],
             header[_LENGTH_AND_CHECKSUM.size :],
         )
         if zlib.crc32(fields) != _HEADER_CHECKSUM.unpack(header_checksum)[0]:
-            raise _build_error(path, position, "wrong header checksum")
+            raise self._build_error("wrong header checksum")
         length, checksum = _LENGTH_AND_CHECKSUM.unpack(fields)
-        end = position + HEADER_BYTES + length
-        payload = data[position + HEADER_BYTES : end]
-        if len(payload) < length:
-            break
+        end = self.position + HEADER_BYTES + length
+        if end > self._size:
+            return None
+        payload = self._file.read(length)
         if zlib.crc32(payload) != checksum:
-            if end == len(data):
-                break  # the last record, of which not all sectors were written
-            raise _build_error(path, position, "wrong payload checksum")
-        payloads.append(payload)
-        position = end
-    return payloads, position
+            if end == self._size:
+                return None  # not all sectors of the last record were written
+            raise self._build_error("wrong payload checksum")
+        return payload
+
+    def _is_zero_from(self, header: bytes) -> bool:
+        """Return whether a header and all bytes after it are zero."""
+        while not any(header):
+            header = self._file.read(ZERO_READ_BYTES)
+            if not header:
+                return True
+        return False
+
+    def _build_error(self, problem: str) -> CorruptLogError:
+        return _build_error(self._path, self.position, problem)
+
+    def __repr__(self) -> str:
+        return f"<FrameReader [{self._path}]>"
 
 
 def _build_error(path: str, position: int, problem: str) -> CorruptLogError:
@@ -136,15 +189,19 @@
         Raises:
             CorruptLogError: the files are damaged.
         """
-        state = StoredState(self._read_file("identity", Member))
-        state.snapshot = self._load_snapshot()
+        member = self._read_file("identity", Member)
+        stored_snapshot = self._load_snapshot()
+        replay = LogReplay(stored_snapshot)
         segments = self._list("log-")
         for number in segments:
-            self._load_segment(number, number == segments[-1], state)
-        self._ballot = state.ballot
+            self._load_segment(number, number == segments[-1], replay)
         self._segment = segments[-1] if segments else 0
         self._open_segment()
-        return state
+        if replay.snapshot.index > stored_snapshot.index:
+            self._save_snapshot(replay.snapshot)
+        return StoredState(
+            member, self._ballot, replay.snapshot, replay.records
+        )
 
     def sync(self, items: list[StoredItem]) -> None:
         """Write items to disk; returns once they are durable."""
@@ -205,25 +262,27 @@
         sync_folder(self._folder)
 
     def _load_segment(
-        self, number: int, is_newest: bool, state: StoredState
+        self, number: int, is_newest: bool, replay: LogReplay
     ) -> None:
         path = self._folder / f"log-{number}"
-        data = path.read_bytes()
-        payloads, length = parse_frames(data, str(path))
-        if length < len(data):
-            if not is_newest:
-                raise _build_error(str(path), length, "incomplete record")
-            with path.open("r+b") as file:
-                file.truncate(length)
+        size = path.stat().st_size
+        with path.open("r+b") as file:
+            reader = FrameReader(file, size, str(path))
+            for payload in reader:
+                item = _decode(payload, str(path))
+                if isinstance(item, Ballot):
+                    self._ballot = item
+                elif isinstance(item, LogRecord):
+                    replay.add(item)
+                    last = self._last_index.get(number, item.index)
+                    self._last_index[number] = max(last, item.index)
+            if reader.position < size:
+                if not is_newest:
+                    raise _build_error(
+                        str(path), reader.position, "incomplete record"
+                    )
+                file.truncate(reader.position)
                 os.fsync(file.fileno())
-        for payload in payloads:
-            item = _decode(payload, str(path))
-            if isinstance(item, Ballot):
-                state.ballot = item
-            elif isinstance(item, LogRecord):
-                state.records.append(item)
-                last = self._last_index.get(number, item.index)
-                self._last_index[number] = max(last, item.index)
 
     # Snapshots
 
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -73,6 +73,10 @@
   5: list<DocumentEdit> edits, 6: bool forced, 7: i64 version
 }
 struct CommittedChange { 1: i64 revision, 2: Change change }
+struct ChangeSummary {
+  1: i64 revision, 2: string change, 3: string author, 4: string wall_time,
+  5: list<string> written, 6: list<string> deleted
+}
 struct ConfigPull { 1: i64 after }
 struct ConfigPush { 1: list<CommittedChange> changes }
 struct ConfigState { 1: i64 revision, 2: map<string, string> documents }
@@ -86,7 +90,7 @@
 struct Snapshot {
   1: i64 index, 2: i64 term, 3: Members members, 4: i64 revision,
   5: map<string, string> documents, 6: list<AnsweredChange> answered,
-  7: list<CommittedChange> recent
+  7: list<CommittedChange> recent, 8: list<ChangeSummary> history
 }
 struct Ballot { 1: i64 term, 2: string voted_for }
 struct VoteRequest {
--- a/packages/wire/src/wasabitray_wire/gen/Peer.py
+++ b/packages/wire/src/wasabitray_wire/gen/Peer.py
@@ -310,11 +310,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype252, _size249) = iprot.readListBegin()
-                    for _i253 in range(_size249):
-                        _elem254 = PeerMessage()
-                        _elem254.read(iprot)
-                        self.messages.append(_elem254)
+                    (_etype273, _size270) = iprot.readListBegin()
+                    for _i274 in range(_size270):
+                        _elem275 = PeerMessage()
+                        _elem275.read(iprot)
+                        self.messages.append(_elem275)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -331,8 +331,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter255 in self.messages:
-                iter255.write(oprot)
+            for iter276 in self.messages:
+                iter276.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -2639,6 +2639,134 @@
         return not (self == other)
 
 
+class ChangeSummary(object):
+    """
+    Attributes:
+     - revision
+     - change
+     - author
+     - wall_time
+     - written
+     - deleted
+
+    """
+
+
+    def __init__(self, revision=None, change=None, author=None, wall_time=None, written=None, deleted=None,):
+        self.revision = revision
+        self.change = change
+        self.author = author
+        self.wall_time = wall_time
+        self.written = written
+        self.deleted = deleted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.change = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.author = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.wall_time = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.written = []
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.written.append(_elem124)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.deleted = []
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.deleted.append(_elem130)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ChangeSummary')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.change is not None:
+            oprot.writeFieldBegin('change', TType.STRING, 2)
+            oprot.writeString(self.change.encode('utf-8') if sys.version_info[0] == 2 else self.change)
+            oprot.writeFieldEnd()
+        if self.author is not None:
+            oprot.writeFieldBegin('author', TType.STRING, 3)
+            oprot.writeString(self.author.encode('utf-8') if sys.version_info[0] == 2 else self.author)
+            oprot.writeFieldEnd()
+        if self.wall_time is not None:
+            oprot.writeFieldBegin('wall_time', TType.STRING, 4)
+            oprot.writeString(self.wall_time.encode('utf-8') if sys.version_info[0] == 2 else self.wall_time)
+            oprot.writeFieldEnd()
+        if self.written is not None:
+            oprot.writeFieldBegin('written', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.written))
+            for iter131 in self.written:
+                oprot.writeString(iter131.encode('utf-8') if sys.version_info[0] == 2 else iter131)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.deleted is not None:
+            oprot.writeFieldBegin('deleted', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.deleted))
+            for iter132 in self.deleted:
+                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ConfigPull(object):
     """
     Attributes:
@@ -2719,11 +2847,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = CommittedChange()
-                        _elem124.read(iprot)
-                        self.changes.append(_elem124)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = CommittedChange()
+                        _elem138.read(iprot)
+                        self.changes.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2740,8 +2868,8 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter125 in self.changes:
-                iter125.write(oprot)
+            for iter139 in self.changes:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2792,11 +2920,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.documents = {}
-                    (_ktype127, _vtype128, _size126) = iprot.readMapBegin()
-                    for _i130 in range(_size126):
-                        _key131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val132 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.documents[_key131] = _val132
+                    (_ktype141, _vtype142, _size140) = iprot.readMapBegin()
+                    for _i144 in range(_size140):
+                        _key145 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val146 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.documents[_key145] = _val146
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2817,9 +2945,9 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.documents))
-            for kiter133, viter134 in self.documents.items():
-                oprot.writeString(kiter133.encode('utf-8') if sys.version_info[0] == 2 else kiter133)
-                oprot.writeString(viter134.encode('utf-8') if sys.version_info[0] == 2 else viter134)
+            for kiter147, viter148 in self.documents.items():
+                oprot.writeString(kiter147.encode('utf-8') if sys.version_info[0] == 2 else kiter147)
+                oprot.writeString(viter148.encode('utf-8') if sys.version_info[0] == 2 else viter148)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2933,22 +3061,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.voters = []
-                    (_etype138, _size135) = iprot.readListBegin()
-                    for _i139 in range(_size135):
-                        _elem140 = Member()
-                        _elem140.read(iprot)
-                        self.voters.append(_elem140)
+                    (_etype152, _size149) = iprot.readListBegin()
+                    for _i153 in range(_size149):
+                        _elem154 = Member()
+                        _elem154.read(iprot)
+                        self.voters.append(_elem154)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.learners = []
-                    (_etype144, _size141) = iprot.readListBegin()
-                    for _i145 in range(_size141):
-                        _elem146 = Member()
-                        _elem146.read(iprot)
-                        self.learners.append(_elem146)
+                    (_etype158, _size155) = iprot.readListBegin()
+                    for _i159 in range(_size155):
+                        _elem160 = Member()
+                        _elem160.read(iprot)
+                        self.learners.append(_elem160)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2965,15 +3093,15 @@
         if self.voters is not None:
             oprot.writeFieldBegin('voters', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.voters))
-            for iter147 in self.voters:
-                iter147.write(oprot)
+            for iter161 in self.voters:
+                iter161.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.learners is not None:
             oprot.writeFieldBegin('learners', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.learners))
-            for iter148 in self.learners:
-                iter148.write(oprot)
+            for iter162 in self.learners:
+                iter162.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3285,11 +3413,12 @@
      - documents
      - answered
      - recent
+     - history
 
     """
 
 
-    def __init__(self, index=None, term=None, members=None, revision=None, documents=None, answered=None, recent=None,):
+    def __init__(self, index=None, term=None, members=None, revision=None, documents=None, answered=None, recent=None, history=None,):
         self.index = index
         self.term = term
         self.members = members
@@ -3297,6 +3426,7 @@
         self.documents = documents
         self.answered = answered
         self.recent = recent
+        self.history = history
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3331,33 +3461,44 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.documents = {}
-                    (_ktype150, _vtype151, _size149) = iprot.readMapBegin()
-                    for _i153 in range(_size149):
-                        _key154 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val155 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.documents[_key154] = _val155
+                    (_ktype164, _vtype165, _size163) = iprot.readMapBegin()
+                    for _i167 in range(_size163):
+                        _key168 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val169 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.documents[_key168] = _val169
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.answered = []
-                    (_etype159, _size156) = iprot.readListBegin()
-                    for _i160 in range(_size156):
-                        _elem161 = AnsweredChange()
-                        _elem161.read(iprot)
-                        self.answered.append(_elem161)
+                    (_etype173, _size170) = iprot.readListBegin()
+                    for _i174 in range(_size170):
+                        _elem175 = AnsweredChange()
+                        _elem175.read(iprot)
+                        self.answered.append(_elem175)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.recent = []
-                    (_etype165, _size162) = iprot.readListBegin()
-                    for _i166 in range(_size162):
-                        _elem167 = CommittedChange()
-                        _elem167.read(iprot)
-                        self.recent.append(_elem167)
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = CommittedChange()
+                        _elem181.read(iprot)
+                        self.recent.append(_elem181)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.history = []
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = ChangeSummary()
+                        _elem187.read(iprot)
+                        self.history.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3390,23 +3531,30 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.documents))
-            for kiter168, viter169 in self.documents.items():
-                oprot.writeString(kiter168.encode('utf-8') if sys.version_info[0] == 2 else kiter168)
-                oprot.writeString(viter169.encode('utf-8') if sys.version_info[0] == 2 else viter169)
+            for kiter188, viter189 in self.documents.items():
+                oprot.writeString(kiter188.encode('utf-8') if sys.version_info[0] == 2 else kiter188)
+                oprot.writeString(viter189.encode('utf-8') if sys.version_info[0] == 2 else viter189)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.answered is not None:
             oprot.writeFieldBegin('answered', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.answered))
-            for iter170 in self.answered:
-                iter170.write(oprot)
+            for iter190 in self.answered:
+                iter190.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.recent is not None:
             oprot.writeFieldBegin('recent', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.recent))
-            for iter171 in self.recent:
-                iter171.write(oprot)
+            for iter191 in self.recent:
+                iter191.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.history is not None:
+            oprot.writeFieldBegin('history', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.history))
+            for iter192 in self.history:
+                iter192.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3752,11 +3900,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype175, _size172) = iprot.readListBegin()
-                    for _i176 in range(_size172):
-                        _elem177 = LogRecord()
-                        _elem177.read(iprot)
-                        self.records.append(_elem177)
+                    (_etype196, _size193) = iprot.readListBegin()
+                    for _i197 in range(_size193):
+                        _elem198 = LogRecord()
+                        _elem198.read(iprot)
+                        self.records.append(_elem198)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3799,8 +3947,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter178 in self.records:
-                iter178.write(oprot)
+            for iter199 in self.records:
+                iter199.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit is not None:
@@ -4470,11 +4618,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype182, _size179) = iprot.readListBegin()
-                    for _i183 in range(_size179):
-                        _elem184 = MemberIncarnation()
-                        _elem184.read(iprot)
-                        self.known.append(_elem184)
+                    (_etype203, _size200) = iprot.readListBegin()
+                    for _i204 in range(_size200):
+                        _elem205 = MemberIncarnation()
+                        _elem205.read(iprot)
+                        self.known.append(_elem205)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4507,8 +4655,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter185 in self.known:
-                iter185.write(oprot)
+            for iter206 in self.known:
+                iter206.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4908,22 +5056,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.claims = []
-                    (_etype189, _size186) = iprot.readListBegin()
-                    for _i190 in range(_size186):
-                        _elem191 = HeldClaim()
-                        _elem191.read(iprot)
-                        self.claims.append(_elem191)
+                    (_etype210, _size207) = iprot.readListBegin()
+                    for _i211 in range(_size207):
+                        _elem212 = HeldClaim()
+                        _elem212.read(iprot)
+                        self.claims.append(_elem212)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype195, _size192) = iprot.readListBegin()
-                    for _i196 in range(_size192):
-                        _elem197 = MemberIncarnation()
-                        _elem197.read(iprot)
-                        self.known.append(_elem197)
+                    (_etype216, _size213) = iprot.readListBegin()
+                    for _i217 in range(_size213):
+                        _elem218 = MemberIncarnation()
+                        _elem218.read(iprot)
+                        self.known.append(_elem218)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4948,15 +5096,15 @@
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter198 in self.claims:
-                iter198.write(oprot)
+            for iter219 in self.claims:
+                iter219.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter199 in self.known:
-                iter199.write(oprot)
+            for iter220 in self.known:
+                iter220.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5093,11 +5241,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.samples = []
-                    (_etype203, _size200) = iprot.readListBegin()
-                    for _i204 in range(_size200):
-                        _elem205 = TargetSample()
-                        _elem205.read(iprot)
-                        self.samples.append(_elem205)
+                    (_etype224, _size221) = iprot.readListBegin()
+                    for _i225 in range(_size221):
+                        _elem226 = TargetSample()
+                        _elem226.read(iprot)
+                        self.samples.append(_elem226)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5122,8 +5270,8 @@
         if self.samples is not None:
             oprot.writeFieldBegin('samples', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.samples))
-            for iter206 in self.samples:
-                iter206.write(oprot)
+            for iter227 in self.samples:
+                iter227.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5195,10 +5343,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype210, _size207) = iprot.readListBegin()
-                    for _i211 in range(_size207):
-                        _elem212 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem212)
+                    (_etype231, _size228) = iprot.readListBegin()
+                    for _i232 in range(_size228):
+                        _elem233 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem233)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5231,8 +5379,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter213 in self.excluded:
-                oprot.writeString(iter213.encode('utf-8') if sys.version_info[0] == 2 else iter213)
+            for iter234 in self.excluded:
+                oprot.writeString(iter234.encode('utf-8') if sys.version_info[0] == 2 else iter234)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5552,11 +5700,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype217, _size214) = iprot.readListBegin()
-                    for _i218 in range(_size214):
-                        _elem219 = TargetWork()
-                        _elem219.read(iprot)
-                        self.targets.append(_elem219)
+                    (_etype238, _size235) = iprot.readListBegin()
+                    for _i239 in range(_size235):
+                        _elem240 = TargetWork()
+                        _elem240.read(iprot)
+                        self.targets.append(_elem240)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5568,11 +5716,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype223, _size220) = iprot.readListBegin()
-                    for _i224 in range(_size220):
-                        _elem225 = RequestCounts()
-                        _elem225.read(iprot)
-                        self.requests.append(_elem225)
+                    (_etype244, _size241) = iprot.readListBegin()
+                    for _i245 in range(_size241):
+                        _elem246 = RequestCounts()
+                        _elem246.read(iprot)
+                        self.requests.append(_elem246)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5589,8 +5737,8 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter226 in self.targets:
-                iter226.write(oprot)
+            for iter247 in self.targets:
+                iter247.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.full is not None:
@@ -5600,8 +5748,8 @@
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter227 in self.requests:
-                iter227.write(oprot)
+            for iter248 in self.requests:
+                iter248.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5649,11 +5797,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype231, _size228) = iprot.readListBegin()
-                    for _i232 in range(_size228):
-                        _elem233 = TargetWork()
-                        _elem233.read(iprot)
-                        self.targets.append(_elem233)
+                    (_etype252, _size249) = iprot.readListBegin()
+                    for _i253 in range(_size249):
+                        _elem254 = TargetWork()
+                        _elem254.read(iprot)
+                        self.targets.append(_elem254)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5665,11 +5813,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype237, _size234) = iprot.readListBegin()
-                    for _i238 in range(_size234):
-                        _elem239 = RequestCounts()
-                        _elem239.read(iprot)
-                        self.requests.append(_elem239)
+                    (_etype258, _size255) = iprot.readListBegin()
+                    for _i259 in range(_size255):
+                        _elem260 = RequestCounts()
+                        _elem260.read(iprot)
+                        self.requests.append(_elem260)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5686,8 +5834,8 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter240 in self.targets:
-                iter240.write(oprot)
+            for iter261 in self.targets:
+                iter261.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.full is not None:
@@ -5697,8 +5845,8 @@
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter241 in self.requests:
-                iter241.write(oprot)
+            for iter262 in self.requests:
+                iter262.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5817,11 +5965,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype245, _size242) = iprot.readListBegin()
-                    for _i246 in range(_size242):
-                        _elem247 = LongHeld()
-                        _elem247.read(iprot)
-                        self.held.append(_elem247)
+                    (_etype266, _size263) = iprot.readListBegin()
+                    for _i267 in range(_size263):
+                        _elem268 = LongHeld()
+                        _elem268.read(iprot)
+                        self.held.append(_elem268)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5842,8 +5990,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter248 in self.held:
-                iter248.write(oprot)
+            for iter269 in self.held:
+                iter269.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6817,6 +6965,16 @@
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.STRUCT, 'change', [Change, None], None, ),  # 2
 )
+all_structs.append(ChangeSummary)
+ChangeSummary.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.STRING, 'change', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'author', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'wall_time', 'UTF8', None, ),  # 4
+    (5, TType.LIST, 'written', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.LIST, 'deleted', (TType.STRING, 'UTF8', False), None, ),  # 6
+)
 all_structs.append(ConfigPull)
 ConfigPull.thrift_spec = (
     None,  # 0
@@ -6879,6 +7037,7 @@
     (5, TType.MAP, 'documents', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.LIST, 'answered', (TType.STRUCT, [AnsweredChange, None], False), None, ),  # 6
     (7, TType.LIST, 'recent', (TType.STRUCT, [CommittedChange, None], False), None, ),  # 7
+    (8, TType.LIST, 'history', (TType.STRUCT, [ChangeSummary, None], False), None, ),  # 8
 )
 all_structs.append(Ballot)
 Ballot.thrift_spec = (
--- a/tests/node/test_storage.py
+++ b/tests/node/test_storage.py
@@ -5,6 +5,8 @@
 from wasabitray_core.errors import CorruptLogError
 from wasabitray_core.messages import (
     Ballot,
+    Change,
+    DocumentEdit,
     LogRecord,
     Member,
     Members,
@@ -115,6 +117,29 @@
     assert reload(tmp_path).snapshot.index == 0
 
 
+# Guards against a control host that exceeds its memory whenever it loads a log
+# that an earlier version let grow.
+def test_large_log_is_loaded_in_part_and_becomes_small(tmp_path):
+    storage = new_storage(tmp_path)
+    text = "x" * 500_000
+    for n in range(1, 41):
+        edit = DocumentEdit("route/r", f"{n}{text}")
+        change = Change(f"c-{n}", n - 1, "ann", "", (edit,))
+        storage.sync([LogRecord(n, 1, change)])
+    storage.close()
+    for _ in range(2):
+        state = reload(tmp_path)
+        assert len(state.records) <= 5
+        assert state.records[-1].index == 40
+        assert state.snapshot.index == 40 - len(state.records)
+        assert state.snapshot.revision == state.snapshot.index
+    storage = Storage(tmp_path / "data")
+    storage.load()
+    storage.sync([snapshot(40)])
+    size = sum(p.stat().st_size for p in (tmp_path / "data").iterdir())
+    assert size < len(text)
+
+
 def test_damaged_folder_is_moved_aside(tmp_path):
     storage = new_storage(tmp_path)
     moved_path = storage.move_aside()
