Send what changed since a revision, not all changes

Cause: a host kept the 512 newest changes with their edits and answered who asked with all of them since a revision, 1 MB where the whole configuration takes 11 KB.

Change: each host keeps the revision at which a document last changed and answers with the documents that differ, each once (ConfigDelta), or with the whole configuration if that is smaller. Hosts of an earlier version get the whole configuration.

--- a/packages/core/src/wasabitray_core/controllers/configuration.py
+++ b/packages/core/src/wasabitray_core/controllers/configuration.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
+from collections.abc import Mapping
 from functools import singledispatchmethod
 from typing import Any, ClassVar
 
@@ -15,6 +16,7 @@
     Controller,
     Origin,
 )
+from wasabitray_core.controllers.revised_documents import RevisedDocuments
 from wasabitray_core.documents import (
     FLEET_KEY,
     ORGANISATION_PREFIX,
@@ -52,9 +54,11 @@
 )
 from wasabitray_core.messages import (
     CommittedChange,
+    ConfigDelta,
     ConfigPull,
     ConfigPush,
     ConfigState,
+    DocumentEdit,
 )
 from wasabitray_core.requests import ConfigurationAge
 from wasabitray_core.route_table import RouteTable, read_table_source
@@ -66,7 +70,8 @@
 )
 
 PUSH_FANOUT = 3
-MAX_RECENT_CHANGES = 512
+# Deltas from different revisions that are kept for hosts that ask.
+MAX_KEPT_DELTAS = 16
 # A host that lags behind a known revision for longer than this stops serving.
 MAX_LAG_S = 2.0
 # A route is reported as missing only within this time after a contact with the
@@ -156,12 +161,9 @@
         self._waiting_requests: list[_WaitingRequest] = []
         self._table: RouteTable | None = None
         self._split_phase = context.random.random()
-        self._revision = Revision(0)
-        self._documents: dict[str, str] = {}
+        self._stored = RevisedDocuments()
         self._state: ConfigState | None = None
-        self._recent_changes: deque[CommittedChange] = deque(
-            maxlen=MAX_RECENT_CHANGES
-        )
+        self._deltas: dict[Revision, ConfigDelta] = {}
         self._rendered_templates: OrderedDict[
             OrganisationName, RenderedTemplate
         ] = OrderedDict()
@@ -183,7 +185,11 @@
     @property
     def revision(self) -> Revision:
         """The revision applied here, 0 if none."""
-        return self._revision
+        return self._stored.revision
+
+    @property
+    def _documents(self) -> Mapping[str, str]:
+        return self._stored.documents
 
     @singledispatchmethod
     def receive(self, message: Any, origin: Origin) -> None:
@@ -217,7 +223,7 @@
             if message.isolated
             else now,
         )
-        if not message.isolated and self._revision >= message.newest:
+        if not message.isolated and self.revision >= message.newest:
             self._caught_up_at = now
         self._update_serving_flag()
         self._resolve_waiting()
@@ -233,12 +239,30 @@
 
     @receive.register
     def _(self, message: ConfigPush, origin: Origin) -> None:
-        gap = message.changes[0].revision > self._revision + 1
-        if gap and origin.peer is not None:
-            self._outbox.send(origin.peer, ConfigPull(self._revision))
-        else:
+        if not self._pull_after_gap(message.changes[0].revision, origin):
             self._apply_changes(message.changes)
 
+    @receive.register
+    def _(self, message: ConfigDelta, origin: Origin) -> None:
+        if message.revision <= self.revision:
+            return
+        first = Revision(message.after + 1)
+        if not self._pull_after_gap(first, origin):
+            self._apply_delta(message)
+
+    def _pull_after_gap(self, first: Revision, origin: Origin) -> bool:
+        """Ask for missing changes, if there are any, and return whether.
+
+        Args:
+            first: the first revision that a message has the changes of.
+            origin: sender of the message.
+        """
+        if first <= self.revision + 1:
+            return False
+        if origin.peer is not None:
+            self._outbox.send(origin.peer, ConfigPull(self.revision))
+        return True
+
     @receive.register
     def _(self, message: ConfigState, origin: Origin) -> None:
         self._replace(message.revision, message.documents)
@@ -246,25 +270,38 @@
     @receive.register
     def _(self, message: ConfigPull, origin: Origin) -> None:
         assert origin.peer is not None
-        if message.after >= self._revision:
+        if message.after >= self.revision:
             return
-        missing = tuple(
-            c for c in self._recent_changes if c.revision > message.after
-        )
-        if missing and missing[0].revision == message.after + 1:
-            self._outbox.send(origin.peer, ConfigPush(missing))
-        else:
-            self._outbox.send(origin.peer, self._get_state())
+        answer: ConfigDelta | ConfigState | None = None
+        if message.accepts_delta:
+            answer = self._find_delta(message.after)
+        self._outbox.send(origin.peer, answer or self._get_state())
+
+    def _find_delta(self, after: Revision) -> ConfigDelta | None:
+        """Return what changed after a revision, None if the state is smaller.
+
+        All hosts that ask for the same share one message.
+        """
+        delta = self._deltas.get(after)
+        if delta is not None:
+            return delta
+        edits = self._stored.find_edits_after(after)
+        if edits is None:
+            return None
+        delta = ConfigDelta(after, self.revision, edits)
+        if len(self._deltas) < MAX_KEPT_DELTAS:
+            self._deltas[after] = delta
+        return delta
 
     def _get_state(self) -> ConfigState:
         """Return the documents; all hosts that ask share one message."""
-        if self._state is None or self._state.revision != self._revision:
-            self._state = ConfigState(self._revision, dict(self._documents))
+        if self._state is None:
+            self._state = ConfigState(self.revision, dict(self._documents))
         return self._state
 
     @receive.register
     def _(self, message: GetDocuments, origin: Origin) -> None:
-        state = ConfigState(self._revision, dict(self._documents))
+        state = ConfigState(self.revision, dict(self._documents))
         self._reply(origin, state)
 
     @receive.register
@@ -272,7 +309,7 @@
         self._reply(
             origin,
             {
-                "revision": self._revision,
+                "revision": self.revision,
                 "documents": len(self._documents),
                 "isolated": self._fleet_contact.isolated,
                 "newest_heard": self._fleet_contact.newest_revision,
@@ -286,7 +323,7 @@
     @receive.register
     def _(self, message: ResolveRoute, origin: Origin) -> None:
         until = self._wait_until
-        if self._revision:
+        if self.revision:
             until = Seconds(self._now() + NEWER_WAIT_S)
         self._resolve_or_wait(_WaitingRequest(message, origin, until))
 
@@ -307,34 +344,31 @@
     # Applying
 
     def _apply_changes(self, changes: tuple[CommittedChange, ...]) -> None:
-        applied = []
-        for committed_change in changes:
-            if committed_change.revision == self._revision + 1:
-                self._apply_change(committed_change)
-                applied.append(committed_change)
-        if applied:
-            self._recent_changes.extend(applied)
-            self._apply_configuration()
-            self._push_to_peers(ConfigPush(tuple(applied)))
-
-    def _apply_change(self, committed_change: CommittedChange) -> None:
-        for edit in committed_change.change.edits:
-            if edit.body is None:
-                self._documents.pop(edit.key, None)
-            else:
-                self._documents[edit.key] = edit.body
-        self._revision = committed_change.revision
+        """Apply the changes that directly follow the own revision."""
+        revision = self.revision
+        edits: dict[str, DocumentEdit] = {}
+        for committed in changes:
+            if committed.revision == revision + 1:
+                revision = committed.revision
+                edits |= {edit.key: edit for edit in committed.change.edits}
+        if revision > self.revision:
+            merged = tuple(edits.values())
+            self._apply_delta(ConfigDelta(self.revision, revision, merged))
+
+    def _apply_delta(self, delta: ConfigDelta) -> None:
+        self._stored.apply(delta.revision, delta.edits)
+        self._apply_configuration()
+        self._push_to_peers(delta)
 
     def _replace(self, revision: Revision, documents: dict[str, str]) -> None:
-        if revision <= self._revision:
-            return
-        self._revision = revision
-        self._documents = dict(documents)
-        self._recent_changes.clear()
-        self._apply_configuration()
+        if revision > self.revision:
+            self._stored.replace(revision, documents)
+            self._apply_configuration()
 
     def _apply_configuration(self) -> None:
         self._applied_at = self._now()
+        self._state = None
+        self._deltas.clear()
         self._rendered_templates.clear()
         self._floors = self._collect_floors()
         fleet_body = self._documents.get(FLEET_KEY)
@@ -344,7 +378,7 @@
         self._table = RouteTable(source, self._split_phase) if source else None
         limits = self._table.limits if self._table else None
         applied_configuration = ConfigurationApplied(
-            self._revision, fleet, limits
+            self.revision, fleet, limits
         )
         self._outbox.tell(ControllerName.MEMBERSHIP, applied_configuration)
         for controller in self._observers:
@@ -356,7 +390,7 @@
             self._outbox.tell(ControllerName.QUOTAS, QuotaLimits(policies))
         self._outbox.log_event(
             "revision in force",
-            revision=self._revision,
+            revision=self.revision,
             table_version=self._table.version if self._table else None,
         )
         self._update_serving_flag()
@@ -376,11 +410,11 @@
                     floors[service] = max(floor, floors.get(service, 1))
         return floors
 
-    def _push_to_peers(self, push: ConfigPush) -> None:
+    def _push_to_peers(self, delta: ConfigDelta) -> None:
         """Push new changes to a few peers, which do the same."""
         sample_size = min(self._push_fanout, len(self._peers))
         for host in self._context.random.sample(self._peers, sample_size):
-            self._outbox.send(host, push)
+            self._outbox.send(host, delta)
 
     # Resolving
 
@@ -388,14 +422,14 @@
         self, request: ResolveRoute
     ) -> RouteResolved | RouteUnresolved:
         if self._when_isolated is IsolationPolicy.SERVE:
-            if self._revision == 0:
+            if self.revision == 0:
                 detail = "this entry has no configuration yet"
                 return self._refuse(RefusalReason.NO_CONFIGURATION, detail)
             return self._check_missing_route(self._find_route(request))
-        if self._revision == 0 or not self._is_current():
+        if self.revision == 0 or not self._is_current():
             return self._refuse(
                 RefusalReason.NO_CONFIGURATION,
-                f"this entry has revision {self._revision}, "
+                f"this entry has revision {self.revision}, "
                 f"the fleet has {self._fleet_contact.newest_revision}",
             )
         if self._fleet_contact.isolated:
@@ -425,25 +459,25 @@
         return (
             contact.leader_reported_at is not None
             and self._now() - contact.leader_reported_at <= NEGATIVE_LEASE_S
-            and self._revision >= contact.newest_revision
+            and self.revision >= contact.newest_revision
         )
 
     def _is_newer_on_its_way(self) -> bool:
         """Return whether a configuration should arrive soon."""
-        if self._revision == 0:
+        if self.revision == 0:
             return True
         contact = self._fleet_contact
         return (
             self._when_isolated is IsolationPolicy.SERVE
             and contact.reported_at is not None
             and self._now() - contact.reported_at <= NEGATIVE_LEASE_S
-            and self._revision < contact.newest_revision
+            and self.revision < contact.newest_revision
         )
 
     def _refuse(self, reason: RefusalReason, detail: str) -> RouteUnresolved:
         contact = self._fleet_contact
         age = ConfigurationAge(
-            self._revision,
+            self.revision,
             self._table.version if self._table else None,
             self._get_age(self._applied_at),
             contact.newest_revision,
@@ -474,7 +508,7 @@
                 f"{request.method} {request.path}",
             )
         return RouteResolved(
-            self._revision, rendered.ok_value, route, self._retention_s
+            self.revision, rendered.ok_value, route, self._retention_s
         )
 
     def _find_table_route(
@@ -492,7 +526,7 @@
                 RefusalReason.UNKNOWN_ROUTE,
                 f"no route for {request.authority}{request.path}",
             )
-        resolved = RouteResolved(self._revision, table.template, route, 0.0)
+        resolved = RouteResolved(self.revision, table.template, route, 0.0)
         if table.keys is None:
             return resolved
         resolved = replace(
@@ -514,7 +548,7 @@
         It is set only while requests are served.
         """
         connected = self._is_current() and not self._fleet_contact.isolated
-        serving = self._revision > 0 and (
+        serving = self.revision > 0 and (
             connected or self._when_isolated is IsolationPolicy.SERVE
         )
         if serving != self._serving:
@@ -526,7 +560,7 @@
         """Return whether this host had the newest revision recently."""
         if self._caught_up_at is None:
             return False
-        if self._revision >= self._fleet_contact.newest_revision:
+        if self.revision >= self._fleet_contact.newest_revision:
             return True
         return self._now() - self._caught_up_at <= MAX_LAG_S
 
--- a/packages/core/src/wasabitray_core/messages.py
+++ b/packages/core/src/wasabitray_core/messages.py
@@ -431,17 +431,42 @@
 
 
 class ConfigPull(Struct, frozen=True):
-    """Asks for the changes after a revision."""
+    """Asks for the changes after a revision.
+
+    Attributes:
+        accepts_delta: whether the sender understands `ConfigDelta`, which
+            earlier versions don't.
+    """
 
     after: Revision
+    accepts_delta: bool = True
 
 
 class ConfigPush(Struct, frozen=True):
-    """Committed changes in order, without gaps."""
+    """Committed changes in order, without gaps, from an earlier version."""
 
     changes: tuple[CommittedChange, ...]
 
 
+class ConfigDelta(Struct, frozen=True):
+    """The documents that differ between two revisions.
+
+    It turns the configuration of each revision in between into the newer one.
+
+    Attributes:
+        after: the older revision.
+        revision: the newer revision.
+        edits: the documents at the newer revision, and those removed.
+    """
+
+    after: Revision
+    revision: Revision
+    edits: tuple[DocumentEdit, ...]
+
+    def __repr__(self) -> str:  # the documents may contain keys
+        return f"<ConfigDelta [{self.after}..{self.revision}]>"
+
+
 class ConfigState(Struct, frozen=True):
     """The whole committed configuration at a revision."""
 
@@ -781,6 +806,7 @@
     | News
     | ConfigPull
     | ConfigPush
+    | ConfigDelta
     | ConfigState
     | VoteRequest
     | VoteReply
--- a/packages/node/src/wasabitray_node/links.py
+++ b/packages/node/src/wasabitray_node/links.py
@@ -20,10 +20,11 @@
 from wasabitray_core.errors import PeerError
 from wasabitray_core.ids import HostId
 from wasabitray_core.messages import (
-    ConfigPush,
+    ConfigDelta,
     ConfigState,
     Feed,
     Hello,
+    InstallSnapshot,
 )
 from wasabitray_node.client_budget import (
     ClientBudget,
@@ -129,7 +130,9 @@
 
     def encode(self, message: Any) -> Any:
         """Return the generated struct of a message."""
-        if not isinstance(message, (Feed, ConfigPush, ConfigState)):
+        if not isinstance(
+            message, (Feed, ConfigDelta, ConfigState, InstallSnapshot)
+        ):
             return to_wire(message)
         for shared, encoded in self._shared:
             if shared is message:
--- a/packages/node/src/wasabitray_node/tasks.py
+++ b/packages/node/src/wasabitray_node/tasks.py
@@ -34,6 +34,7 @@
     m.News: ControllerName.MEMBERSHIP,
     m.ConfigPull: ControllerName.CONFIGURATION,
     m.ConfigPush: ControllerName.CONFIGURATION,
+    m.ConfigDelta: ControllerName.CONFIGURATION,
     m.ConfigState: ControllerName.CONFIGURATION,
     m.VoteRequest: ControllerName.CONSENSUS,
     m.VoteReply: ControllerName.CONSENSUS,
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -77,8 +77,10 @@
   1: i64 revision, 2: string change, 3: string author, 4: string wall_time,
   5: list<string> written, 6: list<string> deleted
 }
-struct ConfigPull { 1: i64 after }
+// An earlier version doesn't send accepts_delta.
+struct ConfigPull { 1: i64 after, 2: bool accepts_delta = false }
 struct ConfigPush { 1: list<CommittedChange> changes }
+struct ConfigDelta { 1: i64 after, 2: i64 revision, 3: list<DocumentEdit> edits }
 struct ConfigState { 1: i64 revision, 2: map<string, string> documents }
 
 struct Member { 1: string member, 2: string host }
@@ -169,7 +171,8 @@
   39: QuotaRequest quota_request, 40: QuotaReply quota_reply,
   41: BorrowRequest borrow_request, 42: BorrowReply borrow_reply,
   // A serialized PeerMessage, compressed with zlib.
-  43: binary packed
+  43: binary packed,
+  44: ConfigDelta config_delta
 }
 
 struct StoredQuarantine { 1: Quarantine record, 2: double stored_at }
--- a/packages/wire/src/wasabitray_wire/codec.py
+++ b/packages/wire/src/wasabitray_wire/codec.py
@@ -16,6 +16,7 @@
     Announcement,
     AppendRequest,
     Ballot,
+    ConfigDelta,
     ConfigPush,
     ConfigState,
     EntryWork,
@@ -87,7 +88,9 @@
 
 
 @_has_documents.register
-def _(message: ConfigPush | ConfigState | InstallSnapshot) -> bool:
+def _(
+    message: ConfigPush | ConfigDelta | ConfigState | InstallSnapshot,
+) -> bool:
     return True
 
 
--- a/packages/wire/src/wasabitray_wire/gen/Peer.py
+++ b/packages/wire/src/wasabitray_wire/gen/Peer.py
@@ -310,11 +310,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype273, _size270) = iprot.readListBegin()
-                    for _i274 in range(_size270):
-                        _elem275 = PeerMessage()
-                        _elem275.read(iprot)
-                        self.messages.append(_elem275)
+                    (_etype280, _size277) = iprot.readListBegin()
+                    for _i281 in range(_size277):
+                        _elem282 = PeerMessage()
+                        _elem282.read(iprot)
+                        self.messages.append(_elem282)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -331,8 +331,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter276 in self.messages:
-                iter276.write(oprot)
+            for iter283 in self.messages:
+                iter283.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -2771,12 +2771,14 @@
     """
     Attributes:
      - after
+     - accepts_delta
 
     """
 
 
-    def __init__(self, after=None,):
+    def __init__(self, after=None, accepts_delta=False,):
         self.after = after
+        self.accepts_delta = accepts_delta
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2792,6 +2794,11 @@
                     self.after = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.accepts_delta = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2806,6 +2813,10 @@
             oprot.writeFieldBegin('after', TType.I64, 1)
             oprot.writeI64(self.after)
             oprot.writeFieldEnd()
+        if self.accepts_delta is not None:
+            oprot.writeFieldBegin('accepts_delta', TType.BOOL, 2)
+            oprot.writeBool(self.accepts_delta)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2890,6 +2901,94 @@
         return not (self == other)
 
 
+class ConfigDelta(object):
+    """
+    Attributes:
+     - after
+     - revision
+     - edits
+
+    """
+
+
+    def __init__(self, after=None, revision=None, edits=None,):
+        self.after = after
+        self.revision = revision
+        self.edits = edits
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.after = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.edits = []
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = DocumentEdit()
+                        _elem145.read(iprot)
+                        self.edits.append(_elem145)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigDelta')
+        if self.after is not None:
+            oprot.writeFieldBegin('after', TType.I64, 1)
+            oprot.writeI64(self.after)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.edits is not None:
+            oprot.writeFieldBegin('edits', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.edits))
+            for iter146 in self.edits:
+                iter146.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ConfigState(object):
     """
     Attributes:
@@ -2920,11 +3019,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.documents = {}
-                    (_ktype141, _vtype142, _size140) = iprot.readMapBegin()
-                    for _i144 in range(_size140):
-                        _key145 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val146 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.documents[_key145] = _val146
+                    (_ktype148, _vtype149, _size147) = iprot.readMapBegin()
+                    for _i151 in range(_size147):
+                        _key152 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val153 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.documents[_key152] = _val153
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2945,9 +3044,9 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.documents))
-            for kiter147, viter148 in self.documents.items():
-                oprot.writeString(kiter147.encode('utf-8') if sys.version_info[0] == 2 else kiter147)
-                oprot.writeString(viter148.encode('utf-8') if sys.version_info[0] == 2 else viter148)
+            for kiter154, viter155 in self.documents.items():
+                oprot.writeString(kiter154.encode('utf-8') if sys.version_info[0] == 2 else kiter154)
+                oprot.writeString(viter155.encode('utf-8') if sys.version_info[0] == 2 else viter155)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3061,22 +3160,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.voters = []
-                    (_etype152, _size149) = iprot.readListBegin()
-                    for _i153 in range(_size149):
-                        _elem154 = Member()
-                        _elem154.read(iprot)
-                        self.voters.append(_elem154)
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = Member()
+                        _elem161.read(iprot)
+                        self.voters.append(_elem161)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.learners = []
-                    (_etype158, _size155) = iprot.readListBegin()
-                    for _i159 in range(_size155):
-                        _elem160 = Member()
-                        _elem160.read(iprot)
-                        self.learners.append(_elem160)
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = Member()
+                        _elem167.read(iprot)
+                        self.learners.append(_elem167)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3093,15 +3192,15 @@
         if self.voters is not None:
             oprot.writeFieldBegin('voters', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.voters))
-            for iter161 in self.voters:
-                iter161.write(oprot)
+            for iter168 in self.voters:
+                iter168.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.learners is not None:
             oprot.writeFieldBegin('learners', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.learners))
-            for iter162 in self.learners:
-                iter162.write(oprot)
+            for iter169 in self.learners:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3461,44 +3560,44 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.documents = {}
-                    (_ktype164, _vtype165, _size163) = iprot.readMapBegin()
-                    for _i167 in range(_size163):
-                        _key168 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val169 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.documents[_key168] = _val169
+                    (_ktype171, _vtype172, _size170) = iprot.readMapBegin()
+                    for _i174 in range(_size170):
+                        _key175 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val176 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.documents[_key175] = _val176
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.answered = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = AnsweredChange()
-                        _elem175.read(iprot)
-                        self.answered.append(_elem175)
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = AnsweredChange()
+                        _elem182.read(iprot)
+                        self.answered.append(_elem182)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.recent = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = CommittedChange()
-                        _elem181.read(iprot)
-                        self.recent.append(_elem181)
+                    (_etype186, _size183) = iprot.readListBegin()
+                    for _i187 in range(_size183):
+                        _elem188 = CommittedChange()
+                        _elem188.read(iprot)
+                        self.recent.append(_elem188)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.history = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = ChangeSummary()
-                        _elem187.read(iprot)
-                        self.history.append(_elem187)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = ChangeSummary()
+                        _elem194.read(iprot)
+                        self.history.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3531,30 +3630,30 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.documents))
-            for kiter188, viter189 in self.documents.items():
-                oprot.writeString(kiter188.encode('utf-8') if sys.version_info[0] == 2 else kiter188)
-                oprot.writeString(viter189.encode('utf-8') if sys.version_info[0] == 2 else viter189)
+            for kiter195, viter196 in self.documents.items():
+                oprot.writeString(kiter195.encode('utf-8') if sys.version_info[0] == 2 else kiter195)
+                oprot.writeString(viter196.encode('utf-8') if sys.version_info[0] == 2 else viter196)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.answered is not None:
             oprot.writeFieldBegin('answered', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.answered))
-            for iter190 in self.answered:
-                iter190.write(oprot)
+            for iter197 in self.answered:
+                iter197.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.recent is not None:
             oprot.writeFieldBegin('recent', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.recent))
-            for iter191 in self.recent:
-                iter191.write(oprot)
+            for iter198 in self.recent:
+                iter198.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.history is not None:
             oprot.writeFieldBegin('history', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.history))
-            for iter192 in self.history:
-                iter192.write(oprot)
+            for iter199 in self.history:
+                iter199.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3900,11 +3999,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype196, _size193) = iprot.readListBegin()
-                    for _i197 in range(_size193):
-                        _elem198 = LogRecord()
-                        _elem198.read(iprot)
-                        self.records.append(_elem198)
+                    (_etype203, _size200) = iprot.readListBegin()
+                    for _i204 in range(_size200):
+                        _elem205 = LogRecord()
+                        _elem205.read(iprot)
+                        self.records.append(_elem205)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3947,8 +4046,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter199 in self.records:
-                iter199.write(oprot)
+            for iter206 in self.records:
+                iter206.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit is not None:
@@ -4618,11 +4717,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype203, _size200) = iprot.readListBegin()
-                    for _i204 in range(_size200):
-                        _elem205 = MemberIncarnation()
-                        _elem205.read(iprot)
-                        self.known.append(_elem205)
+                    (_etype210, _size207) = iprot.readListBegin()
+                    for _i211 in range(_size207):
+                        _elem212 = MemberIncarnation()
+                        _elem212.read(iprot)
+                        self.known.append(_elem212)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4655,8 +4754,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter206 in self.known:
-                iter206.write(oprot)
+            for iter213 in self.known:
+                iter213.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5056,22 +5155,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.claims = []
-                    (_etype210, _size207) = iprot.readListBegin()
-                    for _i211 in range(_size207):
-                        _elem212 = HeldClaim()
-                        _elem212.read(iprot)
-                        self.claims.append(_elem212)
+                    (_etype217, _size214) = iprot.readListBegin()
+                    for _i218 in range(_size214):
+                        _elem219 = HeldClaim()
+                        _elem219.read(iprot)
+                        self.claims.append(_elem219)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype216, _size213) = iprot.readListBegin()
-                    for _i217 in range(_size213):
-                        _elem218 = MemberIncarnation()
-                        _elem218.read(iprot)
-                        self.known.append(_elem218)
+                    (_etype223, _size220) = iprot.readListBegin()
+                    for _i224 in range(_size220):
+                        _elem225 = MemberIncarnation()
+                        _elem225.read(iprot)
+                        self.known.append(_elem225)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5096,15 +5195,15 @@
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter219 in self.claims:
-                iter219.write(oprot)
+            for iter226 in self.claims:
+                iter226.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter220 in self.known:
-                iter220.write(oprot)
+            for iter227 in self.known:
+                iter227.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5241,11 +5340,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.samples = []
-                    (_etype224, _size221) = iprot.readListBegin()
-                    for _i225 in range(_size221):
-                        _elem226 = TargetSample()
-                        _elem226.read(iprot)
-                        self.samples.append(_elem226)
+                    (_etype231, _size228) = iprot.readListBegin()
+                    for _i232 in range(_size228):
+                        _elem233 = TargetSample()
+                        _elem233.read(iprot)
+                        self.samples.append(_elem233)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5270,8 +5369,8 @@
         if self.samples is not None:
             oprot.writeFieldBegin('samples', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.samples))
-            for iter227 in self.samples:
-                iter227.write(oprot)
+            for iter234 in self.samples:
+                iter234.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5343,10 +5442,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype231, _size228) = iprot.readListBegin()
-                    for _i232 in range(_size228):
-                        _elem233 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem233)
+                    (_etype238, _size235) = iprot.readListBegin()
+                    for _i239 in range(_size235):
+                        _elem240 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem240)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5379,8 +5478,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter234 in self.excluded:
-                oprot.writeString(iter234.encode('utf-8') if sys.version_info[0] == 2 else iter234)
+            for iter241 in self.excluded:
+                oprot.writeString(iter241.encode('utf-8') if sys.version_info[0] == 2 else iter241)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5700,11 +5799,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype238, _size235) = iprot.readListBegin()
-                    for _i239 in range(_size235):
-                        _elem240 = TargetWork()
-                        _elem240.read(iprot)
-                        self.targets.append(_elem240)
+                    (_etype245, _size242) = iprot.readListBegin()
+                    for _i246 in range(_size242):
+                        _elem247 = TargetWork()
+                        _elem247.read(iprot)
+                        self.targets.append(_elem247)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5716,11 +5815,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype244, _size241) = iprot.readListBegin()
-                    for _i245 in range(_size241):
-                        _elem246 = RequestCounts()
-                        _elem246.read(iprot)
-                        self.requests.append(_elem246)
+                    (_etype251, _size248) = iprot.readListBegin()
+                    for _i252 in range(_size248):
+                        _elem253 = RequestCounts()
+                        _elem253.read(iprot)
+                        self.requests.append(_elem253)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5737,8 +5836,8 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter247 in self.targets:
-                iter247.write(oprot)
+            for iter254 in self.targets:
+                iter254.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.full is not None:
@@ -5748,8 +5847,8 @@
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter248 in self.requests:
-                iter248.write(oprot)
+            for iter255 in self.requests:
+                iter255.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5797,11 +5896,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype252, _size249) = iprot.readListBegin()
-                    for _i253 in range(_size249):
-                        _elem254 = TargetWork()
-                        _elem254.read(iprot)
-                        self.targets.append(_elem254)
+                    (_etype259, _size256) = iprot.readListBegin()
+                    for _i260 in range(_size256):
+                        _elem261 = TargetWork()
+                        _elem261.read(iprot)
+                        self.targets.append(_elem261)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5813,11 +5912,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype258, _size255) = iprot.readListBegin()
-                    for _i259 in range(_size255):
-                        _elem260 = RequestCounts()
-                        _elem260.read(iprot)
-                        self.requests.append(_elem260)
+                    (_etype265, _size262) = iprot.readListBegin()
+                    for _i266 in range(_size262):
+                        _elem267 = RequestCounts()
+                        _elem267.read(iprot)
+                        self.requests.append(_elem267)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5834,8 +5933,8 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter261 in self.targets:
-                iter261.write(oprot)
+            for iter268 in self.targets:
+                iter268.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.full is not None:
@@ -5845,8 +5944,8 @@
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter262 in self.requests:
-                iter262.write(oprot)
+            for iter269 in self.requests:
+                iter269.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5965,11 +6064,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype266, _size263) = iprot.readListBegin()
-                    for _i267 in range(_size263):
-                        _elem268 = LongHeld()
-                        _elem268.read(iprot)
-                        self.held.append(_elem268)
+                    (_etype273, _size270) = iprot.readListBegin()
+                    for _i274 in range(_size270):
+                        _elem275 = LongHeld()
+                        _elem275.read(iprot)
+                        self.held.append(_elem275)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5990,8 +6089,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter269 in self.held:
-                iter269.write(oprot)
+            for iter276 in self.held:
+                iter276.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6057,11 +6156,12 @@
      - borrow_request
      - borrow_reply
      - packed
+     - config_delta
 
     """
 
 
-    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None, long_occupancy=None, presence=None, unsubscribe=None, feed=None, news=None, entry_work=None, others_work=None, trial_request=None, trial_reply=None, leave_request=None, leave_reply=None, lease_request=None, lease_reply=None, revision_query=None, revision_answer=None, quota_request=None, quota_reply=None, borrow_request=None, borrow_reply=None, packed=None,):
+    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None, long_occupancy=None, presence=None, unsubscribe=None, feed=None, news=None, entry_work=None, others_work=None, trial_request=None, trial_reply=None, leave_request=None, leave_reply=None, lease_request=None, lease_reply=None, revision_query=None, revision_answer=None, quota_request=None, quota_reply=None, borrow_request=None, borrow_reply=None, packed=None, config_delta=None,):
         self.gossip = gossip
         self.config_pull = config_pull
         self.config_push = config_push
@@ -6104,6 +6204,7 @@
         self.borrow_request = borrow_request
         self.borrow_reply = borrow_reply
         self.packed = packed
+        self.config_delta = config_delta
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6365,6 +6466,12 @@
                     self.packed = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 44:
+                if ftype == TType.STRUCT:
+                    self.config_delta = ConfigDelta()
+                    self.config_delta.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6543,6 +6650,10 @@
             oprot.writeFieldBegin('packed', TType.STRING, 43)
             oprot.writeBinary(self.packed)
             oprot.writeFieldEnd()
+        if self.config_delta is not None:
+            oprot.writeFieldBegin('config_delta', TType.STRUCT, 44)
+            self.config_delta.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6979,12 +7090,20 @@
 ConfigPull.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'after', None, None, ),  # 1
+    (2, TType.BOOL, 'accepts_delta', None, False, ),  # 2
 )
 all_structs.append(ConfigPush)
 ConfigPush.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'changes', (TType.STRUCT, [CommittedChange, None], False), None, ),  # 1
 )
+all_structs.append(ConfigDelta)
+ConfigDelta.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'after', None, None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.LIST, 'edits', (TType.STRUCT, [DocumentEdit, None], False), None, ),  # 3
+)
 all_structs.append(ConfigState)
 ConfigState.thrift_spec = (
     None,  # 0
@@ -7292,6 +7411,7 @@
     (41, TType.STRUCT, 'borrow_request', [BorrowRequest, None], None, ),  # 41
     (42, TType.STRUCT, 'borrow_reply', [BorrowReply, None], None, ),  # 42
     (43, TType.STRING, 'packed', 'BINARY', None, ),  # 43
+    (44, TType.STRUCT, 'config_delta', [ConfigDelta, None], None, ),  # 44
 )
 all_structs.append(StoredQuarantine)
 StoredQuarantine.thrift_spec = (
--- a/tests/core/controllers/test_configuration.py
+++ b/tests/core/controllers/test_configuration.py
@@ -15,6 +15,7 @@
     ConfigurationController,
 )
 from wasabitray_core.local_messages import (
+    Committed,
     GetDocuments,
     Isolation,
     QuotaLimits,
@@ -24,6 +25,7 @@
 from wasabitray_core.messages import (
     Change,
     CommittedChange,
+    ConfigDelta,
     ConfigPull,
     ConfigPush,
     ConfigState,
@@ -32,6 +34,7 @@
 from wasabitray_core.organisation_policy import OrganisationPolicy
 from wasabitray_core.route_table import diff_documents
 from wasabitray_core.states import IsolationPolicy, RefusalReason
+from wasabitray_wire import encoded_size
 
 HUB = "c1"
 STARTUP_WAIT_S = 4.0
@@ -138,6 +141,64 @@
     assert entry.list_routes() == history.routes[2]
 
 
+class Hub(Entry):
+    """A host whose group commits the changes of a history."""
+
+    def __init__(self, history):
+        super().__init__()
+        self.tell(Committed(tuple(history.changes)))
+
+    def ask_for(self, after, accepts_delta=True):
+        self.outbox.sent.clear()
+        self.receive("e1", ConfigPull(after, accepts_delta))
+        ((_, answer),) = self.outbox.sent
+        return answer
+
+
+# Guards against entries that are sent all changes of a long history, and never
+# get them over a slow link.
+@pytest.mark.parametrize("after", (0, 50, 199))
+def test_answer_to_an_entry_is_no_larger_than_the_configuration(after):
+    history = History(1, 200)
+    answer = Hub(history).ask_for(after)
+    size = encoded_size(answer)
+    assert size <= 1.2 * encoded_size(history.state(200))
+    entry = Entry()
+    if after:
+        entry.receive(HUB, history.state(after))
+    entry.receive(HUB, answer)
+    assert entry.ask(GetDocuments()).documents == history.documents[200]
+
+
+def test_host_of_an_earlier_version_is_sent_the_whole_configuration():
+    history = History(1, 20)
+    answer = Hub(history).ask_for(19, accepts_delta=False)
+    assert answer == history.state(20)
+
+
+def test_hosts_that_ask_for_the_same_share_one_message():
+    hub = Hub(History(1, 20))
+    assert hub.ask_for(19) is hub.ask_for(19)
+    assert hub.ask_for(0) is hub.ask_for(0)
+
+
+def test_delta_is_applied_from_any_revision_in_between():
+    history = History(1, 20)
+    table = make_table(21, make_route("a", path="/a/")).documents()
+    delta = ConfigDelta(17, 21, diff_documents(history.documents[17], table))
+    for revision in range(17, 21):
+        entry = Entry()
+        entry.receive(HUB, history.state(revision))
+        removed = set(history.documents[revision]) - set(table)
+        edits = (*delta.edits, *(DocumentEdit(k, None) for k in removed))
+        entry.receive(HUB, replace(delta, edits=edits))
+        assert entry.list_routes() == {"a"}
+    entry = Entry()
+    entry.receive(HUB, history.state(16))
+    entry.receive(HUB, delta)
+    assert entry.outbox.sent == [(HUB, ConfigPull(16))]
+
+
 def test_request_before_the_first_configuration_waits_for_it():
     history = History(1, 1)
     entry = Entry(startup_wait_s=4.0)
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -6,6 +6,7 @@
 
 import pytest
 from msgspec.structs import replace
+from thrift.TSerialization import deserialize, serialize
 
 from wasabitray_core import messages as m
 from wasabitray_core.errors import PeerError
@@ -17,6 +18,7 @@
     TargetPhase,
 )
 from wasabitray_wire import (
+    PROTOCOL,
     codec,
     convert,
     decode_item,
@@ -58,6 +60,10 @@
         (m.Quarantine("f", ("t1", "t2")),),
     ),
     m.ConfigPush((m.CommittedChange(4, CHANGE),)),
+    m.ConfigPull(3, True),
+    m.ConfigDelta(
+        3, 4, (m.DocumentEdit("fleet", "{}"), m.DocumentEdit("a", None))
+    ),
     m.ConfigState(4, {"fleet": "{}"}),
     m.AppendRequest(
         2, "c1.0", 4, 1,
@@ -87,6 +93,14 @@
     assert decode_item(encode_item(item)) == item
 
 
+def test_host_of_an_earlier_version_accepts_no_delta():
+    pull = ttypes.ConfigPull(after=3)
+    pull.accepts_delta = None  # such a field isn't sent
+    data = serialize(ttypes.PeerMessage(config_pull=pull), PROTOCOL)
+    received = deserialize(ttypes.PeerMessage(), data, PROTOCOL)
+    assert from_wire(received) == m.ConfigPull(3, accepts_delta=False)
+
+
 @pytest.mark.parametrize("kind", typing.get_args(m.PeerMessage))
 def test_schema_has_every_message_and_field(kind):
     struct = getattr(ttypes, kind.__name__)
