Send large messages in parts, and only the newest configuration

Cause: a link sent what waited in batches of any size, each to be acknowledged within a second. What it could not carry in that time was given up with all that waited, and sent again as a whole; versions that came faster than the link carries them waited behind each other.

Change: a compressed message above 4 KiB is sent by itself in parts of 32 KiB, each with its own acknowledgement, and small messages pass between them. Of the configurations that wait for a link one is kept, merged with later ones.

--- a/packages/node/src/wasabitray_node/links.py
+++ b/packages/node/src/wasabitray_node/links.py
@@ -19,6 +19,11 @@
 
 from wasabitray_core.errors import PeerError
 from wasabitray_core.ids import HostId
+from wasabitray_core.merging import (
+    is_configuration,
+    is_covered,
+    merge_waiting,
+)
 from wasabitray_core.messages import (
     ConfigDelta,
     ConfigState,
@@ -36,10 +41,14 @@
 from wasabitray_node.sockets import connect
 from wasabitray_wire import (
     PROTOCOL,
+    PartReceiver,
+    PartSender,
     encoded_size,
     from_wire,
     hello_from_wire,
     hello_to_wire,
+    may_be_large,
+    pack,
     to_wire,
 )
 from wasabitray_wire.gen import Peer
@@ -56,8 +65,14 @@
 # Holds most frames whole, so that each is read at once.
 READ_BYTES = 16_384
 MAX_QUEUED_MESSAGES = 1_024
+# Compressed messages above this size are sent one by one, in parts if needed.
+MAX_SMALL_BYTES = 4_096
+# Large messages that wait for a link, compressed.
+MAX_LARGE_BYTES = 16_777_216
 # Entries that sent some of the items get messages of their own in between.
 MAX_SHARED = 16
+# Large configurations that were merged for several links.
+MAX_SHARED_MERGES = 4
 MAX_BATCH_MESSAGES = 128
 CONNECT_TIMEOUT_S = 0.5
 # A round trip of a batch to another region takes well under this.
@@ -65,6 +80,7 @@
 RECONNECT_FIRST_S = 0.1
 RECONNECT_MAX_S = 1.0
 
+_SHARED_KINDS = (Feed, ConfigDelta, ConfigState, InstallSnapshot)
 _READ_EVENT = 1  # of libev
 _LINK_ERRORS = (TException, OSError, EOFError)
 
@@ -121,26 +137,133 @@
     """Converts messages to generated structs.
 
     A hub sends most of its feed, and each configuration, to many entries at
-    once. Such a message is converted only once.
+    once. Such a message is converted only once, and so are two
+    configurations that wait for several links merged once.
     """
 
     def __init__(self) -> None:
         """Start without messages."""
-        self._shared: deque[tuple[Any, Any]] = deque(maxlen=MAX_SHARED)
+        self._shared: dict[type, deque[tuple[Any, Any]]] = {
+            kind: deque(maxlen=MAX_SHARED) for kind in _SHARED_KINDS
+        }
+        self._merges: deque[tuple[Any, Any, Any]] = deque(
+            maxlen=MAX_SHARED_MERGES
+        )
 
     def encode(self, message: Any) -> Any:
         """Return the generated struct of a message."""
-        if not isinstance(
-            message, (Feed, ConfigDelta, ConfigState, InstallSnapshot)
-        ):
+        known = self._shared.get(type(message))
+        if known is None:
             return to_wire(message)
-        for shared, encoded in self._shared:
+        for shared, encoded in known:
             if shared is message:
                 return encoded
         encoded = to_wire(message)
-        self._shared.append((message, encoded))
+        known.append((message, encoded))
         return encoded
 
+    def merge(self, newer: Any, waiting: Any) -> Any | None:
+        """Return one message instead of two, None if both are needed."""
+        for merged_newer, merged_waiting, merged in self._merges:
+            if merged_newer is newer and merged_waiting is waiting:
+                return merged
+        merged = merge_waiting(newer, waiting)
+        if merged is not None:
+            self._merges.append((newer, waiting, merged))
+        return merged
+
+
+class _Transfer:
+    """A large message that waits for a link, or is being sent.
+
+    Attributes:
+        message: the message.
+        parts: what is left to send of it.
+    """
+
+    def __init__(self, message: Any, packed: bytes) -> None:
+        self.message = message
+        self.parts = PartSender(packed)
+
+
+class LargeMessages:
+    """The large messages of a link, sent one after the other.
+
+    Of the configurations that wait, only one is kept, which replaces the
+    others.
+    """
+
+    def __init__(self, encoder: SharedEncoder) -> None:
+        """Start without messages.
+
+        Args:
+            encoder: converts and merges messages.
+        """
+        self._encoder = encoder
+        self._transfers: deque[_Transfer] = deque()
+
+    @property
+    def size(self) -> int:
+        """Bytes that are left to send."""
+        return sum(len(t.parts.data) - t.parts.sent for t in self._transfers)
+
+    def __len__(self) -> int:
+        """Return the number of messages that are not yet sent whole."""
+        return len(self._transfers)
+
+    def add(self, message: Any, packed: bytes) -> bool:
+        """Add a message.
+
+        Args:
+            message: the message.
+            packed: the message compressed.
+
+        Returns:
+            False if there is no room for it.
+        """
+        if is_covered(message, (t.message for t in self._transfers)):
+            return True
+        for number, transfer in enumerate(self._transfers):
+            if transfer.parts.sent:
+                continue
+            merged = self._encoder.merge(message, transfer.message)
+            if merged is not None:
+                if merged is not transfer.message:
+                    self._replace(number, merged)
+                return True
+        if self._transfers and self.size + len(packed) > MAX_LARGE_BYTES:
+            return False
+        self._transfers.append(_Transfer(message, packed))
+        return True
+
+    def _replace(self, number: int, message: Any) -> None:
+        """Replace a message that waits."""
+        packed = pack(self._encoder.encode(message))
+        self._transfers[number] = _Transfer(message, packed)
+
+    def get_next_part(self) -> Any | None:
+        """Return what is to be sent next, None if there is nothing."""
+        if not self._transfers:
+            return None
+        return self._transfers[0].parts.pop_next()
+
+    def confirm_part(self) -> None:
+        """Record that the peer has the last part."""
+        if self._transfers and self._transfers[0].parts.is_complete:
+            self._transfers.popleft()
+
+    def restart(self) -> None:
+        """Send the first message again as a whole, on a new connection."""
+        if self._transfers:
+            self._transfers[0].parts.sent = 0
+
+    def clear(self) -> None:
+        """Remove all messages."""
+        self._transfers.clear()
+
+    def __repr__(self) -> str:
+        return f"<LargeMessages [{len(self)}]>"
+
 
 class PeerLink:
     """A task that owns the connection to one peer.
@@ -169,6 +292,7 @@
         """
         self._source = source
         self._encode = encoder.encode
+        self._large = LargeMessages(encoder)
         self._peer = peer
         self._address = address
         self._hello = hello_to_wire(hello)
@@ -180,21 +304,21 @@
         self._client: Peer.Client | None = None
         self._is_up = False
 
-    @property
-    def is_up(self) -> bool:
-        """Whether the last batch was acknowledged."""
-        return self._is_up
-
     @property
     def bytes_sent(self) -> int:
         """The number of bytes sent over all connections of this link."""
         open_bytes = self._socket.bytes_sent if self._socket else 0
         return self._closed_connections_bytes + open_bytes
 
-    @property
-    def address(self) -> str:
-        """The peer's address."""
-        return self._address
+    def describe(self) -> dict[str, Any]:
+        """Return the link's state for operators."""
+        return {
+            "address": self._address,
+            "up": self._is_up,
+            "bytes_sent": self.bytes_sent,
+            "queued_messages": len(self._queue) + len(self._large),
+            "large_bytes": self._large.size,
+        }
 
     def put(self, message: Any) -> None:
         """Queue a message."""
@@ -212,23 +336,60 @@
                 backoff = RECONNECT_FIRST_S
             except _LINK_ERRORS as error:
                 self._close(error)
-                self._queue.clear()  # outdated by the time of a reconnect
+                # All are outdated by the time of a reconnect.
+                self._queue.clear()
+                self._large.clear()
                 gevent.sleep(backoff * (0.5 + random.random()))
                 backoff = min(RECONNECT_MAX_S, 2 * backoff)
 
     def _send_queued(self) -> None:
-        while self._queue:
+        while self._queue or self._large:
             client = self._client or self._connect()
-            count = min(MAX_BATCH_MESSAGES, len(self._queue))
-            batch = [self._queue.popleft() for _ in range(count)]
+            batch = self._pop_small_messages()
+            part = self._large.get_next_part()
             try:
-                client.deliver([self._encode(message) for message in batch])
+                encoded = [self._encode(message) for message in batch]
+                client.deliver([*encoded, *([part] if part else [])])
+                self._large.confirm_part()
             except _LINK_ERRORS:
                 raise
             except Exception as error:
                 # The connection may have a part of the batch in its buffer.
                 self._close(error)
                 self._queue.extendleft(reversed(self._drop_invalid(batch)))
+                self._large.restart()
+
+    def _pop_small_messages(self) -> list[Any]:
+        """Remove the next messages from the queue; return the small ones.
+
+        The others are left to the transfer of large messages. So are all
+        configurations while one is on its way: a later one applies only to a
+        host that has the earlier one.
+        """
+        small = []
+        for _ in range(min(MAX_BATCH_MESSAGES, len(self._queue))):
+            message = self._queue.popleft()
+            packed = self._pack_if_large(message)
+            if packed is None:
+                small.append(message)
+            elif not self._large.add(message, packed):
+                error = PeerError("too many large messages", step="send")
+                _log_dropped(self._peer, type(message).__name__, error)
+        return small
+
+    def _pack_if_large(self, message: Any) -> bytes | None:
+        """Return a message compressed, None if it is sent as it is."""
+        if not may_be_large(message):
+            return None
+        try:
+            encoded = self._encode(message)
+            size = len(encoded.packed or b"")
+            must_follow = is_configuration(message) and bool(self._large)
+            if size <= MAX_SMALL_BYTES and not must_follow:
+                return None
+            return pack(encoded)
+        except Exception:
+            return None  # it can't be encoded and is dropped from its batch
 
     def _drop_invalid(self, batch: list[Any]) -> list[Any]:
         """Return the messages of a batch that can be encoded; log others."""
@@ -271,7 +432,13 @@
         if self._is_up:
             self._is_up = False
             cause = getattr(error, "inner", None) or error
-            log_event("link down", peer=self._peer, reason=str(cause))
+            log_event(
+                "link down",
+                peer=self._peer,
+                reason=str(cause),
+                queued_messages=len(self._queue) + len(self._large),
+                large_bytes=self._large.size,
+            )
 
     def __repr__(self) -> str:
         return f"<PeerLink [{self._peer}]>"
@@ -309,14 +476,7 @@
 
     def describe(self) -> dict[str, Any]:
         """Return each link's state for operators."""
-        return {
-            peer: {
-                "address": link.address,
-                "up": link.is_up,
-                "bytes_sent": link.bytes_sent,
-            }
-            for peer, link in self._links.items()
-        }
+        return {peer: link.describe() for peer, link in self._links.items()}
 
     def send(self, peer: HostId, message: Any) -> None:
         """Queue a message for a peer; drop it if the address is unknown."""
@@ -353,6 +513,7 @@
         self._receive = receive
         self._set_address = set_address
         self._peer: HostId | None = None
+        self._parts = PartReceiver(MAX_FRAME_BYTES)
 
     def hello(self, hello: Any) -> None:
         """Check the peer's secret (called by the generated processor)."""
@@ -369,7 +530,10 @@
             raise _refuse_link("messages came before a hello", "")
         for message in messages:
             try:
-                decoded = from_wire(message, self._log_dropped_item)
+                whole = self._parts.add(message)
+                if whole is None:
+                    continue
+                decoded = from_wire(whole, self._log_dropped_item)
             except PeerError as error:
                 _log_dropped(self._peer, "message", error)
             else:
--- a/packages/wire/idl/wasabitray.thrift
+++ b/packages/wire/idl/wasabitray.thrift
@@ -150,6 +150,8 @@
 struct LongHeld { 1: string target, 2: i32 slots }
 struct LongOccupancy { 1: string service_, 2: list<LongHeld> held }
 
+struct Part { 1: binary data, 2: bool last }
+
 union PeerMessage {
   2: Gossip gossip, 3: ConfigPull config_pull, 4: ConfigPush config_push,
   5: ConfigState config_state, 6: VoteRequest vote_request, 7: VoteReply vote_reply,
@@ -172,7 +174,9 @@
   41: BorrowRequest borrow_request, 42: BorrowReply borrow_reply,
   // A serialized PeerMessage, compressed with zlib.
   43: binary packed,
-  44: ConfigDelta config_delta
+  44: ConfigDelta config_delta,
+  // The next bytes of a packed message that is sent in parts.
+  45: Part part
 }
 
 struct StoredQuarantine { 1: Quarantine record, 2: double stored_at }
--- a/packages/wire/src/wasabitray_wire/__init__.py
+++ b/packages/wire/src/wasabitray_wire/__init__.py
@@ -9,11 +9,17 @@
     from_wire,
     hello_from_wire,
     hello_to_wire,
+    may_be_large,
+    pack,
     to_wire,
 )
+from wasabitray_wire.parts import MAX_PART_BYTES, PartReceiver, PartSender
 
 __all__ = [
+    "MAX_PART_BYTES",
     "PROTOCOL",
+    "PartReceiver",
+    "PartSender",
     "StoredItem",
     "decode_item",
     "encode_item",
@@ -21,5 +27,7 @@
     "from_wire",
     "hello_from_wire",
     "hello_to_wire",
+    "may_be_large",
+    "pack",
     "to_wire",
 ]
--- a/packages/wire/src/wasabitray_wire/codec.py
+++ b/packages/wire/src/wasabitray_wire/codec.py
@@ -72,29 +72,39 @@
 def to_wire(message: PeerMessage) -> ttypes.PeerMessage:
     """Return the generated struct of a message, compressed if it is large."""
     encoded = _encode_message(message)
-    if not _has_documents(message):
+    if not may_be_large(message):
         return encoded
     data = serialize(encoded, PROTOCOL)
     if len(data) < MIN_PACKED_BYTES:
         return encoded
-    packed = zlib.compress(data, COMPRESSION_LEVEL)
-    return ttypes.PeerMessage(packed=packed)
+    return ttypes.PeerMessage(packed=_compress(data))
+
+
+def pack(message: ttypes.PeerMessage) -> bytes:
+    """Return the compressed message in a generated struct."""
+    if message.packed is not None:
+        return message.packed
+    return _compress(serialize(message, PROTOCOL))
+
+
+def _compress(data: bytes) -> bytes:
+    return zlib.compress(data, COMPRESSION_LEVEL)
 
 
 @singledispatch
-def _has_documents(message: Any) -> bool:
-    """Return whether a message has documents and may therefore be large."""
+def may_be_large(message: Any) -> bool:
+    """Return whether a message has documents and is compressed if large."""
     return False
 
 
-@_has_documents.register
+@may_be_large.register
 def _(
     message: ConfigPush | ConfigDelta | ConfigState | InstallSnapshot,
 ) -> bool:
     return True
 
 
-@_has_documents.register
+@may_be_large.register
 def _(message: AppendRequest) -> bool:
     return bool(message.records)
 
--- a/packages/wire/src/wasabitray_wire/gen/ttypes.py
+++ b/packages/wire/src/wasabitray_wire/gen/ttypes.py
@@ -6111,6 +6111,74 @@
         return not (self == other)
 
 
+class Part(object):
+    """
+    Attributes:
+     - data
+     - last
+
+    """
+
+
+    def __init__(self, data=None, last=None,):
+        self.data = data
+        self.last = last
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.last = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Part')
+        if self.data is not None:
+            oprot.writeFieldBegin('data', TType.STRING, 1)
+            oprot.writeBinary(self.data)
+            oprot.writeFieldEnd()
+        if self.last is not None:
+            oprot.writeFieldBegin('last', TType.BOOL, 2)
+            oprot.writeBool(self.last)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerMessage(object):
     """
     Attributes:
@@ -6157,11 +6225,12 @@
      - borrow_reply
      - packed
      - config_delta
+     - part
 
     """
 
 
-    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None, long_occupancy=None, presence=None, unsubscribe=None, feed=None, news=None, entry_work=None, others_work=None, trial_request=None, trial_reply=None, leave_request=None, leave_reply=None, lease_request=None, lease_reply=None, revision_query=None, revision_answer=None, quota_request=None, quota_reply=None, borrow_request=None, borrow_reply=None, packed=None, config_delta=None,):
+    def __init__(self, gossip=None, config_pull=None, config_push=None, config_state=None, vote_request=None, vote_reply=None, append_request=None, append_reply=None, install_snapshot=None, join_request=None, claim_request=None, claim_reply=None, claim_release=None, recall_request=None, recall_challenge=None, recall_confirm=None, recall_state=None, evidence=None, long_slot_request=None, long_slot_reply=None, long_slot_release=None, campaign_now=None, long_occupancy=None, presence=None, unsubscribe=None, feed=None, news=None, entry_work=None, others_work=None, trial_request=None, trial_reply=None, leave_request=None, leave_reply=None, lease_request=None, lease_reply=None, revision_query=None, revision_answer=None, quota_request=None, quota_reply=None, borrow_request=None, borrow_reply=None, packed=None, config_delta=None, part=None,):
         self.gossip = gossip
         self.config_pull = config_pull
         self.config_push = config_push
@@ -6205,6 +6274,7 @@
         self.borrow_reply = borrow_reply
         self.packed = packed
         self.config_delta = config_delta
+        self.part = part
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6472,6 +6542,12 @@
                     self.config_delta.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 45:
+                if ftype == TType.STRUCT:
+                    self.part = Part()
+                    self.part.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6654,6 +6730,10 @@
             oprot.writeFieldBegin('config_delta', TType.STRUCT, 44)
             self.config_delta.write(oprot)
             oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRUCT, 45)
+            self.part.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -7365,6 +7445,12 @@
     (1, TType.STRING, 'service_', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'held', (TType.STRUCT, [LongHeld, None], False), None, ),  # 2
 )
+all_structs.append(Part)
+Part.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'data', 'BINARY', None, ),  # 1
+    (2, TType.BOOL, 'last', None, None, ),  # 2
+)
 all_structs.append(PeerMessage)
 PeerMessage.thrift_spec = (
     None,  # 0
@@ -7412,6 +7498,7 @@
     (42, TType.STRUCT, 'borrow_reply', [BorrowReply, None], None, ),  # 42
     (43, TType.STRING, 'packed', 'BINARY', None, ),  # 43
     (44, TType.STRUCT, 'config_delta', [ConfigDelta, None], None, ),  # 44
+    (45, TType.STRUCT, 'part', [Part, None], None, ),  # 45
 )
 all_structs.append(StoredQuarantine)
 StoredQuarantine.thrift_spec = (
