Bound the changes that wait to be committed by their size

While a leader can't commit, operators send the same tables again and again; each copy waited in its queue, with no bound. Above 16 MiB further changes are refused at once with 503. The new test fails without the bound (none of ten is refused).

--- a/packages/core/src/wasabitray_core/controllers/consensus/controller.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/controller.py
@@ -260,9 +260,7 @@
         if not self._state.is_leader:
             self._reply(origin, Err(self._make_not_leader_error()))
             return
-        proposal = Proposal(message.change, origin, self._now())
-        self._proposals.add(proposal)
-        self._process_queued_proposals()
+        self._queue_proposal(Proposal(message.change, origin, self._now()))
 
     @receive.register
     def _(self, message: ReplaceTable, origin: Origin) -> None:
@@ -283,9 +281,13 @@
                 version=message.source.version,
             )
             table = message.source.documents()
-            proposal = Proposal(change, origin, self._now(), table)
-            self._proposals.add(proposal)
-            self._process_queued_proposals()
+            self._queue_proposal(Proposal(change, origin, self._now(), table))
+
+    def _queue_proposal(self, proposal: Proposal) -> None:
+        queued = self._proposals.add(proposal)
+        if isinstance(queued, Err):
+            self._reply(proposal.origin, queued)
+        self._process_queued_proposals()
 
     @receive.register
     def _(self, message: ReadDocuments, origin: Origin) -> None:
--- a/packages/core/src/wasabitray_core/controllers/consensus/proposals.py
+++ b/packages/core/src/wasabitray_core/controllers/consensus/proposals.py
@@ -20,8 +20,11 @@
 from wasabitray_core.ids import ChangeId, HostId, Revision, Seconds
 from wasabitray_core.local_messages import ChangeCommitted, FleetView
 from wasabitray_core.messages import Change
+from wasabitray_core.sizes import get_size
 
 ACCEPT_TIMEOUT_S = 5.0
+# Changes that wait while none can be committed; one may be larger.
+MAX_QUEUED_BYTES = 16_777_216
 
 
 class Proposal(Struct, frozen=True):
@@ -38,6 +41,11 @@
     queued_at: Seconds
     table: dict[str, str] | None = None
 
+    @property
+    def size(self) -> int:
+        """About how many bytes its content takes."""
+        return get_size(self.change) + get_size(self.table)
+
 
 class CommitTimes(Struct, frozen=True):
     """How long the steps of a committed change took.
@@ -68,6 +76,7 @@
         """Start with no changes and no known entries."""
         self._machine = machine
         self._queue: deque[Proposal] = deque()
+        self._queued_bytes = 0
         self._uncommitted: Proposal | None = None
         self._appended_at = Seconds(0.0)
         self._pending_acceptances: list[_PendingAcceptance] = []
@@ -80,9 +89,15 @@
         """Whether the log contains an uncommitted change."""
         return self._uncommitted is not None
 
-    def add(self, proposal: Proposal) -> None:
-        """Queue a change."""
+    def add(self, proposal: Proposal) -> Result[None, WasabitrayError]:
+        """Queue a change, unless too much is queued already."""
+        queued_bytes = self._queued_bytes + proposal.size
+        if self._queue and queued_bytes > MAX_QUEUED_BYTES:
+            detail = f"{len(self._queue)} changes wait to be committed"
+            return Err(UnavailableError(detail, step="propose"))
         self._queue.append(proposal)
+        self._queued_bytes = queued_bytes
+        return Ok(None)
 
     def pop_next(self) -> Proposal | None:
         """Remove and return the next queued change, None if there is none.
@@ -103,6 +118,7 @@
         elif proposal.table is not None:
             proposal = max(tables, key=lambda p: p.change.version)
         self._queue.remove(proposal)
+        self._queued_bytes -= proposal.size
         return proposal
 
     def mark_appended(self, proposal: Proposal, now: Seconds) -> None:
@@ -136,6 +152,7 @@
             waiting.append(self._uncommitted.origin)
         waiting += [a.origin for a in self._pending_acceptances]
         self._queue.clear()
+        self._queued_bytes = 0
         self._uncommitted = None
         self._pending_acceptances.clear()
         return waiting
--- a/tests/core/controllers/consensus/test_tables.py
+++ b/tests/core/controllers/consensus/test_tables.py
@@ -9,8 +9,13 @@
 from result import Err, Ok
 from support.tables import make_route, make_table
 
+from wasabitray_core.controllers.consensus.proposals import MAX_QUEUED_BYTES
 from wasabitray_core.controllers.controller import Origin, ReplyToken
-from wasabitray_core.errors import DocumentError, NotLeaderError
+from wasabitray_core.errors import (
+    DocumentError,
+    NotLeaderError,
+    UnavailableError,
+)
 from wasabitray_core.ids import HostId, MemberId
 from wasabitray_core.local_messages import (
     Propose,
@@ -254,3 +259,27 @@
     deliver_all(network)
     assert network.replies[first].ok_value.revision == 2
     assert network.replies[second].ok_value.revision == 3
+
+
+# Guards against a leader that exceeds its memory while operators send large
+# tables again and again and none can be committed.
+def test_tables_that_wait_are_bounded_by_their_size():
+    network = make_settled_network()
+    leader = network.leader().host
+    others = {h for h in network.hosts if h != leader}
+    network.blocked |= {(h, leader) for h in others}
+    route = make_route("r", path="/" + "x" * (MAX_QUEUED_BYTES // 4))
+    tokens = [
+        send_request(network, make_replacement(n + 1, route), leader)
+        for n in range(10)
+    ]
+    refused = [network.replies[t] for t in tokens if t in network.replies]
+    # One is in the log already, three wait.
+    assert len(refused) == len(tokens) - 4
+    for reply in refused:
+        assert isinstance(reply.err_value, UnavailableError)
+    network.blocked.clear()
+    network.run(2.0)
+    assert read_table(network).version == 4
+    reply = ask(network, make_replacement(11, route))
+    assert isinstance(reply, Ok)
