--- a/packages/node/src/wasabitray_node/links.py
+++ b/packages/node/src/wasabitray_node/links.py
@@ -19,37 +19,23 @@
 
 from wasabitray_core.errors import PeerError
 from wasabitray_core.ids import HostId
-from wasabitray_core.merging import (
-    is_configuration,
-    is_covered,
-    merge_waiting,
-)
-from wasabitray_core.messages import (
-    ConfigDelta,
-    ConfigState,
-    Feed,
-    Hello,
-    InstallSnapshot,
-)
+from wasabitray_core.messages import Hello
 from wasabitray_node.client_budget import (
     ClientBudget,
     CutOffReason,
     Holding,
 )
+from wasabitray_node.large_messages import LargeMessages, SharedEncoder
 from wasabitray_node.logs import log_decision, log_error, log_event
 from wasabitray_node.settings import split_address
 from wasabitray_node.sockets import connect
 from wasabitray_wire import (
     PROTOCOL,
     PartReceiver,
-    PartSender,
     encoded_size,
     from_wire,
     hello_from_wire,
     hello_to_wire,
-    may_be_large,
-    pack,
-    to_wire,
 )
 from wasabitray_wire.gen import Peer
 
@@ -65,14 +51,6 @@
 # Holds most frames whole, so that each is read at once.
 READ_BYTES = 16_384
 MAX_QUEUED_MESSAGES = 1_024
-# Compressed messages above this size are sent one by one, in parts if needed.
-MAX_SMALL_BYTES = 4_096
-# Large messages that wait for a link, compressed.
-MAX_LARGE_BYTES = 16_777_216
-# Entries that sent some of the items get messages of their own in between.
-MAX_SHARED = 16
-# Large configurations that were merged for several links.
-MAX_SHARED_MERGES = 4
 MAX_BATCH_MESSAGES = 128
 CONNECT_TIMEOUT_S = 0.5
 # A round trip of a batch to another region takes well under this.
@@ -80,7 +58,6 @@
 RECONNECT_FIRST_S = 0.1
 RECONNECT_MAX_S = 1.0
 
-_SHARED_KINDS = (Feed, ConfigDelta, ConfigState, InstallSnapshot)
 _READ_EVENT = 1  # of libev
 _LINK_ERRORS = (TException, OSError, EOFError)
 
@@ -133,138 +110,6 @@
         super().close()
 
 
-class SharedEncoder:
-    """Converts messages to generated structs.
-
-    A hub sends most of its feed, and each configuration, to many entries at
-    once. Such a message is converted only once, and so are two
-    configurations that wait for several links merged once.
-    """
-
-    def __init__(self) -> None:
-        """Start without messages."""
-        self._shared: dict[type, deque[tuple[Any, Any]]] = {
-            kind: deque(maxlen=MAX_SHARED) for kind in _SHARED_KINDS
-        }
-        self._merges: deque[tuple[Any, Any, Any]] = deque(
-            maxlen=MAX_SHARED_MERGES
-        )
-
-    def encode(self, message: Any) -> Any:
-        """Return the generated struct of a message."""
-        known = self._shared.get(type(message))
-        if known is None:
-            return to_wire(message)
-        for shared, encoded in known:
-            if shared is message:
-                return encoded
-        encoded = to_wire(message)
-        known.append((message, encoded))
-        return encoded
-
-    def merge(self, newer: Any, waiting: Any) -> Any | None:
-        """Return one message instead of two, None if both are needed."""
-        for merged_newer, merged_waiting, merged in self._merges:
-            if merged_newer is newer and merged_waiting is waiting:
-                return merged
-        merged = merge_waiting(newer, waiting)
-        if merged is not None:
-            self._merges.append((newer, waiting, merged))
-        return merged
-
-
-class _Transfer:
-    """A large message that waits for a link, or is being sent.
-
-    Attributes:
-        message: the message.
-        parts: what is left to send of it.
-    """
-
-    def __init__(self, message: Any, packed: bytes) -> None:
-        self.message = message
-        self.parts = PartSender(packed)
-
-
-class LargeMessages:
-    """The large messages of a link, sent one after the other.
-
-    Of the configurations that wait, only one is kept, which replaces the
-    others.
-    """
-
-    def __init__(self, encoder: SharedEncoder) -> None:
-        """Start without messages.
-
-        Args:
-            encoder: converts and merges messages.
-        """
-        self._encoder = encoder
-        self._transfers: deque[_Transfer] = deque()
-
-    @property
-    def size(self) -> int:
-        """Bytes that are left to send."""
-        return sum(len(t.parts.data) - t.parts.sent for t in self._transfers)
-
-    def __len__(self) -> int:
-        """Return the number of messages that are not yet sent whole."""
-        return len(self._transfers)
-
-    def add(self, message: Any, packed: bytes) -> bool:
-        """Add a message.
-
-        Args:
-            message: the message.
-            packed: the message compressed.
-
-        Returns:
-            False if there is no room for it.
-        """
-        if is_covered(message, (t.message for t in self._transfers)):
-            return True
-        for number, transfer in enumerate(self._transfers):
-            if transfer.parts.sent:
-                continue
-            merged = self._encoder.merge(message, transfer.message)
-            if merged is not None:
-                if merged is not transfer.message:
-                    self._replace(number, merged)
-                return True
-        if self._transfers and self.size + len(packed) > MAX_LARGE_BYTES:
-            return False
-        self._transfers.append(_Transfer(message, packed))
-        return True
-
-    def _replace(self, number: int, message: Any) -> None:
-        """Replace a message that waits."""
-        packed = pack(self._encoder.encode(message))
-        self._transfers[number] = _Transfer(message, packed)
-
-    def get_next_part(self) -> Any | None:
-        """Return what is to be sent next, None if there is nothing."""
-        if not self._transfers:
-            return None
-        return self._transfers[0].parts.pop_next()
-
-    def confirm_part(self) -> None:
-        """Record that the peer has the last part."""
-        if self._transfers and self._transfers[0].parts.is_complete:
-            self._transfers.popleft()
-
-    def restart(self) -> None:
-        """Send the first message again as a whole, on a new connection."""
-        if self._transfers:
-            self._transfers[0].parts.sent = 0
-
-    def clear(self) -> None:
-        """Remove all messages."""
-        self._transfers.clear()
-
-    def __repr__(self) -> str:
-        return f"<LargeMessages [{len(self)}]>"
-
-
 class PeerLink:
     """A task that owns the connection to one peer.
 
@@ -346,51 +191,42 @@
         while self._queue or self._large:
             client = self._client or self._connect()
             batch = self._pop_small_messages()
+            structs = [encoded for _, encoded in batch]
             part = self._large.get_next_part()
+            if part is not None:
+                structs.append(part)
             try:
-                encoded = [self._encode(message) for message in batch]
-                client.deliver([*encoded, *([part] if part else [])])
+                client.deliver(structs)
                 self._large.confirm_part()
             except _LINK_ERRORS:
                 raise
             except Exception as error:
                 # The connection may have a part of the batch in its buffer.
                 self._close(error)
-                self._queue.extendleft(reversed(self._drop_invalid(batch)))
+                valid = self._drop_invalid([message for message, _ in batch])
+                self._queue.extendleft(reversed(valid))
                 self._large.restart()
 
-    def _pop_small_messages(self) -> list[Any]:
+    def _pop_small_messages(self) -> list[tuple[Any, Any]]:
         """Remove the next messages from the queue; return the small ones.
 
-        The others are left to the transfer of large messages. So are all
-        configurations while one is on its way: a later one applies only to a
-        host that has the earlier one.
+        Returns:
+            Each message and its generated struct. The large ones are left to
+            `LargeMessages`.
         """
         small = []
         for _ in range(min(MAX_BATCH_MESSAGES, len(self._queue))):
             message = self._queue.popleft()
-            packed = self._pack_if_large(message)
-            if packed is None:
-                small.append(message)
-            elif not self._large.add(message, packed):
-                error = PeerError("too many large messages", step="send")
+            try:
+                encoded = self._encode(message)
+                if not self._large.must_take(message, encoded):
+                    small.append((message, encoded))
+                elif not self._large.add(message, encoded):
+                    raise PeerError("too many wait", step="send large message")
+            except Exception as error:
                 _log_dropped(self._peer, type(message).__name__, error)
         return small
 
-    def _pack_if_large(self, message: Any) -> bytes | None:
-        """Return a message compressed, None if it is sent as it is."""
-        if not may_be_large(message):
-            return None
-        try:
-            encoded = self._encode(message)
-            size = len(encoded.packed or b"")
-            must_follow = is_configuration(message) and bool(self._large)
-            if size <= MAX_SMALL_BYTES and not must_follow:
-                return None
-            return pack(encoded)
-        except Exception:
-            return None  # it can't be encoded and is dropped from its batch
-
     def _drop_invalid(self, batch: list[Any]) -> list[Any]:
         """Return the messages of a batch that can be encoded; log others."""
         valid = []
--- a/packages/wire/src/wasabitray_wire/parts.py
+++ b/packages/wire/src/wasabitray_wire/parts.py
@@ -29,7 +29,8 @@
 
     def pop_next(self) -> ttypes.PeerMessage:
         """Return the next part, or the whole message if it is small."""
-        start, self.sent = self.sent, self.sent + MAX_PART_BYTES
+        start = self.sent
+        self.sent = min(len(self.data), start + MAX_PART_BYTES)
         if len(self.data) <= MAX_PART_BYTES:
             return ttypes.PeerMessage(packed=self.data)
         part = ttypes.Part(self.data[start : self.sent], self.is_complete)
